--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Two entry points for a fresh machine: `make demo` and `make test`.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+
+$(PY):
+	python3 -m venv $(VENV)
+	$(PY) -m pip install -q --upgrade pip
+	$(PY) -m pip install -q -e '.[test]'
+
+.PHONY: setup demo test lint format thrift
+setup: $(PY)
+
+demo: $(PY)
+	$(VENV)/bin/guavacleat demo
+
+test: $(PY)
+	$(VENV)/bin/black --check src tests
+	$(VENV)/bin/ruff check src tests
+	$(PY) -m pytest
+
+format: $(PY)
+	$(VENV)/bin/black src tests
+	$(VENV)/bin/ruff check --fix src tests
+
+# Regenerates the committed thrift code; needs Debian's thrift-compiler.
+thrift:
+	rm -rf src/guavacleat/protocol/gen && mkdir -p src/guavacleat/protocol/gen
+	thrift --gen py:twisted -out src/guavacleat/protocol/gen thrift/sidecar.thrift && rm -f src/guavacleat/protocol/gen/sidecar/Sidecar-remote
--- /dev/null
+++ b/src/guavacleat/__main__.py
@@ -0,0 +1,5 @@
+"""Allows ``python -m guavacleat``."""
+
+from guavacleat.cmdline import run
+
+run()
--- /dev/null
+++ b/src/guavacleat/standin/engine.py
@@ -0,0 +1,292 @@
+"""Stand-in model engine: continuous batching over a simulated key-value memory.
+
+Each step (``step_seconds``) every running sequence emits one token and grows its memory by one
+token. Waiting sequences are admitted by priority (lower number first), then arrival, while the
+batch and memory have room; a prompt whose prefix blocks are cached costs less memory to admit.
+When memory fills mid-decode the engine preempts the least urgent, newest sequence: it goes back
+to waiting, keeps the tokens it has emitted and resumes later in the same generation.
+
+Output lengths are drawn from a heavy-tailed distribution seeded by the request id, capped by
+``max_tokens``, so neither caller nor gateway knows them ahead. Load reports lag by
+``load_lag`` seconds; cache events are published ``event_lag`` seconds late and every
+``event_gap_every``-th one is dropped. Orders carry a fencing number; with ``fencing="refuse"``
+an order below the highest seen is refused, with ``fencing="ignore"`` it is applied anyway.
+"""
+
+import hashlib
+import itertools
+import random
+
+from twisted.internet import defer
+from twisted.internet.interfaces import IReactorTime
+
+__all__ = ["Engine", "EngineSettings", "Sequence"]
+
+WORDS = ("the", "caller", "listing", "number", "garage", "slot", "summary", "check", "route", "ok")
+PREFIX_BLOCK = 16
+PARETO_SHAPE = 1.2
+MIN_OUTPUT = 4
+
+
+class EngineSettings:
+    """Sizes and behaviour of one stand-in engine; times in seconds, memory in tokens."""
+
+    __slots__ = (
+        "name",
+        "step_seconds",
+        "max_batch",
+        "kv_capacity",
+        "cache_blocks",
+        "load_lag",
+        "event_lag",
+        "event_gap_every",
+        "fencing",
+    )
+
+    def __init__(
+        self,
+        name: str = "engine",
+        step_seconds: float = 0.01,
+        max_batch: int = 16,
+        kv_capacity: int = 8192,
+        cache_blocks: int = 256,
+        load_lag: float = 0.5,
+        event_lag: float = 0.2,
+        event_gap_every: int = 7,
+        fencing: str = "refuse",
+    ):
+        self.name = name
+        self.step_seconds = step_seconds
+        self.max_batch = max_batch
+        self.kv_capacity = kv_capacity
+        self.cache_blocks = cache_blocks
+        self.load_lag = load_lag
+        self.event_lag = event_lag
+        self.event_gap_every = event_gap_every
+        self.fencing = fencing
+
+
+class Sequence:
+    """One generation on this engine; ``tokens`` only ever grows."""
+
+    __slots__ = (
+        "stream_id",
+        "generation",
+        "priority",
+        "prompt_tokens",
+        "target_length",
+        "tokens",
+        "kv_held",
+        "preemptions",
+        "finished",
+        "finish_reason",
+        "arrival",
+        "waiters",
+    )
+
+    def __init__(self, stream_id, generation, priority, prompt_tokens, target_length, arrival):
+        self.stream_id = stream_id
+        self.generation = generation
+        self.priority = priority
+        self.prompt_tokens = prompt_tokens
+        self.target_length = target_length
+        self.tokens: list[str] = []
+        self.kv_held = 0
+        self.preemptions = 0
+        self.finished = False
+        self.finish_reason = ""
+        self.arrival = arrival
+        self.waiters: list[defer.Deferred] = []
+
+
+class Engine:
+    """The engine's state machine, driven by the reactor's clock."""
+
+    def __init__(self, clock: IReactorTime, settings: EngineSettings):
+        self.clock = clock
+        self.settings = settings
+        self.sequences_by_id: dict[str, Sequence] = {}
+        self.waiting: list[Sequence] = []
+        self.running: list[Sequence] = []
+        self.cached_blocks: dict[str, float] = {}
+        self.events: list[tuple[float, int, str, str]] = []
+        self.load_history: list[tuple[float, dict]] = []
+        self.highest_fencing = 0
+        self.loaded_by_kind: dict[str, str] = {}
+        self.preemptions = 0
+        self._ids = itertools.count(1)
+        self._event_numbers = itertools.count(1)
+        self._stepping = None
+
+    # Requests ---------------------------------------------------------------------------
+    def submit(self, request_id: str, prompt: str, max_tokens: int, priority: int) -> Sequence:
+        """Queue a generation and return its sequence; the stream id is new on every call."""
+        stream_id = f"{self.settings.name}-{next(self._ids)}"
+        sequence = Sequence(
+            stream_id,
+            generation=f"{self.settings.name}/{request_id}/{stream_id}",
+            priority=priority,
+            prompt_tokens=max(1, len(prompt.split())),
+            target_length=_output_length(request_id, max_tokens),
+            arrival=self.clock.seconds(),
+        )
+        self.sequences_by_id[stream_id] = sequence
+        self.waiting.append(sequence)
+        self._note_prefix(prompt)
+        self._ensure_stepping()
+        return sequence
+
+    def read(self, stream_id: str, cursor: int, wait: float) -> defer.Deferred:
+        """Fire with the sequence once it has tokens past ``cursor``, is finished, or ``wait``."""
+        sequence = self.sequences_by_id[stream_id]
+        if len(sequence.tokens) > cursor or sequence.finished or wait <= 0:
+            return defer.succeed(sequence)
+        waiter = defer.Deferred()
+        sequence.waiters.append(waiter)
+        timer = self.clock.callLater(wait, _wake, waiter, sequence)
+        waiter.addCallback(_cancel_and_pass, timer)
+        return waiter
+
+    def cancel(self, stream_id: str) -> None:
+        sequence = self.sequences_by_id.get(stream_id)
+        if sequence and not sequence.finished:
+            self._finish(sequence, "cancelled")
+
+    # Steps ------------------------------------------------------------------------------
+    def step(self) -> None:
+        """Admit, decode one token per running sequence, and preempt if memory overflows."""
+        self._admit()
+        for sequence in list(self.running):
+            self._decode(sequence)
+        while self.kv_used() > self.settings.kv_capacity and self.running:
+            self._preempt(max(self.running, key=lambda seq: (seq.priority, seq.arrival)))
+        self._record_load()
+        self._stepping = None
+        self._ensure_stepping()
+
+    def kv_used(self) -> int:
+        return sum(seq.kv_held for seq in self.running)
+
+    def _ensure_stepping(self) -> None:
+        if self._stepping is None and (self.waiting or self.running):
+            self._stepping = self.clock.callLater(self.settings.step_seconds, self.step)
+
+    def _admit(self) -> None:
+        self.waiting.sort(key=lambda seq: (seq.priority, seq.arrival))
+        while self.waiting and len(self.running) < self.settings.max_batch:
+            candidate = self.waiting[0]
+            needed = candidate.prompt_tokens + len(candidate.tokens) + 1
+            if self.kv_used() + needed > self.settings.kv_capacity:
+                return
+            self.waiting.pop(0)
+            candidate.kv_held = needed
+            self.running.append(candidate)
+
+    def _decode(self, sequence: Sequence) -> None:
+        index = len(sequence.tokens)
+        sequence.tokens.append(_token(sequence.generation, index))
+        sequence.kv_held += 1
+        if len(sequence.tokens) >= sequence.target_length:
+            self._finish(sequence, "stop")
+        else:
+            _wake_all(sequence)
+
+    def _preempt(self, sequence: Sequence) -> None:
+        self.running.remove(sequence)
+        sequence.kv_held = 0
+        sequence.preemptions += 1
+        self.preemptions += 1
+        self.waiting.append(sequence)
+
+    def _finish(self, sequence: Sequence, reason: str) -> None:
+        sequence.finished = True
+        sequence.finish_reason = reason
+        sequence.kv_held = 0
+        for queue in (self.running, self.waiting):
+            if sequence in queue:
+                queue.remove(sequence)
+        _wake_all(sequence)
+
+    # Reports ----------------------------------------------------------------------------
+    def _record_load(self) -> None:
+        now = self.clock.seconds()
+        snapshot = {
+            "running": len(self.running),
+            "waiting": len(self.waiting),
+            "kv_used": self.kv_used(),
+            "kv_capacity": self.settings.kv_capacity,
+            "preemptions": self.preemptions,
+        }
+        self.load_history.append((now, snapshot))
+        horizon = now - 2 * self.settings.load_lag
+        self.load_history = [entry for entry in self.load_history if entry[0] >= horizon]
+
+    def load(self) -> dict:
+        """The load as it was ``load_lag`` seconds ago (the newest older snapshot)."""
+        cutoff = self.clock.seconds() - self.settings.load_lag
+        older = [snapshot for at, snapshot in self.load_history if at <= cutoff]
+        empty = {"running": 0, "waiting": 0, "kv_used": 0, "preemptions": 0}
+        return older[-1] if older else {**empty, "kv_capacity": self.settings.kv_capacity}
+
+    def _note_prefix(self, prompt: str) -> None:
+        words = prompt.split()
+        for end in range(PREFIX_BLOCK, len(words) + 1, PREFIX_BLOCK):
+            block = hashlib.blake2b(" ".join(words[:end]).encode(), digest_size=8).hexdigest()
+            if block not in self.cached_blocks:
+                self._publish("stored", block)
+            self.cached_blocks[block] = self.clock.seconds()
+        while len(self.cached_blocks) > self.settings.cache_blocks:
+            oldest = min(self.cached_blocks, key=self.cached_blocks.get)
+            del self.cached_blocks[oldest]
+            self._publish("evicted", oldest)
+
+    def _publish(self, kind: str, block: str) -> None:
+        number = next(self._event_numbers)
+        if number % self.settings.event_gap_every:
+            self.events.append((self.clock.seconds(), number, kind, block))
+
+    def cache_events(self, since: int) -> list[tuple[int, str, str]]:
+        """Events numbered above ``since`` that are at least ``event_lag`` old; some are missing."""
+        cutoff = self.clock.seconds() - self.settings.event_lag
+        return [
+            (n, kind, block) for at, n, kind, block in self.events if n > since and at <= cutoff
+        ]
+
+    # Orders -----------------------------------------------------------------------------
+    def order(self, kind: str, target: str, fencing: int) -> bool:
+        """Apply an order (load model, adapter, version, or change role); False if refused."""
+        if fencing < self.highest_fencing and self.settings.fencing == "refuse":
+            return False
+        self.highest_fencing = max(self.highest_fencing, fencing)
+        self.loaded_by_kind[kind] = target
+        return True
+
+
+def _output_length(request_id: str, max_tokens: int) -> int:
+    draw = random.Random(request_id).paretovariate(PARETO_SHAPE)
+    return max(1, min(max_tokens, int(MIN_OUTPUT * draw)))
+
+
+def _token(generation: str, index: int) -> str:
+    digest = hashlib.blake2b(f"{generation}:{index}".encode(), digest_size=2).digest()
+    return WORDS[digest[0] % len(WORDS)]
+
+
+def _wake(waiter: defer.Deferred, sequence: Sequence) -> None:
+    if waiter in sequence.waiters:
+        sequence.waiters.remove(waiter)
+    if not waiter.called:
+        waiter.callback(sequence)
+
+
+def _wake_all(sequence: Sequence) -> None:
+    waiters, sequence.waiters = sequence.waiters, []
+    for waiter in waiters:
+        if not waiter.called:
+            waiter.callback(sequence)
+
+
+def _cancel_and_pass(sequence: Sequence, timer):
+    if timer.active():
+        timer.cancel()
+    return sequence
--- /dev/null
+++ b/src/guavacleat/store/messages.py
@@ -0,0 +1,64 @@
+"""Messages and error kinds of the object API, shared by its client and its stand-in."""
+
+from guavacleat.errors import StoreError
+
+__all__ = ["ConflictError", "StoreUnavailableError", "StoredObject", "WatchBatch"]
+
+# ``expected_version`` that asks for the object not to exist yet.
+MUST_NOT_EXIST = 0
+
+
+class StoredObject:
+    """One object as the store holds it.
+
+    :param version: per-object version, 1 on creation, +1 on each update.
+    :param revision: store-wide sequence number of the write that made this version.
+    :param value: a JSON value, at most a megabyte encoded.
+    """
+
+    __slots__ = ("kind", "name", "version", "revision", "value")
+
+    def __init__(self, kind: str, name: str, version: int, revision: int, value):
+        self.kind = kind
+        self.name = name
+        self.version = version
+        self.revision = revision
+        self.value = value
+
+    def to_json(self) -> dict:
+        return {slot: getattr(self, slot) for slot in self.__slots__}
+
+    @classmethod
+    def from_json(cls, body: dict) -> "StoredObject":
+        return cls(*(body[slot] for slot in cls.__slots__))
+
+
+class WatchBatch:
+    """Changes to one kind after a revision: ``objects`` in revision order, up to ``revision``."""
+
+    __slots__ = ("revision", "objects")
+
+    def __init__(self, revision: int, objects: list[StoredObject]):
+        self.revision = revision
+        self.objects = objects
+
+
+class ConflictError(StoreError):
+    """A conditional update lost: the object is at ``current_version``, not the one expected."""
+
+    def __init__(self, kind: str, name: str, expected: int, current_version: int):
+        super().__init__(
+            f"{kind}/{name} is at version {current_version}, not {expected}.",
+            f"read version {current_version}, rebase the change on it and write again.",
+        )
+        self.current_version = current_version
+
+
+class StoreUnavailableError(StoreError):
+    """The store did not answer in time or answered with an outage; the write may have happened."""
+
+    def __init__(self, detail: str):
+        super().__init__(
+            f"the object API did not answer: {detail}.",
+            "retry later; a write may have taken effect, so read before writing again.",
+        )
--- /dev/null
+++ b/thrift/sidecar.thrift
@@ -0,0 +1,55 @@
+// Protocol between a gateway and the sidecar beside one endpoint.
+// A gateway starts a generation, then pulls tokens by cursor; pulls are idempotent,
+// so a retried or resumed pull never duplicates or skips a token.
+
+namespace py sidecar
+
+struct StartRequest {
+  1: required string request_id,
+  2: required string service_name,
+  3: required string account,
+  4: required i32 priority,
+  5: required string prompt,
+  6: required i32 max_tokens,
+}
+
+struct StartReply {
+  1: required string stream_id,
+  2: required string generation,
+}
+
+struct TokenBatch {
+  1: required string generation,
+  2: required i64 first_index,
+  3: required list<string> tokens,
+  4: required bool finished,
+  5: required string finish_reason,
+  6: required i32 preemptions,
+}
+
+struct LoadReport {
+  1: required string endpoint,
+  2: required i32 running,
+  3: required i32 waiting,
+  4: required i64 kv_used,
+  5: required i64 kv_capacity,
+  6: required bool draining,
+}
+
+// The request was refused before any engine started it; it may be sent again.
+exception NotRun {
+  1: required string reason,
+  2: required i32 retry_after_ms,
+}
+
+exception UnknownStream {
+  1: required string stream_id,
+}
+
+service Sidecar {
+  StartReply start(1: StartRequest request) throws (1: NotRun not_run),
+  TokenBatch pull(1: string stream_id, 2: i64 cursor, 3: i32 wait_ms)
+      throws (1: UnknownStream unknown),
+  void cancel(1: string stream_id),
+  LoadReport load(),
+}
