--- a/src/guavacleat/store/client.py
+++ b/src/guavacleat/store/client.py
@@ -43,7 +43,8 @@
     def put(self, kind: str, name: str, value, expected_version: int):
         """Write ``value`` if the object is at ``expected_version``; fire with the new object.
 
-        Raises :class:`ConflictError` if it is not, :class:`StoreUnavailableError` if no answer came.
+        Raises :class:`ConflictError` if it is not, :class:`StoreUnavailableError` if no answer
+        came.
         """
         self.calls_by_type["write"] += 1
         body = {"value": value, "expected_version": expected_version}
