Whole path: gateway, sidecars, ctl, stand-in commands and the demo

Change: gateway (klein: SSE completions, /status, /metrics; admission bound per client account refusing as not run with Retry-After; router by own in-flight count with rendezvous-hash prefix affinity; relay pulling tokens by cursor over thrift, refusing batches of another generation or cursor); sidecar (thrift server forwarding to the engine, lease renewed in the object API, drain on planned stop); membership view timed by the reader's clock; config holder that only moves forward; idempotency claims by conditional create; ctl apply/status; absl command line with a registry of commands; eliot to stderr, ready line on stdout; aioprometheus and hdrhistogram per account and class; 'guavacleat demo' running it all on loopback.

--- /dev/null
+++ b/src/guavacleat/admission/gate.py
@@ -0,0 +1,32 @@
+"""Per client account bound on requests a gateway holds at once.
+
+A request over its account's bound is refused at once as not run, with the time to come back;
+it is never held until near its deadline. Fair shares by tokens come with issue 5.
+"""
+
+from guavacleat.config.model import Deployment
+from guavacleat.errors import NotRunError
+
+__all__ = ["Admission"]
+
+
+class Admission:
+    """Counts requests held by account and refuses those over the account's bound."""
+
+    def __init__(self):
+        self.held_by_account: dict[str, int] = {}
+
+    def enter(self, deployment: Deployment, account: str) -> None:
+        """Count the request in, or raise NotRunError naming when to come back."""
+        limits = deployment.limits
+        held = self.held_by_account.get(account, 0)
+        if held >= limits.queue_per_account:
+            raise NotRunError(
+                f"client account {account} has {held} requests in progress.",
+                f"retry after {limits.retry_after} s or raise limits.queue_per_account.",
+                retry_after=limits.retry_after,
+            )
+        self.held_by_account[account] = held + 1
+
+    def leave(self, account: str) -> None:
+        self.held_by_account[account] -= 1
--- /dev/null
+++ b/src/guavacleat/cmdline.py
@@ -0,0 +1,39 @@
+"""The ``guavacleat`` command: ``guavacleat COMMAND [--flags]``.
+
+Commands are looked up by name in :data:`COMMANDS_BY_NAME`; only the chosen command's module is
+imported, so ``guavacleat COMMAND --help`` lists that command's flags alone.
+"""
+
+import importlib
+import sys
+
+from absl import app
+
+__all__ = ["COMMANDS_BY_NAME", "get_command_by_name", "run"]
+
+COMMANDS_BY_NAME = {
+    "gateway": ("guavacleat.commands.gateway", "entry daemon behind the platform's balancer"),
+    "sidecar": ("guavacleat.commands.sidecar", "the process beside one endpoint"),
+    "ctl": ("guavacleat.commands.ctl", "operators: `ctl apply FILE`, `ctl status`"),
+    "standin": ("guavacleat.commands.standin", "stand-ins: `standin engine`, `standin store`"),
+    "demo": ("guavacleat.commands.demo", "the main job on embedded defaults, on loopback"),
+}
+
+USAGE = "usage: guavacleat COMMAND [--flags]   (guavacleat COMMAND --help for its flags)\n"
+
+
+def get_command_by_name(name: str):
+    """Import and return the module of command ``name``; raise KeyError if there is none."""
+    module_name, _ = COMMANDS_BY_NAME[name]
+    return importlib.import_module(module_name)
+
+
+def run(argv: list[str] | None = None) -> None:
+    """Entry point of the ``guavacleat`` script."""
+    argv = sys.argv if argv is None else argv
+    if len(argv) < 2 or argv[1] not in COMMANDS_BY_NAME:
+        listing = "".join(f"  {name:8} {about}\n" for name, (_, about) in COMMANDS_BY_NAME.items())
+        sys.stderr.write(USAGE + "commands:\n" + listing)
+        sys.exit(2)
+    command = get_command_by_name(argv[1])
+    app.run(command.main, argv=[f"guavacleat {argv[1]}"] + argv[2:])
--- /dev/null
+++ b/src/guavacleat/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per ``guavacleat`` command; each defines its flags and ``main(argv)``."""
--- /dev/null
+++ b/src/guavacleat/commands/demo.py
@@ -0,0 +1,78 @@
+"""``guavacleat demo``: the main job on embedded defaults, all on loopback, then exits.
+
+Starts the object API stand-in, three stand-in engines with their sidecars and a gateway in one
+process; applies the Nile Directory Exchange example settings; streams generations for several
+client accounts and classes; retries one non-repeatable call to show it runs once; prints what
+each caller received and the gateway's latency summary.
+"""
+
+import itertools
+
+from absl import flags
+from twisted.internet import defer, task
+
+from guavacleat.commands.daemon import start_logging
+from guavacleat.load import stream_completion
+from guavacleat.standin.system import EXAMPLES, LocalSystem
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer("requests", 12, "Generations to stream through the gateway.")
+flags.DEFINE_integer("max_tokens", 64, "Cap on each generation's length.")
+
+ENDPOINTS = {
+    "enquiry-lm-1": "enquiry-lm",
+    "enquiry-lm-2": "enquiry-lm",
+    "switchboard-1": "switchboard",
+}
+ACCOUNTS = ("carrier-misr-mobile", "carrier-delta-tel", "carrier-04")
+CLASSES = ("interactive", "standard", "batch")
+
+
+@defer.inlineCallbacks
+def _demo(reactor):
+    system = LocalSystem(reactor, EXAMPLES / "nile.json5", ENDPOINTS)
+    yield system.start()
+    url = system.completions_url()
+    print(f"gateway at {url}; configuration version {system.gateway.config.version}")
+    shapes = list(zip(range(FLAGS.requests), itertools.cycle(ACCOUNTS), itertools.cycle(CLASSES)))
+    calls = [
+        stream_completion(reactor, url, _body("enquiry-lm", account, klass, f"listing {n}"))
+        for n, account, klass in shapes
+    ]
+    results = yield defer.gatherResults(calls)
+    for (n, account, klass), result in zip(shapes, results, strict=True):
+        ordered = result.indices == list(range(len(result.indices)))
+        preview = " ".join(result.texts[:6])
+        print(
+            f"  #{n:<2} {account:20} {klass:11} {len(result.texts):3} tokens"
+            f" once-in-order={ordered} [{preview} ...]"
+        )
+    body = _body("switchboard", "carrier-nile-net", "interactive", "connect 0223456789")
+    first = yield stream_completion(reactor, url, body, idempotency_key="conn-0223456789-1")
+    again = yield stream_completion(reactor, url, body, idempotency_key="conn-0223456789-1")
+    print(
+        f"connection record: first {first.status} ({len(first.texts)} tokens), retry {again.status}"
+    )
+    print("latency (seconds), per account and class:")
+    for row in system.gateway.metrics.book.summary():
+        print(
+            f"  {row['measure']:4} {row['account']:20} {row['class']:11} n={row['count']:<4}"
+            f" p50={row['p50']:.4f} p95={row['p95']:.4f} p99={row['p99']:.4f}"
+        )
+    yield system.stopService()
+
+
+def _body(service, account, klass, prompt):
+    return {
+        "service": service,
+        "account": account,
+        "priority_class": klass,
+        "prompt": prompt,
+        "max_tokens": FLAGS.max_tokens,
+    }
+
+
+def main(argv):
+    del argv
+    start_logging()
+    task.react(_demo)
--- /dev/null
+++ b/src/guavacleat/config/holder.py
@@ -0,0 +1,49 @@
+"""The last accepted configuration in one daemon, which only ever moves forward.
+
+Daemons learn configuration from the object API (``config/<deployment>``) by watch. A watch may
+replay an old version after a gap, a store outage or a restart of the store's client; applying it
+would revert the operators' change. The holder therefore accepts a stored version only if it is
+newer than the one in force, and only if it passes the same checks as ``ctl apply``.
+"""
+
+import json
+
+from eliot import log_message
+
+from guavacleat.config.loader import check_settings
+from guavacleat.config.model import Deployment
+from guavacleat.store.messages import StoredObject
+
+__all__ = ["ConfigHolder", "CONFIG_KIND"]
+
+CONFIG_KIND = "config"
+
+
+class ConfigHolder:
+    """Holds ``(version, Deployment)``; counts what it accepted, ignored and refused."""
+
+    def __init__(self, deployment_name: str | None = None):
+        self.deployment_name = deployment_name
+        self.version = 0
+        self.deployment: Deployment | None = None
+        self.counts_by_outcome = {"accepted": 0, "stale": 0, "refused": 0}
+
+    def offer(self, stored: StoredObject) -> bool:
+        """Take in a stored configuration; return True if it is now in force."""
+        if self.deployment_name and stored.name != self.deployment_name:
+            return False
+        if stored.version <= self.version:
+            self.counts_by_outcome["stale"] += 1
+            return False
+        result = check_settings(json.dumps(stored.value["settings"]))
+        if result.is_error():
+            self.counts_by_outcome["refused"] += 1
+            log_message(
+                message_type="config:refused", version=stored.version, problems=result.error
+            )
+            return False
+        self.version = stored.version
+        self.deployment = result.ok
+        self.counts_by_outcome["accepted"] += 1
+        log_message(message_type="config:accepted", version=stored.version, name=stored.name)
+        return True
--- /dev/null
+++ b/src/guavacleat/ctl/status.py
@@ -0,0 +1,24 @@
+"""``ctl status``: the configuration in force and the endpoints, as the object API holds them."""
+
+from twisted.internet import defer
+
+from guavacleat.config.holder import CONFIG_KIND
+from guavacleat.membership.records import ENDPOINT_KIND
+from guavacleat.store import StoreClient
+
+__all__ = ["read_status"]
+
+
+@defer.inlineCallbacks
+def read_status(store: StoreClient):
+    """Fire with lines of text describing configurations and endpoints."""
+    configs = yield store.list_objects(CONFIG_KIND)
+    endpoints = yield store.list_objects(ENDPOINT_KIND)
+    lines = [f"configuration {obj.name}: version {obj.version}" for obj in configs.objects]
+    lines += [
+        f"endpoint {obj.name}: service {obj.value['service']},"
+        f" {'draining' if obj.value['draining'] else 'serving'} at {obj.value['address']},"
+        f" beat {obj.value['beat']}"
+        for obj in endpoints.objects
+    ]
+    return lines or ["nothing applied yet; run `guavacleat ctl apply FILE`."]
--- /dev/null
+++ b/src/guavacleat/gateway/__init__.py
@@ -0,0 +1,5 @@
+"""The entry daemon: callers' HTTP interface, admission, routing and stream relay."""
+
+from guavacleat.gateway.service import GatewayService
+
+__all__ = ["GatewayService"]
--- /dev/null
+++ b/src/guavacleat/gateway/requests.py
@@ -0,0 +1,65 @@
+"""Parsing a caller's completion request against the configuration in force."""
+
+import json
+import uuid
+
+from guavacleat.config.model import Deployment
+from guavacleat.errors import GuavacleatError
+from guavacleat.streams.messages import CompletionRequest
+
+__all__ = ["RequestError", "parse_completion", "MAX_PROMPT_BYTES"]
+
+MAX_PROMPT_BYTES = 1_000_000
+DEFAULT_MAX_TOKENS = 256
+MAX_TOKENS_CAP = 65_536
+
+
+class RequestError(GuavacleatError):
+    """The caller's request is malformed or names something the configuration lacks."""
+
+
+def parse_completion(body: bytes, idempotency_key: str | None, deployment: Deployment, now):
+    """Return a :class:`CompletionRequest`; raise RequestError naming the field and remedy."""
+    try:
+        raw = json.loads(body)
+    except ValueError as exc:
+        raise RequestError("the body is not JSON.", "send a JSON object.") from exc
+    if not isinstance(raw, dict):
+        raise RequestError("the body is not a JSON object.", "send a JSON object.")
+    service = _known(raw, "service", deployment.services_by_name)
+    account = _known(raw, "account", deployment.client_accounts_by_name)
+    priority_class = _known(raw, "priority_class", deployment.priority_classes_by_name)
+    prompt = raw.get("prompt")
+    if not isinstance(prompt, str) or not prompt or len(prompt.encode()) > MAX_PROMPT_BYTES:
+        raise RequestError("prompt is missing, empty or too large.", "send 1 B to 1 MB of text.")
+    max_tokens = raw.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if isinstance(max_tokens, bool) or not isinstance(max_tokens, int):
+        raise RequestError(f"max_tokens is {max_tokens!r}.", "send a whole number.")
+    if not 1 <= max_tokens <= MAX_TOKENS_CAP:
+        raise RequestError(f"max_tokens is {max_tokens}.", f"send 1 to {MAX_TOKENS_CAP}.")
+    if not deployment.services_by_name[service].repeatable and not idempotency_key:
+        raise RequestError(
+            f"service {service} runs each call at most once and needs an idempotency key.",
+            "send an Idempotency-Key header, the same on every retry of this call.",
+        )
+    return CompletionRequest(
+        request_id=uuid.uuid4().hex,
+        service=service,
+        account=account,
+        priority_class=priority_class,
+        priority=deployment.priority_classes_by_name[priority_class].priority,
+        prompt=prompt,
+        max_tokens=max_tokens,
+        idempotency_key=idempotency_key,
+        arrival=now,
+    )
+
+
+def _known(raw: dict, field: str, by_name: dict) -> str:
+    value = raw.get(field)
+    if not isinstance(value, str) or value not in by_name:
+        raise RequestError(
+            f"{field} {value!r} is not in the configuration in force.",
+            f"send one of: {', '.join(sorted(by_name))}.",
+        )
+    return value
--- /dev/null
+++ b/src/guavacleat/gateway/service.py
@@ -0,0 +1,104 @@
+"""The gateway as a Twisted service: watches config and endpoints, serves callers over HTTP."""
+
+from eliot import log_message
+from twisted.application import service
+from twisted.internet import defer, task
+from twisted.web.server import Site
+
+from guavacleat.admission import Admission
+from guavacleat.config.holder import CONFIG_KIND, ConfigHolder
+from guavacleat.gateway.app import GatewayApp
+from guavacleat.gateway.sidecars import SidecarPool
+from guavacleat.idempotency import CallRecords
+from guavacleat.membership import MembershipView
+from guavacleat.membership.records import ENDPOINT_KIND
+from guavacleat.metrics import StreamMetrics
+from guavacleat.routing import Router
+from guavacleat.store import StoreClient
+from guavacleat.store.watch import WatchLoop
+from guavacleat.streams import Relay
+
+__all__ = ["GatewayService", "STOP_GRACE_SECONDS"]
+
+STOP_GRACE_SECONDS = 30.0
+STOP_POLL_SECONDS = 0.1
+
+
+class GatewayService(service.Service):
+    """One entry daemon.
+
+    :param reactor: provides TCP and time.
+    :param listen: ``(host, port)`` for callers' HTTP; port 0 picks a free one.
+    :param store_url: ``http://host:port`` of the object API.
+    :param deployment: the name of the deployment whose configuration this gateway follows.
+    """
+
+    def __init__(self, reactor, listen, store_url, deployment: str | None = None):
+        self.reactor = reactor
+        self.listen = listen
+        self.store = StoreClient(store_url)
+        self.config = ConfigHolder(deployment)
+        self.membership = MembershipView(reactor)
+        self.router = Router()
+        self.admission = Admission()
+        self.metrics = StreamMetrics()
+        self.pool = SidecarPool(reactor)
+        self.calls = CallRecords(self.store)
+        self.relay = Relay(reactor, self.membership, self.router, self.pool, self.metrics)
+        self.watches = [
+            WatchLoop(reactor, self.store, CONFIG_KIND, self.config.offer),
+            WatchLoop(reactor, self.store, ENDPOINT_KIND, self._endpoint_changed),
+        ]
+        self.in_flight = 0
+        self.stopping = False
+        self.port = None
+
+    def _endpoint_changed(self, stored) -> None:
+        self.membership.observe(stored.value)
+
+    def startService(self):  # noqa: N802 - Twisted's name
+        super().startService()
+        for watch in self.watches:
+            watch.start()
+        host, port = self.listen
+        site = Site(GatewayApp(self).resource())
+        self.port = self.reactor.listenTCP(port, site, interface=host)
+        log_message(message_type="gateway:started", address=self.address())
+
+    def address(self) -> str:
+        return f"{self.listen[0]}:{self.port.getHost().port}"
+
+    @defer.inlineCallbacks
+    def stopService(self):  # noqa: N802 - Twisted's name
+        """Graceful stop: refuse new requests as not run, let running streams finish."""
+        self.stopping = True
+        waited = 0.0
+        while self.in_flight and waited < STOP_GRACE_SECONDS:
+            yield task.deferLater(self.reactor, STOP_POLL_SECONDS, lambda: None)
+            waited += STOP_POLL_SECONDS
+        for watch in self.watches:
+            watch.stop()
+        yield self.port.stopListening()
+        self.pool.close()
+        log_message(message_type="gateway:stopped", unfinished=self.in_flight)
+        yield super().stopService()
+
+    def status(self) -> dict:
+        """What ``GET /status`` reports."""
+        deployment = self.config.deployment
+        return {
+            "deployment": deployment.name if deployment else None,
+            "config_version": self.config.version,
+            "config_outcomes": dict(self.config.counts_by_outcome),
+            "endpoints": {
+                name: {
+                    "service": record.service,
+                    "draining": record.draining,
+                    "in_flight": self.router.in_flight_by_name.get(name, 0),
+                }
+                for name, record in sorted(self.membership.records_by_name.items())
+            },
+            "in_flight": self.in_flight,
+            "store_calls": dict(self.store.calls_by_type),
+            "latency": self.metrics.book.summary(),
+        }
--- /dev/null
+++ b/src/guavacleat/gateway/sse.py
@@ -0,0 +1,39 @@
+"""Server-sent events written to a Twisted request, one JSON object per event."""
+
+import json
+
+__all__ = ["SseSink", "DONE"]
+
+DONE = b"data: [DONE]\n\n"
+
+
+class SseSink:
+    """Writes tokens to a caller as SSE; stops writing once the caller has gone."""
+
+    def __init__(self, request):
+        self.request = request
+        self.gone = False
+        self.sent = 0
+        request.notifyFinish().addErrback(self._caller_left)
+
+    def token(self, index: int, text: str) -> None:
+        self._write({"index": index, "text": text})
+        self.sent += 1
+
+    def end(self, reason: str) -> None:
+        self._write({"finish_reason": reason, "tokens": self.sent})
+        if not self.gone:
+            self.request.write(DONE)
+
+    def error(self, kind: str, message: str, retry_after: float | None = None) -> None:
+        body = {"error": {"type": kind, "message": message}}
+        if retry_after is not None:
+            body["error"]["retry_after"] = retry_after
+        self._write(body)
+
+    def _write(self, body: dict) -> None:
+        if not self.gone:
+            self.request.write(b"data: " + json.dumps(body).encode() + b"\n\n")
+
+    def _caller_left(self, _failure) -> None:
+        self.gone = True
--- /dev/null
+++ b/src/guavacleat/idempotency/__init__.py
@@ -0,0 +1,5 @@
+"""At-most-once calls: a record per idempotency key, created in the object API before the call."""
+
+from guavacleat.idempotency.records import AlreadyAcceptedError, CallRecords
+
+__all__ = ["AlreadyAcceptedError", "CallRecords"]
--- /dev/null
+++ b/src/guavacleat/load/__init__.py
@@ -0,0 +1,5 @@
+"""Callers' side: an SSE client for completions, used by the demo and the load tool."""
+
+from guavacleat.load.client import CompletionResult, stream_completion
+
+__all__ = ["CompletionResult", "stream_completion"]
--- /dev/null
+++ b/src/guavacleat/metrics/book.py
@@ -0,0 +1,98 @@
+"""Latency and outcome metrics of streams, per client account and priority class.
+
+Two views of the same observations: aioprometheus histograms and counters for scraping on
+``/metrics``, and hdrhistogram recorders for exact percentiles in status reports and the load
+tool. Values are recorded in seconds and kept in hdrhistogram as microseconds.
+"""
+
+from aioprometheus import Counter, Histogram, Registry
+from aioprometheus.renderer import render
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["LatencyBook", "StreamMetrics"]
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50, 95, 99)
+TTFT_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+GAP_BUCKETS = (0.005, 0.01, 0.02, 0.033, 0.05, 0.1, 0.2, 0.5, 1.0)
+
+
+class LatencyBook:
+    """hdrhistogram recorders keyed by ``(measure, account, priority_class)``."""
+
+    def __init__(self):
+        self.histograms_by_key: dict[tuple[str, str, str], HdrHistogram] = {}
+
+    def record(self, measure: str, account: str, priority_class: str, seconds: float) -> None:
+        key = (measure, account, priority_class)
+        histogram = self.histograms_by_key.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self.histograms_by_key[key] = histogram
+        histogram.record_value(max(LOWEST_US, min(HIGHEST_US, int(seconds * 1e6))))
+
+    def summary(self) -> list[dict]:
+        """One row per key: count and the percentiles in seconds."""
+        return [
+            {
+                "measure": measure,
+                "account": account,
+                "class": priority_class,
+                "count": histogram.get_total_count(),
+                **{f"p{p}": histogram.get_value_at_percentile(p) / 1e6 for p in PERCENTILES},
+            }
+            for (measure, account, priority_class), histogram in sorted(
+                self.histograms_by_key.items()
+            )
+        ]
+
+
+class StreamMetrics:
+    """Everything a gateway records about streams, with the exposition for ``/metrics``."""
+
+    def __init__(self):
+        self.registry = Registry()
+        self.book = LatencyBook()
+        self.ttft = Histogram(
+            "guavacleat_time_to_first_token_seconds",
+            "Time from a request's arrival to its first token reaching the caller.",
+            registry=self.registry,
+            buckets=TTFT_BUCKETS,
+        )
+        self.gap = Histogram(
+            "guavacleat_inter_token_seconds",
+            "Time between consecutive tokens sent to a caller.",
+            registry=self.registry,
+            buckets=GAP_BUCKETS,
+        )
+        self.outcomes = Counter(
+            "guavacleat_requests_total",
+            "Requests by outcome (completed, not_run, failed, cancelled).",
+            registry=self.registry,
+        )
+        self.preemptions = Counter(
+            "guavacleat_preemptions_total",
+            "Engine preemptions seen on streams relayed by this gateway.",
+            registry=self.registry,
+        )
+
+    def first_token(self, account: str, priority_class: str, seconds: float) -> None:
+        self.ttft.observe({"account": account, "class": priority_class}, seconds)
+        self.book.record("ttft", account, priority_class, seconds)
+
+    def token_gap(self, account: str, priority_class: str, seconds: float) -> None:
+        self.gap.observe({"account": account, "class": priority_class}, seconds)
+        self.book.record("gap", account, priority_class, seconds)
+
+    def outcome(self, account: str, priority_class: str, outcome: str) -> None:
+        self.outcomes.inc({"account": account, "class": priority_class, "outcome": outcome})
+
+    def preempted(self, account: str, priority_class: str, count: int) -> None:
+        if count:
+            self.preemptions.add({"account": account, "class": priority_class}, count)
+
+    def exposition(self) -> tuple[bytes, dict]:
+        """The Prometheus text body and its headers."""
+        return render(self.registry, [])
--- /dev/null
+++ b/src/guavacleat/sidecar/engine_client.py
@@ -0,0 +1,66 @@
+"""HTTP client for an engine's streaming interface (the stand-in's, see standin.engine_http)."""
+
+import json
+
+import treq
+from twisted.internet import defer
+
+__all__ = ["EngineClient", "EngineBatch"]
+
+CALL_TIMEOUT = 5.0
+
+
+class EngineBatch:
+    """Tokens from ``first_index`` on, as one pull from the engine returned them."""
+
+    __slots__ = ("generation", "first_index", "tokens", "finished", "finish_reason", "preemptions")
+
+    def __init__(self, generation, first_index, tokens, finished, finish_reason, preemptions):
+        self.generation = generation
+        self.first_index = first_index
+        self.tokens = tokens
+        self.finished = finished
+        self.finish_reason = finish_reason
+        self.preemptions = preemptions
+
+
+class EngineClient:
+    """Calls one engine at ``base_url`` (``http://host:port``)."""
+
+    def __init__(self, base_url: str, http=treq):
+        self.base_url = base_url.rstrip("/")
+        self.http = http
+
+    @defer.inlineCallbacks
+    def generate(self, request_id: str, prompt: str, max_tokens: int, priority: int):
+        """Fire with ``(stream_id, generation)`` once the engine has queued the generation."""
+        body = {
+            "request_id": request_id,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "priority": priority,
+        }
+        answer = yield self._json("POST", "/v1/generate", body)
+        return answer["stream_id"], answer["generation"]
+
+    @defer.inlineCallbacks
+    def read(self, stream_id: str, cursor: int, wait: float):
+        """Fire with an :class:`EngineBatch` of the tokens from ``cursor`` on."""
+        path = f"/v1/streams/{stream_id}?cursor={cursor}&wait={wait}"
+        answer = yield self._json("GET", path, timeout=wait + CALL_TIMEOUT)
+        return EngineBatch(**answer)
+
+    def cancel(self, stream_id: str) -> defer.Deferred:
+        return self._json("DELETE", f"/v1/streams/{stream_id}")
+
+    def load(self) -> defer.Deferred:
+        return self._json("GET", "/v1/load")
+
+    @defer.inlineCallbacks
+    def _json(self, method: str, path: str, body=None, timeout: float = CALL_TIMEOUT):
+        data = None if body is None else json.dumps(body).encode()
+        response = yield self.http.request(method, self.base_url + path, data=data, timeout=timeout)
+        content = yield response.content()
+        if response.code != 200:
+            raise LookupError(f"engine answered {response.code} to {method} {path}")
+        return json.loads(content)
--- /dev/null
+++ b/src/guavacleat/sidecar/handler.py
@@ -0,0 +1,104 @@
+"""Implements the thrift ``Sidecar`` service by forwarding to the engine beside it."""
+
+from twisted.internet import defer
+from twisted.internet.error import ConnectionRefusedError
+from zope.interface import implementer
+
+from guavacleat.protocol.gen.sidecar import Sidecar
+from guavacleat.protocol.gen.sidecar.ttypes import (
+    LoadReport,
+    NotRun,
+    StartReply,
+    TokenBatch,
+    UnknownStream,
+)
+from guavacleat.sidecar.engine_client import EngineClient
+
+__all__ = ["SidecarHandler"]
+
+DRAINING_RETRY_MS = 200
+ENGINE_DOWN_RETRY_MS = 1000
+
+
+@implementer(Sidecar.Iface)
+class SidecarHandler:
+    """Thrift handler; every method returns a Deferred.
+
+    :param endpoint: this endpoint's name, as in the settings.
+    :param engine: client of the engine beside this sidecar.
+    """
+
+    def __init__(self, endpoint: str, engine: EngineClient):
+        self.endpoint = endpoint
+        self.engine = engine
+        self.draining = False
+        self.open_streams: set[str] = set()
+        self.drained = defer.Deferred()
+
+    @defer.inlineCallbacks
+    def start(self, request):
+        # A leaving endpoint must get no new work; the refusal happens before the engine is
+        # called, so "not run" is true and the gateway may send the request elsewhere.
+        if self.draining:
+            raise NotRun(reason=f"{self.endpoint} is draining", retry_after_ms=DRAINING_RETRY_MS)
+        try:
+            stream_id, generation = yield self.engine.generate(
+                request.request_id, request.prompt, request.max_tokens, request.priority
+            )
+        except ConnectionRefusedError as exc:
+            # Refused connection: the engine never read the request, so it did not run. Any
+            # other failure (timeout, reset) leaves it unknown and is not reported as not run.
+            raise NotRun(
+                reason=f"engine of {self.endpoint} refused the connection",
+                retry_after_ms=ENGINE_DOWN_RETRY_MS,
+            ) from exc
+        self.open_streams.add(stream_id)
+        return StartReply(stream_id=stream_id, generation=generation)
+
+    @defer.inlineCallbacks
+    def pull(self, stream_id: str, cursor: int, wait_ms: int):
+        try:
+            batch = yield self.engine.read(stream_id, cursor, wait_ms / 1000)
+        except LookupError as exc:
+            raise UnknownStream(stream_id=stream_id) from exc
+        if batch.finished:
+            self._close(stream_id)
+        return TokenBatch(
+            generation=batch.generation,
+            first_index=batch.first_index,
+            tokens=batch.tokens,
+            finished=batch.finished,
+            finish_reason=batch.finish_reason,
+            preemptions=batch.preemptions,
+        )
+
+    @defer.inlineCallbacks
+    def cancel(self, stream_id: str):
+        yield self.engine.cancel(stream_id)
+        self._close(stream_id)
+
+    @defer.inlineCallbacks
+    def load(self):
+        report = yield self.engine.load()
+        return LoadReport(
+            endpoint=self.endpoint,
+            running=report["running"],
+            waiting=report["waiting"],
+            kv_used=report["kv_used"],
+            kv_capacity=report["kv_capacity"],
+            draining=self.draining,
+        )
+
+    def begin_drain(self) -> defer.Deferred:
+        """Refuse new work from now on; fire once every open stream has finished."""
+        self.draining = True
+        self._fire_if_drained()
+        return self.drained
+
+    def _close(self, stream_id: str) -> None:
+        self.open_streams.discard(stream_id)
+        self._fire_if_drained()
+
+    def _fire_if_drained(self) -> None:
+        if self.draining and not self.open_streams and not self.drained.called:
+            self.drained.callback(None)
--- /dev/null
+++ b/src/guavacleat/sidecar/service.py
@@ -0,0 +1,68 @@
+"""The sidecar as a Twisted service: thrift listener, lease, and drain on a planned stop."""
+
+from eliot import log_message
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TTwisted
+from twisted.application import service
+from twisted.internet import defer
+
+from guavacleat.membership import EndpointRecord, Lease
+from guavacleat.protocol.gen.sidecar import Sidecar
+from guavacleat.sidecar.engine_client import EngineClient
+from guavacleat.sidecar.handler import SidecarHandler
+from guavacleat.store import StoreClient
+
+__all__ = ["SidecarService", "DRAIN_GRACE_SECONDS"]
+
+DRAIN_GRACE_SECONDS = 30.0
+
+
+class SidecarService(service.Service):
+    """Serves one endpoint.
+
+    :param reactor: provides TCP and time.
+    :param name: the endpoint's name in the settings.
+    :param service_name: the service the endpoint belongs to.
+    :param data_centre: where it runs.
+    :param listen: ``(host, port)`` for thrift; port 0 picks a free one.
+    :param engine_url: ``http://host:port`` of the engine beside it.
+    :param store_url: ``http://host:port`` of the object API.
+    """
+
+    def __init__(self, reactor, name, service_name, data_centre, listen, engine_url, store_url):
+        self.reactor = reactor
+        self.name = name
+        self.listen = listen
+        self.handler = SidecarHandler(name, EngineClient(engine_url))
+        self.store = StoreClient(store_url)
+        self.record = EndpointRecord(name, service_name, data_centre, address="")
+        self.lease: Lease | None = None
+        self.port = None
+
+    def startService(self):  # noqa: N802 - Twisted's name
+        super().startService()
+        processor = Sidecar.Processor(self.handler)
+        factory = TTwisted.ThriftServerFactory(processor, TBinaryProtocol.TBinaryProtocolFactory())
+        host, port = self.listen
+        self.port = self.reactor.listenTCP(port, factory, interface=host)
+        self.record.address = f"{host}:{self.port.getHost().port}"
+        self.lease = Lease(self.reactor, self.store, self.record)
+        self.lease.start()
+        log_message(message_type="sidecar:started", endpoint=self.name, address=self.record.address)
+
+    @defer.inlineCallbacks
+    def stopService(self):  # noqa: N802 - Twisted's name
+        """Graceful stop: announce draining, let open streams finish, then close."""
+        yield self.lease.mark_draining()
+        drained = self.handler.begin_drain()
+        drained.addTimeout(DRAIN_GRACE_SECONDS, self.reactor)
+        try:
+            yield drained
+        except defer.TimeoutError:
+            log_message(
+                message_type="sidecar:drain-timeout", open_streams=len(self.handler.open_streams)
+            )
+        self.lease.stop()
+        yield self.port.stopListening()
+        log_message(message_type="sidecar:stopped", endpoint=self.name)
+        yield super().stopService()
--- /dev/null
+++ b/src/guavacleat/standin/system.py
@@ -0,0 +1,101 @@
+"""A whole system on loopback in one process: object API, engines, sidecars and a gateway.
+
+Each part listens on its own loopback port and talks to the others over TCP exactly as separate
+processes would; only the reactor is shared. Used by ``guavacleat demo`` and the benchmarks.
+"""
+
+from pathlib import Path
+
+from twisted.application import service
+from twisted.internet import defer, task
+from twisted.web.server import Site
+
+import guavacleat
+from guavacleat.ctl import apply_settings
+from guavacleat.gateway import GatewayService
+from guavacleat.sidecar import SidecarService
+from guavacleat.standin.engine import Engine, EngineSettings
+from guavacleat.standin.engine_http import EngineApp
+from guavacleat.standin.store import StoreApp, StoreState
+from guavacleat.store import StoreClient
+
+__all__ = ["LocalSystem", "EXAMPLES", "LOOPBACK"]
+
+EXAMPLES = Path(guavacleat.__file__).parent / "examples"
+LOOPBACK = "127.0.0.1"
+READY_POLL = 0.05
+READY_TIMEOUT = 10.0
+
+
+class _Listener(service.Service):
+    def __init__(self, reactor, resource):
+        self.reactor = reactor
+        self.resource = resource
+        self.port = None
+
+    def startService(self):  # noqa: N802 - Twisted's name
+        super().startService()
+        self.port = self.reactor.listenTCP(0, Site(self.resource), interface=LOOPBACK)
+
+    def stopService(self):  # noqa: N802 - Twisted's name
+        super().stopService()
+        return self.port.stopListening()
+
+    def url(self) -> str:
+        return f"http://{LOOPBACK}:{self.port.getHost().port}"
+
+
+class LocalSystem(service.MultiService):
+    """Starts the parts in dependency order; ``endpoints`` maps endpoint name to service name."""
+
+    def __init__(self, reactor, settings_path, endpoints: dict[str, str], engine_settings=None):
+        super().__init__()
+        self.reactor = reactor
+        self.settings_path = str(settings_path)
+        self.endpoints = endpoints
+        self.engine_settings = engine_settings or {}
+        self.engines_by_name: dict[str, Engine] = {}
+        self.store_state = StoreState(reactor)
+        self.store_app = StoreApp(self.store_state)
+        self.store = _Listener(reactor, self.store_app.resource())
+        self.gateway: GatewayService | None = None
+
+    @defer.inlineCallbacks
+    def start(self):
+        """Start everything, apply the settings, and fire once the gateway can route."""
+        self.store.setServiceParent(self)
+        self.startService()
+        for name, service_name in self.endpoints.items():
+            engine = Engine(self.reactor, EngineSettings(name=name, **self.engine_settings))
+            self.engines_by_name[name] = engine
+            listener = _Listener(self.reactor, EngineApp(engine).resource())
+            listener.setServiceParent(self)
+            SidecarService(
+                self.reactor,
+                name,
+                service_name,
+                "local",
+                (LOOPBACK, 0),
+                listener.url(),
+                self.store.url(),
+            ).setServiceParent(self)
+        yield apply_settings(StoreClient(self.store.url()), self.settings_path)
+        self.gateway = GatewayService(self.reactor, (LOOPBACK, 0), self.store.url())
+        self.gateway.setServiceParent(self)
+        yield self._until_routable()
+
+    @defer.inlineCallbacks
+    def _until_routable(self):
+        services = set(self.endpoints.values())
+        waited = 0.0
+        while waited < READY_TIMEOUT:
+            if self.gateway.config.deployment and all(
+                self.gateway.membership.live(name) for name in services
+            ):
+                return
+            yield task.deferLater(self.reactor, READY_POLL, lambda: None)
+            waited += READY_POLL
+        raise TimeoutError("the gateway did not see configuration and endpoints in time")
+
+    def completions_url(self) -> str:
+        return f"http://{self.gateway.address()}/v1/completions"
--- /dev/null
+++ b/src/guavacleat/streams/messages.py
@@ -0,0 +1,69 @@
+"""Messages of the stream relay."""
+
+from guavacleat.errors import GuavacleatError
+
+__all__ = ["CompletionRequest", "StreamMixupError", "StreamBrokenError"]
+
+
+class CompletionRequest:
+    """One caller's request as the gateway accepted it.
+
+    :param request_id: unique per arrival at this gateway.
+    :param priority: the engine priority of ``priority_class`` (lower is more urgent).
+    :param arrival: reactor seconds when the request arrived.
+    """
+
+    __slots__ = (
+        "request_id",
+        "service",
+        "account",
+        "priority_class",
+        "priority",
+        "prompt",
+        "max_tokens",
+        "idempotency_key",
+        "arrival",
+    )
+
+    def __init__(
+        self,
+        request_id,
+        service,
+        account,
+        priority_class,
+        priority,
+        prompt,
+        max_tokens,
+        idempotency_key,
+        arrival,
+    ):
+        self.request_id = request_id
+        self.service = service
+        self.account = account
+        self.priority_class = priority_class
+        self.priority = priority
+        self.prompt = prompt
+        self.max_tokens = max_tokens
+        self.idempotency_key = idempotency_key
+        self.arrival = arrival
+
+
+class StreamMixupError(GuavacleatError):
+    """A batch came from another generation or another cursor; sending it would mix answers."""
+
+    def __init__(self, expected: str, got: str):
+        super().__init__(
+            f"expected tokens of {expected}, got {got}.",
+            "report this as a bug; the stream was stopped before any wrong token was sent.",
+        )
+
+
+class StreamBrokenError(GuavacleatError):
+    """The endpoint serving a stream failed mid-generation."""
+
+    def __init__(self, endpoint: str, sent: int, detail: str):
+        super().__init__(
+            f"endpoint {endpoint} failed after {sent} tokens: {detail}.",
+            "send the request again; the tokens already sent were correct.",
+        )
+        self.sent = sent
