--- /dev/null
+++ b/tests/e2e/test_processes.py
@@ -0,0 +1,121 @@
+"""End to end as separate processes: store, two engines, two sidecars and a gateway on loopback.
+
+Every process is started by this harness (not by a daemon) and stopped by its own pid with
+SIGTERM, which must be a graceful stop (exit status 0). Waits are bounded; assertions are on what
+callers received, never on timings.
+"""
+
+import http.client
+import json
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+import guavacleat
+
+NILE = Path(guavacleat.__file__).parent / "examples" / "nile.json5"
+START_TIMEOUT = 20.0
+STOP_TIMEOUT = 40.0
+REQUESTS = 8
+
+
+class Daemon:
+    """One started process and the address it printed on its ready line."""
+
+    def __init__(self, *args: str):
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "guavacleat", *args],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+        line = self.process.stdout.readline().split()
+        assert line[:1] == ["ready"], f"{args[0]} did not start: {line}"
+        self.address = line[-1]
+
+    def stop(self) -> int:
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(timeout=STOP_TIMEOUT)
+
+
+@pytest.fixture
+def system():
+    started = []
+
+    def start(*args):
+        daemon = Daemon(*args)
+        started.append(daemon)
+        return daemon
+
+    store = start("standin", "store", "--listen=127.0.0.1:0")
+    for n in (1, 2):
+        engine = start("standin", "engine", "--listen=127.0.0.1:0", f"--name=e{n}")
+        start(
+            "sidecar",
+            f"--name=enquiry-lm-{n}",
+            "--service=enquiry-lm",
+            "--listen=127.0.0.1:0",
+            f"--engine={engine.address}",
+            f"--store={store.address}",
+        )
+    applied = subprocess.run(
+        [sys.executable, "-m", "guavacleat", "ctl", f"--store={store.address}", "apply", str(NILE)],
+        capture_output=True,
+        text=True,
+        timeout=START_TIMEOUT,
+    )
+    assert applied.returncode == 0, applied.stderr
+    gateway = start("gateway", "--listen=127.0.0.1:0", f"--store={store.address}")
+    _wait_routable(gateway.address)
+    yield gateway
+    codes = [daemon.stop() for daemon in reversed(started)]
+    assert codes == [0] * len(started), "a planned stop must be graceful"
+
+
+def _get_json(address: str, path: str) -> dict:
+    host, port = address.removeprefix("http://").split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=START_TIMEOUT)
+    connection.request("GET", path)
+    return json.loads(connection.getresponse().read())
+
+
+def _wait_routable(address: str) -> None:
+    deadline = time.monotonic() + START_TIMEOUT
+    while time.monotonic() < deadline:
+        status = _get_json(address, "/status")
+        if status["config_version"] >= 1 and len(status["endpoints"]) == 2:
+            return
+        time.sleep(0.1)
+    raise AssertionError(f"gateway not routable in time: {status}")
+
+
+def _complete(address: str, body: dict) -> list[dict]:
+    host, port = address.removeprefix("http://").split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=START_TIMEOUT)
+    connection.request("POST", "/v1/completions", json.dumps(body), {"content-type": "text/json"})
+    response = connection.getresponse()
+    assert response.status == 200, response.read()
+    raw = response.read().decode()
+    events = [chunk.removeprefix("data: ") for chunk in raw.split("\n\n") if chunk]
+    return [json.loads(event) for event in events if event != "[DONE]"]
+
+
+def test_every_token_arrives_once_in_order(system):
+    for n in range(REQUESTS):
+        body = {
+            "service": "enquiry-lm",
+            "account": "carrier-delta-tel",
+            "priority_class": "interactive",
+            "prompt": f"summary of listing {n}",
+            "max_tokens": 40,
+        }
+        events = _complete(system.address, body)
+        tokens = [event for event in events if "index" in event]
+        assert [event["index"] for event in tokens] == list(range(len(tokens)))
+        assert events[-1] == {"finish_reason": "stop", "tokens": len(tokens)}
+    status = _get_json(system.address, "/status")
+    assert all(row["count"] > 0 for row in status["latency"])
--- /dev/null
+++ b/tests/gateway/test_admission.py
@@ -0,0 +1,52 @@
+"""Admission refuses over an account's bound at once, as not run, with a retry time."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+import guavacleat
+from guavacleat.admission import Admission
+from guavacleat.config import load_settings
+from guavacleat.errors import NotRunError
+from guavacleat.gateway.requests import RequestError, parse_completion
+
+NILE = load_settings(Path(guavacleat.__file__).parent / "examples" / "nile.json5")
+
+
+def test_over_bound_is_refused_with_retry_after_and_others_still_enter():
+    admission = Admission()
+    bound = NILE.limits.queue_per_account
+    for _ in range(bound):
+        admission.enter(NILE, "carrier-04")
+    with pytest.raises(NotRunError) as caught:
+        admission.enter(NILE, "carrier-04")
+    assert caught.value.retry_after == NILE.limits.retry_after
+    admission.enter(NILE, "carrier-05")
+    admission.leave("carrier-04")
+    admission.enter(NILE, "carrier-04")
+
+
+BAD_REQUESTS = [
+    ({"service": "nope"}, None, "service"),
+    ({"account": "stranger"}, None, "account"),
+    ({"priority_class": ["x"]}, None, "priority_class"),
+    ({"max_tokens": 0}, None, "max_tokens"),
+    ({"prompt": ""}, None, "prompt"),
+    ({"service": "switchboard"}, None, "idempotency key"),
+]
+
+
+@pytest.mark.parametrize("change,key,named", BAD_REQUESTS)
+def test_bad_request_names_field_and_remedy(change, key, named):
+    body = {
+        "service": "enquiry-lm",
+        "account": "carrier-04",
+        "priority_class": "interactive",
+        "prompt": "hello",
+        "max_tokens": 5,
+        **change,
+    }
+    with pytest.raises(RequestError) as caught:
+        parse_completion(json.dumps(body).encode(), key, NILE, 0.0)
+    assert named in str(caught.value) and "Remedy:" in str(caught.value)
