--- a/src/guavacleat/standin/engine.py
+++ b/src/guavacleat/standin/engine.py
@@ -7,7 +7,8 @@
 to waiting, keeps the tokens it has emitted and resumes later in the same generation.
 
 Output lengths are drawn from a heavy-tailed distribution seeded by the request id, capped by
-``max_tokens``, so neither caller nor gateway knows them ahead. Load reports lag by
+``max_tokens``, so neither caller nor gateway knows them ahead (benchmarks may fix the length
+with ``output_length``). Load reports lag by
 ``load_lag`` seconds; cache events are published ``event_lag`` seconds late and every
 ``event_gap_every``-th one is dropped. Orders carry a fencing number; with ``fencing="refuse"``
 an order below the highest seen is refused, with ``fencing="ignore"`` it is applied anyway.
@@ -41,6 +42,7 @@
         "event_lag",
         "event_gap_every",
         "fencing",
+        "output_length",
     )
 
     def __init__(
@@ -54,6 +56,7 @@
         event_lag: float = 0.2,
         event_gap_every: int = 7,
         fencing: str = "refuse",
+        output_length: int | None = None,
     ):
         self.name = name
         self.step_seconds = step_seconds
@@ -64,6 +67,7 @@
         self.event_lag = event_lag
         self.event_gap_every = event_gap_every
         self.fencing = fencing
+        self.output_length = output_length
 
 
 class Sequence:
@@ -127,7 +131,7 @@
             generation=f"{self.settings.name}/{request_id}/{stream_id}",
             priority=priority,
             prompt_tokens=max(1, len(prompt.split())),
-            target_length=_output_length(request_id, max_tokens),
+            target_length=_output_length(request_id, max_tokens, self.settings.output_length),
             arrival=self.clock.seconds(),
         )
         self.sequences_by_id[stream_id] = sequence
@@ -262,7 +266,9 @@
         return True
 
 
-def _output_length(request_id: str, max_tokens: int) -> int:
+def _output_length(request_id: str, max_tokens: int, fixed: int | None) -> int:
+    if fixed is not None:
+        return min(max_tokens, fixed)
     draw = random.Random(request_id).paretovariate(PARETO_SHAPE)
     return max(1, min(max_tokens, int(MIN_OUTPUT * draw)))
 
