--- a/src/guavacleat/cmdline.py
+++ b/src/guavacleat/cmdline.py
@@ -7,7 +7,7 @@
 import importlib
 import sys
 
-from absl import app
+from absl import app, flags
 
 __all__ = ["COMMANDS_BY_NAME", "get_command_by_name", "run"]
 
@@ -36,4 +36,9 @@
         sys.stderr.write(USAGE + "commands:\n" + listing)
         sys.exit(2)
     command = get_command_by_name(argv[1])
+    # absl's --help lists the key flags of the module named by argv[0]; register the command's
+    # flags under that name and show the command's docstring as the usage text.
+    for flag in flags.FLAGS.get_key_flags_for_module(command):
+        flags.FLAGS.register_key_flag_for_module(sys.argv[0], flag)
+    sys.modules["__main__"].__doc__ = command.__doc__
     app.run(command.main, argv=[f"guavacleat {argv[1]}"] + argv[2:])
--- a/src/guavacleat/commands/ctl.py
+++ b/src/guavacleat/commands/ctl.py
@@ -5,12 +5,12 @@
 from absl import flags
 from twisted.internet import defer, task
 
+from guavacleat.commands.common import FLAGS
 from guavacleat.ctl import apply_settings, read_status
 from guavacleat.errors import GuavacleatError
 from guavacleat.store import StoreClient
 
-FLAGS = flags.FLAGS
-flags.DEFINE_string("store", "http://127.0.0.1:7000", "URL of the platform's object API.")
+flags.declare_key_flag("store")
 flags.DEFINE_integer(
     "base_version", None, "apply: the version this file was based on (default: the current one)."
 )
--- a/src/guavacleat/commands/standin.py
+++ b/src/guavacleat/commands/standin.py
@@ -7,14 +7,14 @@
 from twisted.internet import reactor
 from twisted.web.server import Site
 
+from guavacleat.commands.common import FLAGS
 from guavacleat.commands.daemon import parse_address, serve, start_logging
 from guavacleat.standin.engine import Engine, EngineSettings
 from guavacleat.standin.engine_http import EngineApp
 from guavacleat.standin.store import StoreApp, StoreState
 
-FLAGS = flags.FLAGS
-flags.DEFINE_string("listen", "127.0.0.1:0", "host:port to serve on; port 0 picks one.")
-flags.DEFINE_string("name", "engine", "Engine: its name, used in stream ids.")
+flags.declare_key_flag("listen")
+flags.declare_key_flag("name")
 flags.DEFINE_float("step_ms", 10.0, "Engine: milliseconds per decode step.")
 flags.DEFINE_integer("max_batch", 16, "Engine: sequences decoded together.")
 flags.DEFINE_integer("kv_capacity", 8192, "Engine: key-value memory, in tokens.")
@@ -45,7 +45,7 @@
     if kind == "store":
         return HttpService(StoreApp(StoreState(reactor)).resource(), listen)
     settings = EngineSettings(
-        name=FLAGS.name,
+        name=FLAGS.name or "engine",
         step_seconds=FLAGS.step_ms / 1000,
         max_batch=FLAGS.max_batch,
         kv_capacity=FLAGS.kv_capacity,
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -76,11 +76,15 @@
     assert codes == [0] * len(started), "a planned stop must be graceful"
 
 
-def _get_json(address: str, path: str) -> dict:
+def _get_text(address: str, path: str) -> str:
     host, port = address.removeprefix("http://").split(":")
     connection = http.client.HTTPConnection(host, int(port), timeout=START_TIMEOUT)
     connection.request("GET", path)
-    return json.loads(connection.getresponse().read())
+    return connection.getresponse().read().decode()
+
+
+def _get_json(address: str, path: str) -> dict:
+    return json.loads(_get_text(address, path))
 
 
 def _wait_routable(address: str) -> None:
@@ -119,3 +123,6 @@
         assert events[-1] == {"finish_reason": "stop", "tokens": len(tokens)}
     status = _get_json(system.address, "/status")
     assert all(row["count"] > 0 for row in status["latency"])
+    assert 'guavacleat_inter_token_seconds_bucket{account="carrier-delta-tel"' in _get_text(
+        system.address, "/metrics"
+    )
