Resume a stream elsewhere when its endpoint dies or its link stalls mid-decode

A pull that never answered (frozen endpoint, stalled link) waited forever: TTwisted calls have no timeout. Ruled out: lost tokens in the pull protocol itself (the contract table passed throughout). Conclusion: each token once, in order, one answer, under endpoint death and link stalls.

--- a/src/guavacleat/commands/standin.py
+++ b/src/guavacleat/commands/standin.py
@@ -19,6 +19,7 @@
 flags.DEFINE_integer("max_batch", 16, "Engine: sequences decoded together.")
 flags.DEFINE_integer("kv_capacity", 8192, "Engine: key-value memory, in tokens.")
 flags.DEFINE_enum("fencing", "refuse", ["refuse", "ignore"], "Engine: stale orders refused?")
+flags.DEFINE_integer("output_length", None, "Engine: fix every output's length (benchmarks).")
 
 KINDS = ("engine", "store")
 
@@ -50,6 +51,7 @@
         max_batch=FLAGS.max_batch,
         kv_capacity=FLAGS.kv_capacity,
         fencing=FLAGS.fencing,
+        output_length=FLAGS.output_length,
     )
     return HttpService(EngineApp(Engine(reactor, settings)).resource(), listen)
 
--- a/src/guavacleat/protocol/gen/sidecar/ttypes.py
+++ b/src/guavacleat/protocol/gen/sidecar/ttypes.py
@@ -25,17 +25,19 @@
      - priority
      - prompt
      - max_tokens
+     - resume_tokens
 
     """
 
 
-    def __init__(self, request_id=None, service_name=None, account=None, priority=None, prompt=None, max_tokens=None,):
+    def __init__(self, request_id=None, service_name=None, account=None, priority=None, prompt=None, max_tokens=None, resume_tokens=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.account = account
         self.priority = priority
         self.prompt = prompt
         self.max_tokens = max_tokens
+        self.resume_tokens = resume_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -76,6 +78,16 @@
                     self.max_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.resume_tokens = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.resume_tokens.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -110,6 +122,13 @@
             oprot.writeFieldBegin('max_tokens', TType.I32, 6)
             oprot.writeI32(self.max_tokens)
             oprot.writeFieldEnd()
+        if self.resume_tokens is not None:
+            oprot.writeFieldBegin('resume_tokens', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.resume_tokens))
+            for iter6 in self.resume_tokens:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -255,10 +274,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tokens.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tokens.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -298,8 +317,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.tokens))
-            for iter6 in self.tokens:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            for iter13 in self.tokens:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.finished is not None:
@@ -640,6 +659,7 @@
     (4, TType.I32, 'priority', None, None, ),  # 4
     (5, TType.STRING, 'prompt', 'UTF8', None, ),  # 5
     (6, TType.I32, 'max_tokens', None, None, ),  # 6
+    (7, TType.LIST, 'resume_tokens', (TType.STRING, 'UTF8', False), None, ),  # 7
 )
 all_structs.append(StartReply)
 StartReply.thrift_spec = (
--- a/src/guavacleat/sidecar/engine_client.py
+++ b/src/guavacleat/sidecar/engine_client.py
@@ -32,13 +32,17 @@
         self.http = http
 
     @defer.inlineCallbacks
-    def generate(self, request_id: str, prompt: str, max_tokens: int, priority: int):
-        """Fire with ``(stream_id, generation)`` once the engine has queued the generation."""
+    def generate(self, request_id: str, prompt: str, max_tokens: int, priority: int, resume=()):
+        """Fire with ``(stream_id, generation)`` once the engine has queued the generation.
+
+        ``resume``: tokens already sent to the caller, which the engine prefills and continues.
+        """
         body = {
             "request_id": request_id,
             "prompt": prompt,
             "max_tokens": max_tokens,
             "priority": priority,
+            "resume": list(resume),
         }
         answer = yield self._json("POST", "/v1/generate", body)
         return answer["stream_id"], answer["generation"]
--- a/src/guavacleat/sidecar/handler.py
+++ b/src/guavacleat/sidecar/handler.py
@@ -43,7 +43,11 @@
             raise NotRun(reason=f"{self.endpoint} is draining", retry_after_ms=DRAINING_RETRY_MS)
         try:
             stream_id, generation = yield self.engine.generate(
-                request.request_id, request.prompt, request.max_tokens, request.priority
+                request.request_id,
+                request.prompt,
+                request.max_tokens,
+                request.priority,
+                resume=request.resume_tokens or (),
             )
         except ConnectionRefusedError as exc:
             # Refused connection: the engine never read the request, so it did not run. Any
--- a/src/guavacleat/standin/engine.py
+++ b/src/guavacleat/standin/engine.py
@@ -123,8 +123,14 @@
         self._stepping = None
 
     # Requests ---------------------------------------------------------------------------
-    def submit(self, request_id: str, prompt: str, max_tokens: int, priority: int) -> Sequence:
-        """Queue a generation and return its sequence; the stream id is new on every call."""
+    def submit(
+        self, request_id: str, prompt: str, max_tokens: int, priority: int, resume=()
+    ) -> Sequence:
+        """Queue a generation and return its sequence; the stream id is new on every call.
+
+        ``resume`` holds tokens another engine already emitted for this request; they are
+        prefilled and the sequence continues from index ``len(resume)``.
+        """
         stream_id = f"{self.settings.name}-{next(self._ids)}"
         sequence = Sequence(
             stream_id,
@@ -134,7 +140,11 @@
             target_length=_output_length(request_id, max_tokens, self.settings.output_length),
             arrival=self.clock.seconds(),
         )
+        sequence.tokens.extend(resume)
         self.sequences_by_id[stream_id] = sequence
+        if len(sequence.tokens) >= sequence.target_length:
+            self._finish(sequence, "stop")
+            return sequence
         self.waiting.append(sequence)
         self._note_prefix(prompt)
         self._ensure_stepping()
--- a/src/guavacleat/standin/engine_http.py
+++ b/src/guavacleat/standin/engine_http.py
@@ -1,6 +1,6 @@
 """HTTP face of the stand-in engine (JSON bodies).
 
-- ``POST /v1/generate`` ``{"request_id", "prompt", "max_tokens", "priority"}`` ->
+- ``POST /v1/generate`` ``{"request_id", "prompt", "max_tokens", "priority", "resume"}`` ->
   ``{"stream_id", "generation"}``.
 - ``GET /v1/streams/<id>?cursor=N&wait=S``: tokens from index N, waiting up to S seconds.
 - ``DELETE /v1/streams/<id>``: cancel.
@@ -35,7 +35,11 @@
     def generate(self, request):
         body = json.loads(request.content.read())
         sequence = self.engine.submit(
-            body["request_id"], body["prompt"], int(body["max_tokens"]), int(body["priority"])
+            body["request_id"],
+            body["prompt"],
+            int(body["max_tokens"]),
+            int(body["priority"]),
+            resume=body.get("resume", []),
         )
         return _json(
             request, 200, {"stream_id": sequence.stream_id, "generation": sequence.generation}
--- a/src/guavacleat/streams/relay.py
+++ b/src/guavacleat/streams/relay.py
@@ -3,8 +3,16 @@
 Pulls are idempotent reads "tokens from index N", so a token is delivered at most once and in
 order; a batch whose generation or first index differs from what the relay expects is refused
 (:class:`StreamMixupError`) before anything of it reaches the caller.
+
+If the endpoint fails mid-generation (the link resets, or a pull gets no answer in time: the
+engine died, was reclaimed, or the link stalled), the relay starts the request on another live
+endpoint with the tokens already sent as ``resume_tokens``; that engine prefills them and
+continues from the same cursor, so the caller sees one answer, each token once, in order. Only
+the batches of the endpoint currently serving are accepted.
 """
 
+import contextlib
+
 from twisted.internet import defer
 from twisted.internet.error import ConnectError
 
@@ -12,10 +20,22 @@
 from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartRequest
 from guavacleat.streams.messages import CompletionRequest, StreamBrokenError, StreamMixupError
 
-__all__ = ["Relay", "PULL_WAIT_MS", "START_ATTEMPTS"]
+__all__ = ["Relay", "PULL_WAIT_MS", "PULL_TIMEOUT_MARGIN", "START_ATTEMPTS", "MAX_RESUMES"]
 
 PULL_WAIT_MS = 1000
+PULL_TIMEOUT_MARGIN = 2.0
 START_ATTEMPTS = 3
+MAX_RESUMES = 3
+
+
+class _Progress:
+    """What the caller has received so far: every token text, and when the last was sent."""
+
+    __slots__ = ("sent", "last_sent_at")
+
+    def __init__(self, arrival: float):
+        self.sent: list[str] = []
+        self.last_sent_at = arrival
 
 
 class Relay:
@@ -34,24 +54,37 @@
         self.router = router
         self.pool = pool
         self.metrics = metrics
+        self.resumes = 0
 
     @defer.inlineCallbacks
     def run(self, request: CompletionRequest, limits, sink):
         """Deliver every token to ``sink.token(index, text)``, then ``sink.end(reason)``.
 
-        Raises NotRunError if no endpoint started the generation, StreamBrokenError if the
-        endpoint failed mid-stream, StreamMixupError if a batch did not fit the stream.
+        Raises NotRunError if no endpoint started the generation, StreamBrokenError if it broke
+        and no endpoint could resume it, StreamMixupError if a batch did not fit the stream.
         """
-        endpoint, client, reply = yield self._start(request, limits)
-        self.router.begin(endpoint.name)
-        try:
-            yield self._pull_all(request, endpoint, client, reply, sink)
-        finally:
-            self.router.end(endpoint.name)
+        progress = _Progress(request.arrival)
+        tried: set[str] = set()
+        endpoint, client, reply = yield self._start(request, limits, tried, progress)
+        for _ in range(MAX_RESUMES + 1):
+            self.router.begin(endpoint.name)
+            try:
+                yield self._pull_all(request, endpoint, client, reply, sink, progress)
+                return
+            except StreamBrokenError as broken:
+                failure = broken
+                _cancel_quietly(client, reply.stream_id)
+            finally:
+                self.router.end(endpoint.name)
+            try:
+                endpoint, client, reply = yield self._start(request, limits, tried, progress)
+            except NotRunError:
+                break
+            self.resumes += 1
+        raise failure
 
     @defer.inlineCallbacks
-    def _start(self, request: CompletionRequest, limits):
-        tried: set[str] = set()
+    def _start(self, request: CompletionRequest, limits, tried: set[str], progress: _Progress):
         for _ in range(START_ATTEMPTS):
             candidates = self.membership.live(request.service)
             endpoint = self.router.choose(
@@ -62,10 +95,10 @@
             tried.add(endpoint.name)
             try:
                 client = yield self.pool.client(endpoint.address)
-                reply = yield client.start(_start_request(request))
+                reply = yield client.start(_start_request(request, progress.sent))
             except (NotRun, ConnectError):
                 # Refused before the engine read it (draining, engine down, no connection):
-                # it did not run, so another endpoint may take it.
+                # it did not run there, so another endpoint may take it.
                 continue
             return endpoint, client, reply
         raise NotRunError(
@@ -76,12 +109,15 @@
         )
 
     @defer.inlineCallbacks
-    def _pull_all(self, request, endpoint, client, reply, sink):
-        cursor = 0
-        last_sent = request.arrival
+    def _pull_all(self, request, endpoint, client, reply, sink, progress: _Progress):
         while True:
+            cursor = len(progress.sent)
+            pulling = client.pull(reply.stream_id, cursor, PULL_WAIT_MS)
+            # A stalled link or a frozen endpoint never answers; without a bound the caller
+            # would wait forever. A pull answers within PULL_WAIT_MS when the endpoint is well.
+            pulling.addTimeout(PULL_WAIT_MS / 1000 + PULL_TIMEOUT_MARGIN, self.clock)
             try:
-                batch = yield client.pull(reply.stream_id, cursor, PULL_WAIT_MS)
+                batch = yield pulling
             except Exception as exc:  # noqa: BLE001 - any failure of the link breaks the stream
                 raise StreamBrokenError(endpoint.name, cursor, exc.__class__.__name__) from exc
             if batch.generation != reply.generation or batch.first_index != cursor:
@@ -89,24 +125,33 @@
                     f"{reply.generation}@{cursor}", f"{batch.generation}@{batch.first_index}"
                 )
             for text in batch.tokens:
-                now = self.clock.seconds()
-                self._observe(request, cursor, now - last_sent)
-                sink.token(cursor, text)
-                last_sent = now
-                cursor += 1
+                self._send(request, sink, progress, text)
             if batch.finished:
                 self.metrics.preempted(request.account, request.priority_class, batch.preemptions)
                 sink.end(batch.finish_reason)
-                return cursor
+                return
 
-    def _observe(self, request: CompletionRequest, index: int, seconds: float) -> None:
+    def _send(self, request: CompletionRequest, sink, progress: _Progress, text: str) -> None:
+        now = self.clock.seconds()
+        index = len(progress.sent)
         if index == 0:
-            self.metrics.first_token(request.account, request.priority_class, seconds)
+            self.metrics.first_token(request.account, request.priority_class, now - request.arrival)
         else:
-            self.metrics.token_gap(request.account, request.priority_class, seconds)
+            elapsed = now - progress.last_sent_at
+            self.metrics.token_gap(request.account, request.priority_class, elapsed)
+        sink.token(index, text)
+        progress.sent.append(text)
+        progress.last_sent_at = now
+
+
+def _cancel_quietly(client, stream_id: str) -> None:
+    # Best effort: the old endpoint may be gone; if it is alive, cancelling frees its memory.
+    # A dead link may also fail synchronously, hence the suppress.
+    with contextlib.suppress(Exception):
+        client.cancel(stream_id).addErrback(lambda _: None)
 
 
-def _start_request(request: CompletionRequest) -> StartRequest:
+def _start_request(request: CompletionRequest, sent: list[str]) -> StartRequest:
     return StartRequest(
         request_id=request.request_id,
         service_name=request.service,
@@ -114,4 +159,5 @@
         priority=request.priority,
         prompt=request.prompt,
         max_tokens=request.max_tokens,
+        resume_tokens=list(sent),
     )
--- a/tests/streams/test_relay.py
+++ b/tests/streams/test_relay.py
@@ -129,3 +129,31 @@
     with pytest.raises(NotRunError) as caught:
         result_of(make_relay(clock, refusing).run(request(clock), LIMITS, ListSink()))
     assert caught.value.retry_after == LIMITS.retry_after
+
+
+class ResumingSidecar(FakeSidecar):
+    """Serves a resumed generation: expects the tokens already sent, continues after them."""
+
+    def __init__(self, name, batches, expected_resume):
+        super().__init__(name, batches)
+        self.expected_resume = expected_resume
+        self.resume_seen = None
+
+    def start(self, request):
+        self.resume_seen = list(request.resume_tokens or [])
+        return super().start(request)
+
+
+def test_endpoint_dying_mid_stream_resumes_elsewhere_once_in_order(clock):
+    """
+    Symptom: a caller's summary stops halfway with an error when its engine dies.
+    Sequence: endpoint a sends tokens 0-1, then its link resets; endpoint b is live.
+    Cause: the relay gave up on the first link failure instead of re-prefilling elsewhere
+    with the tokens already sent and continuing from the cursor.
+    """
+    dying = FakeSidecar("a", [batch("g-a", 0, ["x", "y"]), ConnectionResetError()])
+    taking_over = ResumingSidecar("b", [batch("g-b", 2, ["z", "w"], True)], ["x", "y"])
+    sink = ListSink()
+    result_of(make_relay(clock, [dying, taking_over]).run(request(clock), LIMITS, sink))
+    assert sink.tokens == [(0, "x"), (1, "y"), (2, "z"), (3, "w")]
+    assert taking_over.resume_seen == ["x", "y"] and sink.reason == "stop"
--- a/thrift/sidecar.thrift
+++ b/thrift/sidecar.thrift
@@ -11,6 +11,9 @@
   4: required i32 priority,
   5: required string prompt,
   6: required i32 max_tokens,
+  // Tokens already sent to the caller by an earlier endpoint: the engine prefills them and
+  // continues the same answer from index len(resume_tokens).
+  7: optional list<string> resume_tokens,
 }
 
 struct StartReply {
