Keep the last known endpoints while the store is unreachable

Change: WatchLoop reports on_health after each attempt; MembershipView stops lease ages while the store is lost and shifts them by the outage when it answers again, logging both changes. The data path still finds dead endpoints (refused connections move the request on). Conclusion: a store outage no longer stops routing.

--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -47,7 +47,13 @@
         self.relay = Relay(reactor, self.membership, self.router, self.pool, self.metrics)
         self.watches = [
             WatchLoop(reactor, self.store, CONFIG_KIND, self.config.offer),
-            WatchLoop(reactor, self.store, ENDPOINT_KIND, self._endpoint_changed),
+            WatchLoop(
+                reactor,
+                self.store,
+                ENDPOINT_KIND,
+                self._endpoint_changed,
+                on_health=self.membership.store_health,
+            ),
         ]
         self.in_flight = 0
         self.stopping = False
--- a/src/guavacleat/membership/view.py
+++ b/src/guavacleat/membership/view.py
@@ -23,6 +23,7 @@
         self.records_by_name: dict[str, EndpointRecord] = {}
         self.seen_at_by_name: dict[str, float] = {}
         self.names_by_service: dict[str, dict[str, None]] = {}
+        self.store_lost_at: float | None = None
 
     def observe(self, value: dict) -> None:
         """Take in one record from a watch or a listing."""
@@ -38,9 +39,27 @@
         self.seen_at_by_name[record.name] = self.clock.seconds()
         self.names_by_service.setdefault(record.service, {})[record.name] = None
 
+    def store_health(self, healthy: bool) -> None:
+        """Hear from the watch whether the store answered.
+
+        During an outage no renewal can arrive, so lease ages stop: the view keeps the last known
+        endpoints (the data path still finds dead ones, and a request refused by one endpoint
+        moves to the next). When the store answers again, ages resume where they stopped.
+        """
+        now = self.clock.seconds()
+        if not healthy and self.store_lost_at is None:
+            self.store_lost_at = now
+            log_message(message_type="membership:store-lost")
+        elif healthy and self.store_lost_at is not None:
+            outage = now - self.store_lost_at
+            self.seen_at_by_name = {name: at + outage for name, at in self.seen_at_by_name.items()}
+            self.store_lost_at = None
+            log_message(message_type="membership:store-back", outage=outage)
+
     def live(self, service: str) -> list[EndpointRecord]:
         """Endpoints of ``service`` renewed in time and not draining, in order of arrival."""
-        oldest = self.clock.seconds() - LEASE_SECONDS
+        now = self.clock.seconds() if self.store_lost_at is None else self.store_lost_at
+        oldest = now - LEASE_SECONDS
         records_by_name = self.records_by_name
         return [
             records_by_name[name]
--- a/src/guavacleat/store/watch.py
+++ b/src/guavacleat/store/watch.py
@@ -19,14 +19,26 @@
 
 
 class WatchLoop:
-    """Calls ``on_object(StoredObject)`` for every object of ``kind`` and every later change."""
+    """Calls ``on_object(StoredObject)`` for every object of ``kind`` and every later change.
 
-    def __init__(self, clock: IReactorTime, store: StoreClient, kind: str, on_object, wait=None):
+    ``on_health(bool)`` hears after every attempt whether the store answered.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        store: StoreClient,
+        kind: str,
+        on_object,
+        wait=None,
+        on_health=None,
+    ):
         self.clock = clock
         self.store = store
         self.kind = kind
         self.on_object = on_object
         self.wait = WATCH_WAIT if wait is None else wait
+        self.on_health = on_health or (lambda healthy: None)
         self.revision: int | None = None
         self.failures = 0
         self.running = False
@@ -51,9 +63,11 @@
                 batch = yield self.store.watch(self.kind, self.revision, self.wait)
         except StoreUnavailableError:
             self.failures += 1
+            self.on_health(False)
             self._next(min(BACKOFF_MAX, BACKOFF_FIRST * 2 ** min(self.failures, 8)))
             return
         self.failures = 0
+        self.on_health(True)
         for stored in batch.objects:
             self.on_object(stored)
         self.revision = max([batch.revision, self.revision or 0])
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -35,3 +35,38 @@
     view.observe(record("keur-llm-2"))
     view.observe(record("keur-llm-1", draining=True, beat=2))
     assert [r.name for r in view.live("keur-llm")] == ["keur-llm-2"]
+
+
+def test_store_outage_keeps_last_known_endpoints(clock, store, store_app, stub_http):
+    """
+    Symptom: during a long store outage every request is refused as not run.
+    Sequence: an endpoint renews; the store goes down for 60 s; no renewal can be seen.
+    Cause: the view lapsed leases by silence, but the silence came from the store, not from the
+    endpoint; liveness must stand still while the watch cannot reach the store.
+    """
+    from guavacleat.store.watch import WatchLoop
+    from tests.conftest import result_of
+
+    result_of(store.put("endpoints", "keur-llm-1", record("keur-llm-1"), 0), stub_http.flush)
+    view = MembershipView(clock)
+    loop = WatchLoop(
+        clock,
+        store,
+        "endpoints",
+        lambda s: view.observe(s.value),
+        wait=1,
+        on_health=view.store_health,
+    )
+    loop.start()
+    clock.advance(0)
+    stub_http.flush()
+    store_app.faults.outage = True
+    for _ in range(60):
+        clock.advance(1)
+        stub_http.flush()
+    assert [r.name for r in view.live("keur-llm")] == ["keur-llm-1"]
+    store_app.faults.outage = False
+    for _ in range(int(LEASE_SECONDS) + 6):
+        clock.advance(1)
+        stub_http.flush()
+    assert view.live("keur-llm") == [], "a lease never renewed after the outage must lapse"
