--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -104,6 +104,10 @@
                 }
                 for name, record in sorted(self.membership.records_by_name.items())
             },
+            "live": {
+                name: [record.name for record in self.membership.live(name)]
+                for name in sorted(deployment.services_by_name if deployment else ())
+            },
             "in_flight": self.in_flight,
             "store_calls": dict(self.store.calls_by_type),
             "latency": self.metrics.book.summary(),
--- a/src/guavacleat/sidecar/service.py
+++ b/src/guavacleat/sidecar/service.py
@@ -53,8 +53,11 @@
     @defer.inlineCallbacks
     def stopService(self):  # noqa: N802 - Twisted's name
         """Graceful stop: announce draining, let open streams finish, then close."""
-        yield self.lease.mark_draining()
+        # Refuse new work before telling the store: the write may be slow or lost, and a start
+        # accepted meanwhile would be new work for a leaving endpoint. Refused starts are "not
+        # run", so gateways send them elsewhere at once.
         drained = self.handler.begin_drain()
+        yield self.lease.mark_draining()
         drained.addTimeout(DRAIN_GRACE_SECONDS, self.reactor)
         try:
             yield drained
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -185,3 +185,34 @@
     tokens = [event for event in received if "index" in event]
     assert [event["index"] for event in tokens] == list(range(LONG))
     assert received[-1] == {"finish_reason": "stop", "tokens": LONG}
+
+
+def test_planned_stop_finishes_open_stream_and_takes_no_new_work(system):
+    """
+    Symptom: a planned stop cuts off a long summary, or the leaving endpoint takes new calls.
+    Sequence: a 200-token generation runs on one endpoint; its sidecar gets SIGTERM after 5
+    tokens; at once 4 new requests arrive.
+    Cause: a stop that closed at once would cut the stream; a sidecar that wrote 'draining' to
+    the store before refusing would accept requests arriving during that write.
+    """
+    body = {
+        "service": "enquiry-lm",
+        "account": "carrier-04",
+        "priority_class": "standard",
+        "prompt": "long listing summary",
+        "max_tokens": LONG,
+    }
+    events = _events(_open_stream(system.address, body))
+    received = [next(events) for _ in range(TOKENS_BEFORE_KILL)]
+    endpoints = _get_json(system.address, "/status")["endpoints"]
+    (leaving,) = [name for name, endpoint in endpoints.items() if endpoint["in_flight"]]
+    system.sidecars_by_name[leaving].process.send_signal(signal.SIGTERM)
+    short = dict(body, max_tokens=10, prompt="caller intent")
+    for _ in range(4):
+        tokens = [event for event in _complete(system.address, short) if "index" in event]
+        assert [event["index"] for event in tokens] == list(range(10))
+    received += list(events)
+    assert [event["index"] for event in received if "index" in event] == list(range(LONG))
+    assert system.sidecars_by_name[leaving].process.wait(timeout=STOP_TIMEOUT) == 0
+    served = _get_json(system.address, "/status")["endpoints"]
+    assert served[leaving]["draining"]
