State machine for configuration under racing applies and store faults

Change: tests/gateway/test_config_machine.py drives a ConfigHolder fed by a WatchLoop over the store stand-in: operators apply from fresh or stale bases (racing, losing by version), store outage on/off, lost acknowledgements, replays of versions already passed, time passing. Invariants: check_versions over the versions held (never decrease), never ahead of the store, and at teardown, after the store is well, the daemon holds the store's newest version.

--- /dev/null
+++ b/tests/gateway/test_config_machine.py
@@ -0,0 +1,106 @@
+"""A hypothesis state machine: racing applies and store faults against a daemon's configuration.
+
+Rules: operators apply from a fresh or a stale base version, the store goes down or comes back,
+drops the next acknowledgement, an old version is replayed to the daemon, and time passes for
+the daemon's watch. Invariants: the versions
+a daemon held never decrease (``check_versions``), never run ahead of the store, and once the
+store is well and the watch has run, the daemon holds the store's newest version.
+"""
+
+import json
+from pathlib import Path
+
+import json5
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from treq.testing import StubTreq
+from twisted.internet.task import Clock
+
+import guavacleat
+from guavacleat.checks import check_versions
+from guavacleat.config.holder import CONFIG_KIND, ConfigHolder
+from guavacleat.standin.store import StoreApp, StoreState
+from guavacleat.store import StoreClient
+from guavacleat.store.watch import BACKOFF_MAX, WatchLoop
+
+NILE = json.loads(
+    json.dumps(
+        json5.loads((Path(guavacleat.__file__).parent / "examples" / "nile.json5").read_text())
+    )
+)
+NAME = NILE["deployment"]
+WATCH_WAIT = 1.0
+
+
+class ConfigMachine(RuleBasedStateMachine):
+    @initialize()
+    def setup(self):
+        self.clock = Clock()
+        self.store_app = StoreApp(StoreState(self.clock))
+        self.http = StubTreq(self.store_app.resource())
+        self.store = StoreClient("http://store", http=self.http)
+        self.holder = ConfigHolder(NAME)
+        self.in_force: list[int] = []
+        self.history = []
+        self.watch = WatchLoop(self.clock, self.store, CONFIG_KIND, self._offer, wait=WATCH_WAIT)
+        self.watch.start()
+        self._pass(0)
+
+    def _offer(self, stored):
+        if self.holder.offer(stored):
+            self.in_force.append(self.holder.version)
+
+    def _pass(self, seconds):
+        self.clock.advance(seconds)
+        self.http.flush()
+
+    def _stored_version(self):
+        stored = self.store_app.state.get(CONFIG_KIND, NAME)
+        return stored.version if stored else 0
+
+    @rule(stale_by=st.integers(min_value=0, max_value=2), weight=st.integers(1, 9))
+    def operator_applies(self, stale_by, weight):
+        base = max(0, self._stored_version() - stale_by)
+        settings_ = dict(NILE, client_accounts=[{"name": "carrier-a", "weight": weight}])
+        self.store.put(CONFIG_KIND, NAME, {"settings": settings_}, base).addErrback(lambda _: None)
+        self.http.flush()
+        stored = self.store_app.state.get(CONFIG_KIND, NAME)
+        if stored is not None and stored not in self.history:
+            self.history.append(stored)
+
+    @rule(data=st.data())
+    def old_version_replayed(self, data):
+        """A watch reconnecting to a lagging store hands the daemon a version it has passed."""
+        if self.history:
+            self._offer(data.draw(st.sampled_from(self.history)))
+
+    @rule(down=st.booleans())
+    def store_outage(self, down):
+        self.store_app.faults.outage = down
+
+    @rule()
+    def next_ack_lost(self):
+        self.store_app.faults.lose_acks = 1
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 3.0]))
+    def time_passes(self, seconds):
+        self._pass(seconds)
+
+    @invariant()
+    def never_reverts_nor_runs_ahead(self):
+        assert check_versions(self.in_force) == []
+        assert self.holder.version <= self._stored_version()
+
+    def teardown(self):
+        self.store_app.faults.outage = False
+        for _ in range(4):
+            self._pass(BACKOFF_MAX + WATCH_WAIT)
+        assert self.holder.version == self._stored_version(), "did not converge"
+        self.watch.stop()
+
+
+ConfigMachine.TestCase.settings = settings(
+    max_examples=100, stateful_step_count=25, derandomize=True, database=None, deadline=None
+)
+test_config_under_races_and_faults = ConfigMachine.TestCase
