Fence orders at the sidecar by the newest number in the object API

With a sidecar that forwarded orders and trusted the engine, a paused issuer's order for v1 was applied after v2 on an engine that ignores fencing. Change: thrift Order/StaleOrder and Sidecar.order; orders/fencing.py: the fencing number is the version of orders/<endpoint>, taken by a conditional update (issue_order); SidecarHandler.order reads the newest version from the object API on every order and refuses older numbers itself (StaleOrder) before the engine sees them, or refuses as not run when the store is unreachable; EngineClient.order. Nothing depends on sidecar memory, so a restarted sidecar fences as well. Conclusion: a stale order never reaches an engine of either kind. Not yet built: a ctl command that issues orders (the library call issue_order exists).

--- /dev/null
+++ b/src/guavacleat/orders/__init__.py
@@ -0,0 +1,5 @@
+"""Orders to engines (load a model, adapter or version; change role) under fencing numbers."""
+
+from guavacleat.orders.fencing import ORDER_KIND, current_fencing, issue_order
+
+__all__ = ["ORDER_KIND", "current_fencing", "issue_order"]
--- a/src/guavacleat/protocol/gen/sidecar/Sidecar.py
+++ b/src/guavacleat/protocol/gen/sidecar/Sidecar.py
@@ -51,6 +51,14 @@
     def load():
         pass
 
+    def order(order):
+        """
+        Parameters:
+         - order
+
+        """
+        pass
+
 
 @implementer(Iface)
 class Client(object):
@@ -253,6 +261,56 @@
             return d.callback(result.success)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "load failed: unknown result"))
 
+    def order(self, order):
+        """
+        Parameters:
+         - order
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_order, order)
+        d.addCallbacks(
+            callback=self.cb_send_order,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_order,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_order(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_order(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_order(self, order):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('order', TMessageType.CALL, self._seqid)
+        args = order_args()
+        args.order = order
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_order(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = order_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.stale is not None:
+            return d.errback(result.stale)
+        if result.not_run is not None:
+            return d.errback(result.not_run)
+        return d.callback(None)
+
 
 @implementer(Iface)
 class Processor(TProcessor):
@@ -263,6 +321,7 @@
         self._processMap["pull"] = Processor.process_pull
         self._processMap["cancel"] = Processor.process_cancel
         self._processMap["load"] = Processor.process_load
+        self._processMap["order"] = Processor.process_order
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -431,6 +490,45 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_order(self, seqid, iprot, oprot):
+        args = order_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = order_result()
+        d = defer.maybeDeferred(self._handler.order, args.order)
+        d.addCallback(self.write_results_success_order, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_order, result, seqid, oprot)
+        return d
+
+    def write_results_success_order(self, success, result, seqid, oprot):
+        oprot.writeMessageBegin("order", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_order(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except StaleOrder as stale:
+            result.stale = stale
+        except NotRun as not_run:
+            result.not_run = not_run
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("order", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -939,5 +1037,142 @@
 load_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [LoadReport, None], None, ),  # 0
 )
+
+
+class order_args(object):
+    """
+    Attributes:
+     - order
+
+    """
+
+
+    def __init__(self, order=None,):
+        self.order = order
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.order = Order()
+                    self.order.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('order_args')
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.STRUCT, 1)
+            self.order.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(order_args)
+order_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'order', [Order, None], None, ),  # 1
+)
+
+
+class order_result(object):
+    """
+    Attributes:
+     - stale
+     - not_run
+
+    """
+
+
+    def __init__(self, stale=None, not_run=None,):
+        self.stale = stale
+        self.not_run = not_run
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.stale = StaleOrder.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.not_run = NotRun.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('order_result')
+        if self.stale is not None:
+            oprot.writeFieldBegin('stale', TType.STRUCT, 1)
+            self.stale.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_run is not None:
+            oprot.writeFieldBegin('not_run', TType.STRUCT, 2)
+            self.not_run.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(order_result)
+order_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'stale', [StaleOrder, None], None, ),  # 1
+    (2, TType.STRUCT, 'not_run', [NotRun, None], None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/guavacleat/protocol/gen/sidecar/ttypes.py
+++ b/src/guavacleat/protocol/gen/sidecar/ttypes.py
@@ -577,6 +577,181 @@
         return not (self == other)
 
 
+class Order(object):
+    """
+    Attributes:
+     - kind
+     - target
+     - fencing
+
+    """
+
+
+    def __init__(self, kind=None, target=None, fencing=None,):
+        self.kind = kind
+        self.target = target
+        self.fencing = fencing
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.fencing = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Order')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.fencing is not None:
+            oprot.writeFieldBegin('fencing', TType.I64, 3)
+            oprot.writeI64(self.fencing)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.target is None:
+            raise TProtocolException(message='Required field target is unset!')
+        if self.fencing is None:
+            raise TProtocolException(message='Required field fencing is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StaleOrder(TException):
+    """
+    Attributes:
+     - fencing
+     - newest
+
+    """
+
+
+    def __init__(self, fencing=None, newest=None,):
+        super(StaleOrder, self).__setattr__('fencing', fencing)
+        super(StaleOrder, self).__setattr__('newest', newest)
+
+    def __setattr__(self, *args):
+        raise TypeError("can't modify immutable instance")
+
+    def __delattr__(self, *args):
+        raise TypeError("can't modify immutable instance")
+
+    def __hash__(self):
+        return hash(self.__class__) ^ hash((self.fencing, self.newest, ))
+
+    @classmethod
+    def read(cls, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and cls.thrift_spec is not None:
+            return iprot._fast_decode(None, iprot, [cls, cls.thrift_spec])
+        iprot.readStructBegin()
+        fencing = None
+        newest = None
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    fencing = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    newest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+        return cls(
+            fencing=fencing,
+            newest=newest,
+        )
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StaleOrder')
+        if self.fencing is not None:
+            oprot.writeFieldBegin('fencing', TType.I64, 1)
+            oprot.writeI64(self.fencing)
+            oprot.writeFieldEnd()
+        if self.newest is not None:
+            oprot.writeFieldBegin('newest', TType.I64, 2)
+            oprot.writeI64(self.newest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fencing is None:
+            raise TProtocolException(message='Required field fencing is unset!')
+        if self.newest is None:
+            raise TProtocolException(message='Required field newest is unset!')
+        return
+
+    def __str__(self):
+        return repr(self)
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UnknownStream(TException):
     """
     Attributes:
@@ -693,6 +868,19 @@
     (1, TType.STRING, 'reason', 'UTF8', None, ),  # 1
     (2, TType.I32, 'retry_after_ms', None, None, ),  # 2
 )
+all_structs.append(Order)
+Order.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'fencing', None, None, ),  # 3
+)
+all_structs.append(StaleOrder)
+StaleOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fencing', None, None, ),  # 1
+    (2, TType.I64, 'newest', None, None, ),  # 2
+)
 all_structs.append(UnknownStream)
 UnknownStream.thrift_spec = (
     None,  # 0
--- a/src/guavacleat/sidecar/engine_client.py
+++ b/src/guavacleat/sidecar/engine_client.py
@@ -57,6 +57,17 @@
     def cancel(self, stream_id: str) -> defer.Deferred:
         return self._json("DELETE", f"/v1/streams/{stream_id}")
 
+    @defer.inlineCallbacks
+    def order(self, kind: str, target: str, fencing: int):
+        """Fire with True if the engine applied the order, False if it refused it as stale."""
+        body = {"kind": kind, "target": target, "fencing": fencing}
+        data = json.dumps(body).encode()
+        response = yield self.http.post(
+            self.base_url + "/v1/orders", data=data, timeout=CALL_TIMEOUT
+        )
+        yield response.content()
+        return response.code == 200
+
     def load(self) -> defer.Deferred:
         return self._json("GET", "/v1/load")
 
--- a/src/guavacleat/sidecar/handler.py
+++ b/src/guavacleat/sidecar/handler.py
@@ -4,20 +4,24 @@
 from twisted.internet.error import ConnectionRefusedError
 from zope.interface import implementer
 
+from guavacleat.orders import current_fencing
 from guavacleat.protocol.gen.sidecar import Sidecar
 from guavacleat.protocol.gen.sidecar.ttypes import (
     LoadReport,
     NotRun,
+    StaleOrder,
     StartReply,
     TokenBatch,
     UnknownStream,
 )
 from guavacleat.sidecar.engine_client import EngineClient
+from guavacleat.store import StoreUnavailableError
 
 __all__ = ["SidecarHandler"]
 
 DRAINING_RETRY_MS = 200
 ENGINE_DOWN_RETRY_MS = 1000
+ORDER_STORE_RETRY_MS = 2000
 
 
 @implementer(Sidecar.Iface)
@@ -26,11 +30,13 @@
 
     :param endpoint: this endpoint's name, as in the settings.
     :param engine: client of the engine beside this sidecar.
+    :param store: client of the object API, for the fencing numbers of orders.
     """
 
-    def __init__(self, endpoint: str, engine: EngineClient):
+    def __init__(self, endpoint: str, engine: EngineClient, store=None):
         self.endpoint = endpoint
         self.engine = engine
+        self.store = store
         self.draining = False
         self.open_streams: set[str] = set()
         self.drained = defer.Deferred()
@@ -93,6 +99,28 @@
             draining=self.draining,
         )
 
+    @defer.inlineCallbacks
+    def order(self, order):
+        """Forward an order to the engine unless its fencing number is older than the newest.
+
+        An issuer paused past its turn still believes it holds the order lease and sends its old
+        number; engines of some deployments would apply it anyway. The newest number is read
+        from the object API on every order (orders are rare), so a restarted sidecar fences as
+        well as a long-running one. Without the store the order is refused as not run.
+        """
+        try:
+            newest = yield current_fencing(self.store, self.endpoint)
+        except StoreUnavailableError as exc:
+            raise NotRun(
+                reason="the object API is unreachable, so the order's fencing cannot be checked",
+                retry_after_ms=ORDER_STORE_RETRY_MS,
+            ) from exc
+        if order.fencing < newest:
+            raise StaleOrder(fencing=order.fencing, newest=newest)
+        accepted = yield self.engine.order(order.kind, order.target, order.fencing)
+        if not accepted:
+            raise StaleOrder(fencing=order.fencing, newest=newest)
+
     def begin_drain(self) -> defer.Deferred:
         """Refuse new work from now on; fire once every open stream has finished."""
         self.draining = True
--- a/src/guavacleat/sidecar/service.py
+++ b/src/guavacleat/sidecar/service.py
@@ -33,8 +33,8 @@
         self.reactor = reactor
         self.name = name
         self.listen = listen
-        self.handler = SidecarHandler(name, EngineClient(engine_url))
         self.store = StoreClient(store_url)
+        self.handler = SidecarHandler(name, EngineClient(engine_url), self.store)
         self.record = EndpointRecord(name, service_name, data_centre, address="")
         self.lease: Lease | None = None
         self.port = None
--- a/thrift/sidecar.thrift
+++ b/thrift/sidecar.thrift
@@ -45,6 +45,20 @@
   2: required i32 retry_after_ms,
 }
 
+// An order to the engine: load a model, adapter or version, or change role. ``fencing`` is the
+// version of orders/<endpoint> in the object API that the issuer wrote before sending it.
+struct Order {
+  1: required string kind,
+  2: required string target,
+  3: required i64 fencing,
+}
+
+// The order carried a fencing number below the newest one issued; it was not applied.
+exception StaleOrder {
+  1: required i64 fencing,
+  2: required i64 newest,
+}
+
 exception UnknownStream {
   1: required string stream_id,
 }
@@ -55,4 +69,5 @@
       throws (1: UnknownStream unknown),
   void cancel(1: string stream_id),
   LoadReport load(),
+  void order(1: Order order) throws (1: StaleOrder stale, 2: NotRun not_run),
 }
