Keep a non-repeatable call's answer with its key; replay it to retries

Losing the kept answer is logged and costs only the replay. Conclusion: at most once, and the retry gets the answer. Still open: a gateway dying between claim and call leaves the key 'claimed' forever (retries get 409 with Retry-After).

--- a/src/guavacleat/gateway/app.py
+++ b/src/guavacleat/gateway/app.py
@@ -4,7 +4,8 @@
   "max_tokens"}``, optional ``Idempotency-Key`` header; answers with SSE events
   ``{"index", "text"}``, then ``{"finish_reason", "tokens"}`` and ``[DONE]``. A request refused
   before any engine started it gets 429 (or 503 with no configuration) with a ``Retry-After``
-  header and ``{"error": {"type": "not_run", ...}}``.
+  header and ``{"error": {"type": "not_run", ...}}``. A retry of a non-repeatable call gets the
+  kept answer replayed, or 409 with ``Retry-After`` while the first attempt still runs.
 - ``GET /status``: configuration version, live endpoints, in-flight counts, latency summary.
 - ``GET /metrics``: Prometheus text.
 """
@@ -12,6 +13,7 @@
 import json
 import math
 
+from eliot import log_message
 from klein import Klein
 from twisted.internet import defer
 
@@ -79,14 +81,14 @@
             return _refuse(request, exc)
         except AlreadyAcceptedError as exc:
             gateway.metrics.outcome(account, klass, "duplicate")
-            return _json(request, 409, {"error": {"type": "already_accepted", "message": str(exc)}})
-        request.setHeader("content-type", "text/event-stream")
-        request.setHeader("cache-control", "no-cache")
-        sink = SseSink(request)
+            return _already_accepted(request, exc)
+        sink = _open_stream(request)
         gateway.in_flight += 1
         try:
-            yield gateway.relay.run(completion, deployment.limits, sink)
+            progress = yield gateway.relay.run(completion, deployment.limits, sink)
             gateway.metrics.outcome(account, klass, "completed")
+            if completion.idempotency_key:
+                self._keep_answer(completion, progress)
         except NotRunError as exc:
             gateway.metrics.outcome(account, klass, "not_run")
             return _refuse(request, exc)
@@ -97,6 +99,20 @@
             gateway.in_flight -= 1
         return b""
 
+    def _keep_answer(self, completion, progress) -> None:
+        keeping = self.gateway.calls.finish(
+            completion.idempotency_key,
+            completion.request_id,
+            progress.sent,
+            progress.finish_reason,
+        )
+        # Losing the kept answer costs only its replay to a retry; the call ran once.
+        keeping.addErrback(
+            lambda failure: log_message(
+                message_type="idempotency:answer-not-kept", error=str(failure.value)
+            )
+        )
+
     @app.route("/status", methods=["GET"])
     def status(self, request):
         return _json(request, 200, self.gateway.status())
@@ -109,6 +125,26 @@
         return body
 
 
+def _open_stream(request) -> SseSink:
+    request.setHeader("content-type", "text/event-stream")
+    request.setHeader("cache-control", "no-cache")
+    return SseSink(request)
+
+
+def _already_accepted(request, exc: AlreadyAcceptedError) -> bytes:
+    """Replay a finished call's kept answer, or tell the retry when to come back."""
+    if exc.answer is None:
+        request.setHeader("retry-after", str(max(1, math.ceil(exc.retry_after))))
+        body = {"error": {"type": "already_accepted", "message": str(exc)}}
+        return _json(request, 409, body)
+    tokens, finish_reason = exc.answer
+    sink = _open_stream(request)
+    for index, text in enumerate(tokens):
+        sink.token(index, text)
+    sink.end(finish_reason)
+    return b""
+
+
 def _refuse(request, exc: NotRunError, status: int = 429) -> bytes:
     request.setHeader("retry-after", str(max(1, math.ceil(exc.retry_after))))
     body = {"error": {"type": "not_run", "message": str(exc), "retry_after": exc.retry_after}}
--- a/src/guavacleat/streams/relay.py
+++ b/src/guavacleat/streams/relay.py
@@ -20,7 +20,14 @@
 from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartRequest
 from guavacleat.streams.messages import CompletionRequest, StreamBrokenError, StreamMixupError
 
-__all__ = ["Relay", "PULL_WAIT_MS", "PULL_TIMEOUT_MARGIN", "START_ATTEMPTS", "MAX_RESUMES"]
+__all__ = [
+    "Relay",
+    "StreamProgress",
+    "PULL_WAIT_MS",
+    "PULL_TIMEOUT_MARGIN",
+    "START_ATTEMPTS",
+    "MAX_RESUMES",
+]
 
 PULL_WAIT_MS = 1000
 PULL_TIMEOUT_MARGIN = 2.0
@@ -28,14 +35,15 @@
 MAX_RESUMES = 3
 
 
-class _Progress:
-    """What the caller has received so far: every token text, and when the last was sent."""
+class StreamProgress:
+    """What the caller has received: every token text, when the last was sent, how it ended."""
 
-    __slots__ = ("sent", "last_sent_at")
+    __slots__ = ("sent", "last_sent_at", "finish_reason")
 
     def __init__(self, arrival: float):
         self.sent: list[str] = []
         self.last_sent_at = arrival
+        self.finish_reason = ""
 
 
 class Relay:
@@ -60,17 +68,19 @@
     def run(self, request: CompletionRequest, limits, sink):
         """Deliver every token to ``sink.token(index, text)``, then ``sink.end(reason)``.
 
+        Fires with the :class:`StreamProgress` of the finished stream.
+
         Raises NotRunError if no endpoint started the generation, StreamBrokenError if it broke
         and no endpoint could resume it, StreamMixupError if a batch did not fit the stream.
         """
-        progress = _Progress(request.arrival)
+        progress = StreamProgress(request.arrival)
         tried: set[str] = set()
         endpoint, client, reply = yield self._start(request, limits, tried, progress)
         for _ in range(MAX_RESUMES + 1):
             self.router.begin(endpoint.name)
             try:
                 yield self._pull_all(request, endpoint, client, reply, sink, progress)
-                return
+                return progress
             except StreamBrokenError as broken:
                 failure = broken
                 _cancel_quietly(client, reply.stream_id)
@@ -84,7 +94,7 @@
         raise failure
 
     @defer.inlineCallbacks
-    def _start(self, request: CompletionRequest, limits, tried: set[str], progress: _Progress):
+    def _start(self, request: CompletionRequest, limits, tried: set[str], progress: StreamProgress):
         for _ in range(START_ATTEMPTS):
             candidates = self.membership.live(request.service)
             endpoint = self.router.choose(
@@ -109,7 +119,7 @@
         )
 
     @defer.inlineCallbacks
-    def _pull_all(self, request, endpoint, client, reply, sink, progress: _Progress):
+    def _pull_all(self, request, endpoint, client, reply, sink, progress: StreamProgress):
         while True:
             cursor = len(progress.sent)
             pulling = client.pull(reply.stream_id, cursor, PULL_WAIT_MS)
@@ -128,10 +138,11 @@
                 self._send(request, sink, progress, text)
             if batch.finished:
                 self.metrics.preempted(request.account, request.priority_class, batch.preemptions)
+                progress.finish_reason = batch.finish_reason
                 sink.end(batch.finish_reason)
                 return
 
-    def _send(self, request: CompletionRequest, sink, progress: _Progress, text: str) -> None:
+    def _send(self, request: CompletionRequest, sink, progress: StreamProgress, text: str) -> None:
         now = self.clock.seconds()
         index = len(progress.sent)
         if index == 0:
