--- a/benchmarks/drain_visibility.py
+++ b/benchmarks/visibility.py
@@ -1,11 +1,12 @@
-"""Seconds from SIGTERM to a sidecar until a gateway stops routing to it, as separate processes.
+"""How soon a gateway sees changes, as separate processes on loopback.
 
-Starts store, one engine with its sidecar and a gateway on loopback, sends SIGTERM to the
-sidecar, and polls the gateway's /status every 5 ms until the endpoint shows as draining.
+Starts store, one engine, two sidecars and a gateway. Times (a) from `ctl apply` of a new
+version returning until the gateway's /status shows it in force; (b) from SIGTERM to a sidecar
+until the gateway shows the endpoint as draining, polling every 5 ms.
 Then sends SIGKILL to a second sidecar and times until the gateway lists no live endpoint of
 the service (the dead one's lease lapses). Prints the median of both over the rounds.
 
-Usage: python benchmarks/drain_visibility.py [ROUNDS]
+Usage: python benchmarks/visibility.py [ROUNDS]
 """
 
 import json
@@ -58,6 +59,8 @@
     subprocess.run(ctl, capture_output=True, check=True)
     gateway, gateway_url = start("gateway", "--listen=127.0.0.1:0", f"--store={store_url}")
     until(lambda: len(endpoints(gateway_url)) == 2)
+    subprocess.run(ctl, capture_output=True, check=True)
+    in_force = until(lambda: _config_version(gateway_url) == 2)
     leaving.send_signal(signal.SIGTERM)
     drained = until(lambda: endpoints(gateway_url)["enquiry-lm-1"]["draining"])
     dying.kill()
@@ -66,7 +69,12 @@
         process.send_signal(signal.SIGTERM)
         process.wait(timeout=LIMIT)
     dying.wait(timeout=LIMIT)
-    return drained, lapsed
+    return in_force, drained, lapsed
+
+
+def _config_version(gateway_url):
+    with urllib.request.urlopen(f"{gateway_url}/status", timeout=5) as answer:
+        return json.loads(answer.read())["config_version"]
 
 
 def _not_live(gateway_url):
@@ -76,8 +84,11 @@
 
 def main(rounds=3):
     figures = [one_round() for _ in range(rounds)]
-    drained = [d for d, _ in figures]
-    lapsed = [lapse for _, lapse in figures]
+    in_force, drained, lapsed = (list(column) for column in zip(*figures, strict=True))
+    print(
+        "applied configuration in force at the gateway:"
+        f" median {statistics.median(in_force) * 1e3:.0f} ms"
+    )
     print(f"planned stop visible at the gateway: median {statistics.median(drained) * 1e3:.0f} ms")
     print(f"killed sidecar no longer routed to: median {statistics.median(lapsed):.2f} s")
 
