--- a/src/guavacleat/commands/standin.py
+++ b/src/guavacleat/commands/standin.py
@@ -3,14 +3,13 @@
 import sys
 
 from absl import flags
-from twisted.application import service
 from twisted.internet import reactor
-from twisted.web.server import Site
 
 from guavacleat.commands.common import FLAGS
 from guavacleat.commands.daemon import parse_address, serve, start_logging
 from guavacleat.standin.engine import Engine, EngineSettings
 from guavacleat.standin.engine_http import EngineApp
+from guavacleat.standin.listener import HttpListener
 from guavacleat.standin.store import StoreApp, StoreState
 
 flags.declare_key_flag("listen")
@@ -24,27 +23,10 @@
 KINDS = ("engine", "store")
 
 
-class HttpService(service.Service):
-    """Serves one klein resource on a TCP port."""
-
-    def __init__(self, resource, listen):
-        self.resource = resource
-        self.listen = listen
-        self.port = None
-
-    def startService(self):  # noqa: N802 - Twisted's name
-        super().startService()
-        host, port = self.listen
-        self.port = reactor.listenTCP(port, Site(self.resource), interface=host)
-
-    def url(self) -> str:
-        return f"http://{self.listen[0]}:{self.port.getHost().port}"
-
-
-def build(kind: str, listen) -> HttpService:
+def build(kind: str, listen) -> HttpListener:
     """The HTTP service of stand-in ``kind``."""
     if kind == "store":
-        return HttpService(StoreApp(StoreState(reactor)).resource(), listen)
+        return HttpListener(reactor, StoreApp(StoreState(reactor)).resource(), listen)
     settings = EngineSettings(
         name=FLAGS.name or "engine",
         step_seconds=FLAGS.step_ms / 1000,
@@ -53,7 +35,7 @@
         fencing=FLAGS.fencing,
         output_length=FLAGS.output_length,
     )
-    return HttpService(EngineApp(Engine(reactor, settings)).resource(), listen)
+    return HttpListener(reactor, EngineApp(Engine(reactor, settings)).resource(), listen)
 
 
 def main(argv):
--- a/src/guavacleat/gateway/app.py
+++ b/src/guavacleat/gateway/app.py
@@ -10,7 +10,6 @@
 - ``GET /metrics``: Prometheus text.
 """
 
-import json
 import math
 
 from eliot import log_message
@@ -21,6 +20,7 @@
 from guavacleat.gateway.requests import RequestError, parse_completion
 from guavacleat.gateway.sse import SseSink
 from guavacleat.idempotency import AlreadyAcceptedError
+from guavacleat.web import json_response
 
 __all__ = ["GatewayApp"]
 
@@ -60,7 +60,9 @@
             )
             gateway.admission.enter(deployment, completion.account)
         except RequestError as exc:
-            return _json(request, 400, {"error": {"type": "bad_request", "message": str(exc)}})
+            return json_response(
+                request, 400, {"error": {"type": "bad_request", "message": str(exc)}}
+            )
         except NotRunError as exc:
             return _refuse(request, exc)
         try:
@@ -115,7 +117,7 @@
 
     @app.route("/status", methods=["GET"])
     def status(self, request):
-        return _json(request, 200, self.gateway.status())
+        return json_response(request, 200, self.gateway.status())
 
     @app.route("/metrics", methods=["GET"])
     def metrics(self, request):
@@ -136,7 +138,7 @@
     if exc.answer is None:
         request.setHeader("retry-after", str(max(1, math.ceil(exc.retry_after))))
         body = {"error": {"type": "already_accepted", "message": str(exc)}}
-        return _json(request, 409, body)
+        return json_response(request, 409, body)
     tokens, finish_reason = exc.answer
     sink = _open_stream(request)
     for index, text in enumerate(tokens):
@@ -148,10 +150,4 @@
 def _refuse(request, exc: NotRunError, status: int = 429) -> bytes:
     request.setHeader("retry-after", str(max(1, math.ceil(exc.retry_after))))
     body = {"error": {"type": "not_run", "message": str(exc), "retry_after": exc.retry_after}}
-    return _json(request, status, body)
-
-
-def _json(request, status: int, body: dict) -> bytes:
-    request.setResponseCode(status)
-    request.setHeader("content-type", "application/json")
-    return json.dumps(body).encode()
+    return json_response(request, status, body)
--- a/src/guavacleat/standin/engine_http.py
+++ b/src/guavacleat/standin/engine_http.py
@@ -14,6 +14,7 @@
 from klein import Klein
 
 from guavacleat.standin.engine import Engine
+from guavacleat.web import json_response
 
 __all__ = ["EngineApp"]
 
@@ -41,41 +42,41 @@
             int(body["priority"]),
             resume=body.get("resume", []),
         )
-        return _json(
+        return json_response(
             request, 200, {"stream_id": sequence.stream_id, "generation": sequence.generation}
         )
 
     @app.route("/v1/streams/<stream_id>", methods=["GET"])
     def read(self, request, stream_id):
         if stream_id not in self.engine.sequences_by_id:
-            return _json(request, 404, {"error": "unknown stream"})
+            return json_response(request, 404, {"error": "unknown stream"})
         cursor = int(request.args.get(b"cursor", [b"0"])[0])
         wait = min(float(request.args.get(b"wait", [b"1"])[0]), MAX_READ_WAIT)
         reading = self.engine.read(stream_id, cursor, wait)
-        reading.addCallback(lambda sequence: _json(request, 200, _batch(sequence, cursor)))
+        reading.addCallback(lambda sequence: json_response(request, 200, _batch(sequence, cursor)))
         return reading
 
     @app.route("/v1/streams/<stream_id>", methods=["DELETE"])
     def cancel(self, request, stream_id):
         self.engine.cancel(stream_id)
-        return _json(request, 200, {"ok": True})
+        return json_response(request, 200, {"ok": True})
 
     @app.route("/v1/load", methods=["GET"])
     def load(self, request):
-        return _json(request, 200, self.engine.load())
+        return json_response(request, 200, self.engine.load())
 
     @app.route("/v1/cache-events", methods=["GET"])
     def cache_events(self, request):
         since = int(request.args.get(b"since", [b"0"])[0])
         events = [list(event) for event in self.engine.cache_events(since)]
-        return _json(request, 200, {"events": events})
+        return json_response(request, 200, {"events": events})
 
     @app.route("/v1/orders", methods=["POST"])
     def order(self, request):
         body = json.loads(request.content.read())
         accepted = self.engine.order(body["kind"], body["target"], int(body["fencing"]))
         status = 200 if accepted else 409
-        return _json(
+        return json_response(
             request, status, {"accepted": accepted, "highest": self.engine.highest_fencing}
         )
 
@@ -89,9 +90,3 @@
         "finish_reason": sequence.finish_reason,
         "preemptions": sequence.preemptions,
     }
-
-
-def _json(request, status: int, body: dict) -> bytes:
-    request.setResponseCode(status)
-    request.setHeader("content-type", "application/json")
-    return json.dumps(body).encode()
--- a/src/guavacleat/standin/store.py
+++ b/src/guavacleat/standin/store.py
@@ -21,6 +21,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from guavacleat.store.messages import MUST_NOT_EXIST, StoredObject
+from guavacleat.web import json_response
 
 __all__ = ["StoreState", "StoreApp"]
 
@@ -109,9 +110,7 @@
         return self.app.resource()
 
     def _answer(self, request, status: int, body) -> defer.Deferred:
-        request.setResponseCode(status)
-        request.setHeader("content-type", "application/json")
-        payload = json.dumps(body).encode()
+        payload = json_response(request, status, body)
         if self.faults.delay <= 0:
             return defer.succeed(payload)
         return _later(self.state.clock, self.faults.delay, payload)
--- a/src/guavacleat/standin/system.py
+++ b/src/guavacleat/standin/system.py
@@ -8,7 +8,6 @@
 
 from twisted.application import service
 from twisted.internet import defer, task
-from twisted.web.server import Site
 
 import guavacleat
 from guavacleat.ctl import apply_settings
@@ -16,6 +15,7 @@
 from guavacleat.sidecar import SidecarService
 from guavacleat.standin.engine import Engine, EngineSettings
 from guavacleat.standin.engine_http import EngineApp
+from guavacleat.standin.listener import HttpListener
 from guavacleat.standin.store import StoreApp, StoreState
 from guavacleat.store import StoreClient
 
@@ -27,24 +27,6 @@
 READY_TIMEOUT = 10.0
 
 
-class _Listener(service.Service):
-    def __init__(self, reactor, resource):
-        self.reactor = reactor
-        self.resource = resource
-        self.port = None
-
-    def startService(self):  # noqa: N802 - Twisted's name
-        super().startService()
-        self.port = self.reactor.listenTCP(0, Site(self.resource), interface=LOOPBACK)
-
-    def stopService(self):  # noqa: N802 - Twisted's name
-        super().stopService()
-        return self.port.stopListening()
-
-    def url(self) -> str:
-        return f"http://{LOOPBACK}:{self.port.getHost().port}"
-
-
 class LocalSystem(service.MultiService):
     """Starts the parts in dependency order; ``endpoints`` maps endpoint name to service name."""
 
@@ -57,7 +39,7 @@
         self.engines_by_name: dict[str, Engine] = {}
         self.store_state = StoreState(reactor)
         self.store_app = StoreApp(self.store_state)
-        self.store = _Listener(reactor, self.store_app.resource())
+        self.store = HttpListener(reactor, self.store_app.resource(), (LOOPBACK, 0))
         self.gateway: GatewayService | None = None
 
     @defer.inlineCallbacks
@@ -68,7 +50,7 @@
         for name, service_name in self.endpoints.items():
             engine = Engine(self.reactor, EngineSettings(name=name, **self.engine_settings))
             self.engines_by_name[name] = engine
-            listener = _Listener(self.reactor, EngineApp(engine).resource())
+            listener = HttpListener(self.reactor, EngineApp(engine).resource(), (LOOPBACK, 0))
             listener.setServiceParent(self)
             SidecarService(
                 self.reactor,
