Report resumed streams in /status

Cause: the relay counted streams resumed on another endpoint, but neither status nor docs reported it, so an operator could not see failovers (counters first). Conclusion: failovers are visible.

--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -109,6 +109,7 @@
                 for name in sorted(deployment.services_by_name if deployment else ())
             },
             "in_flight": self.in_flight,
+            "resumes": self.relay.resumes,
             "store_calls": dict(self.store.calls_by_type),
             "latency": self.metrics.book.summary(),
         }
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -185,6 +185,7 @@
     tokens = [event for event in received if "index" in event]
     assert [event["index"] for event in tokens] == list(range(LONG))
     assert received[-1] == {"finish_reason": "stop", "tokens": LONG}
+    assert _get_json(system.address, "/status")["resumes"] == 1
 
 
 def test_planned_stop_finishes_open_stream_and_takes_no_new_work(system):
