Run a non-repeatable call on one endpoint only; bound starts; read a cut pull again

Found by reading the relay against the promises. Beside it: a start had no timeout, a start whose answer was lost ended as 'not run' once nobody was left to try, a momentary link cut cost a re-prefill elsewhere, and a caller who left was pulled to the end. Ruled out: the claim record itself (its contract held). Change: CompletionRequest.repeatable; a start or pull whose outcome is unknown ends a non-repeatable call as failed ('may have run'), never starts it elsewhere and never says not run; starts are bounded by START_TIMEOUT; a failed pull is read once more over a new link (SidecarPool.discard drops the stalled one); a repeatable stream whose caller left is not pulled. Conclusion: at most once holds through the relay's own recovery.

--- a/src/guavacleat/gateway/requests.py
+++ b/src/guavacleat/gateway/requests.py
@@ -52,6 +52,7 @@
         max_tokens=max_tokens,
         idempotency_key=idempotency_key,
         arrival=now,
+        repeatable=deployment.services_by_name[service].repeatable,
     )
 
 
--- a/src/guavacleat/gateway/sidecars.py
+++ b/src/guavacleat/gateway/sidecars.py
@@ -36,6 +36,16 @@
             self.protocols_by_address[address] = protocol
         return protocol.client
 
+    def discard(self, address: str) -> None:
+        """Drop the connection to ``address`` after a failed call.
+
+        A stalled link still counts as connected, so every later call to that sidecar would wait
+        on it; the next :meth:`client` opens a new one instead.
+        """
+        protocol = self.protocols_by_address.pop(address, None)
+        if protocol is not None and protocol.transport is not None:
+            protocol.transport.abortConnection()
+
     def close(self) -> None:
         for protocol in self.protocols_by_address.values():
             if protocol.transport is not None:
--- a/src/guavacleat/streams/messages.py
+++ b/src/guavacleat/streams/messages.py
@@ -11,6 +11,7 @@
     :param request_id: unique per arrival at this gateway.
     :param priority: the engine priority of ``priority_class`` (lower is more urgent).
     :param arrival: reactor seconds when the request arrived.
+    :param repeatable: false if the call may run at most once, so a broken one is not resumed.
     """
 
     __slots__ = (
@@ -23,6 +24,7 @@
         "max_tokens",
         "idempotency_key",
         "arrival",
+        "repeatable",
     )
 
     def __init__(
@@ -36,6 +38,7 @@
         max_tokens,
         idempotency_key,
         arrival,
+        repeatable=True,
     ):
         self.request_id = request_id
         self.service = service
@@ -46,6 +49,7 @@
         self.max_tokens = max_tokens
         self.idempotency_key = idempotency_key
         self.arrival = arrival
+        self.repeatable = repeatable
 
 
 class StreamMixupError(GuavacleatError):
@@ -59,11 +63,11 @@
 
 
 class StreamBrokenError(GuavacleatError):
-    """The endpoint serving a stream failed mid-generation."""
+    """The endpoint serving a stream failed after it may have started it."""
 
-    def __init__(self, endpoint: str, sent: int, detail: str):
-        super().__init__(
-            f"endpoint {endpoint} failed after {sent} tokens: {detail}.",
-            "send the request again; the tokens already sent were correct.",
-        )
+    def __init__(self, endpoint: str, sent: int, detail: str, repeatable: bool = True):
+        remedy = "send the request again; the tokens already sent were correct."
+        if not repeatable:
+            remedy = "check whether the call took effect; it may have run and is not run again."
+        super().__init__(f"endpoint {endpoint} failed after {sent} tokens: {detail}.", remedy)
         self.sent = sent
--- a/src/guavacleat/streams/relay.py
+++ b/src/guavacleat/streams/relay.py
@@ -4,20 +4,24 @@
 order; a batch whose generation or first index differs from what the relay expects is refused
 (:class:`StreamMixupError`) before anything of it reaches the caller.
 
-If the endpoint fails mid-generation (the link resets, or a pull gets no answer in time: the
-engine died, was reclaimed, or the link stalled), the relay starts the request on another live
-endpoint with the tokens already sent as ``resume_tokens``; that engine prefills them and
-continues from the same cursor, so the caller sees one answer, each token once, in order. Only
-the batches of the endpoint currently serving are accepted.
+A pull that fails is read once more over a new link (it is idempotent). If the endpoint still
+fails (the engine died, was reclaimed, or the link stalled), the relay starts the request on
+another live endpoint with the tokens already sent as ``resume_tokens``; that engine prefills
+them and continues from the same cursor, so the caller sees one answer, each token once, in
+order. Only the batches of the endpoint currently serving are accepted.
+
+A call that may not be repeated is never started on a second endpoint once a start may have
+reached the first.
 """
 
 import contextlib
 
+from thrift.Thrift import TApplicationException
 from twisted.internet import defer
 from twisted.internet.error import ConnectError
 
 from guavacleat.errors import NotRunError
-from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartRequest
+from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartRequest, UnknownStream
 from guavacleat.streams.messages import CompletionRequest, StreamBrokenError, StreamMixupError
 
 __all__ = [
@@ -26,13 +30,17 @@
     "PULL_WAIT_MS",
     "PULL_TIMEOUT_MARGIN",
     "START_ATTEMPTS",
+    "START_TIMEOUT",
+    "CALLER_LEFT",
     "MAX_RESUMES",
 ]
 
 PULL_WAIT_MS = 1000
 PULL_TIMEOUT_MARGIN = 2.0
 START_ATTEMPTS = 3
+START_TIMEOUT = PULL_WAIT_MS / 1000 + PULL_TIMEOUT_MARGIN
 MAX_RESUMES = 3
+CALLER_LEFT = "caller_left"
 
 
 class StreamProgress:
@@ -68,33 +76,39 @@
     def run(self, request: CompletionRequest, limits, sink):
         """Deliver every token to ``sink.token(index, text)``, then ``sink.end(reason)``.
 
-        Fires with the :class:`StreamProgress` of the finished stream.
+        Fires with the :class:`StreamProgress` of the finished stream. A repeatable stream whose
+        caller has gone (``sink.gone``) is no longer pulled and finishes as ``CALLER_LEFT``.
 
-        Raises NotRunError if no endpoint started the generation, StreamBrokenError if it broke
-        and no endpoint could resume it, StreamMixupError if a batch did not fit the stream.
+        Raises NotRunError if no endpoint can have started the generation, StreamBrokenError if
+        it broke and no endpoint could resume it, StreamMixupError if a batch did not fit.
         """
         progress = StreamProgress(request.arrival)
         tried: set[str] = set()
-        endpoint, client, reply = yield self._start(request, limits, tried, progress)
+        failure = None
         for _ in range(MAX_RESUMES + 1):
-            self.router.begin(endpoint.name)
             try:
-                yield self._pull_all(request, endpoint, client, reply, sink, progress)
+                serving = yield self._start(request, limits, tried, progress)
+            except NotRunError:
+                if failure is None:
+                    raise
+                break
+            self.resumes += failure is not None
+            try:
+                yield self._pull_all(request, serving, sink, progress)
                 return progress
             except StreamBrokenError as broken:
                 failure = broken
-                _cancel_quietly(client, reply.stream_id)
+                _cancel_quietly(serving)
             finally:
-                self.router.end(endpoint.name)
-            try:
-                endpoint, client, reply = yield self._start(request, limits, tried, progress)
-            except NotRunError:
+                self.router.end(serving.endpoint.name)
+            if not request.repeatable:
                 break
-            self.resumes += 1
         raise failure
 
     @defer.inlineCallbacks
     def _start(self, request: CompletionRequest, limits, tried: set[str], progress: StreamProgress):
+        """Fire with a :class:`_Serving`, its endpoint counted in flight."""
+        unknown = None
         for _ in range(START_ATTEMPTS):
             candidates = self.membership.live(request.service)
             endpoint = self.router.choose(
@@ -103,14 +117,28 @@
             if endpoint is None:
                 break
             tried.add(endpoint.name)
+            self.router.begin(endpoint.name)
             try:
                 client = yield self.pool.client(endpoint.address)
-                reply = yield client.start(_start_request(request, progress.sent))
+                reply = yield self._call(client.start, _start_request(request, progress.sent))
+                return _Serving(endpoint, client, reply)
             except (NotRun, ConnectError):
                 # Refused before the engine read it (draining, engine down, no connection):
                 # it did not run there, so another endpoint may take it.
-                continue
-            return endpoint, client, reply
+                self.router.end(endpoint.name)
+            except Exception as exc:  # noqa: BLE001 - the start was sent and its answer lost
+                self.router.end(endpoint.name)
+                if not isinstance(exc, TApplicationException):
+                    self.pool.discard(endpoint.address)
+                sent, detail = len(progress.sent), exc.__class__.__name__
+                unknown = StreamBrokenError(endpoint.name, sent, detail, request.repeatable)
+                # The endpoint may be running it. Starting it elsewhere would run a
+                # non-repeatable call twice; a repeatable one is safe, since nobody reads the
+                # first generation and its sidecar cancels streams left unread.
+                if not request.repeatable:
+                    raise unknown from exc
+        if unknown is not None:
+            raise unknown
         raise NotRunError(
             f"no endpoint of service {request.service} could start the request"
             f" (tried {len(tried)}).",
@@ -119,20 +147,14 @@
         )
 
     @defer.inlineCallbacks
-    def _pull_all(self, request, endpoint, client, reply, sink, progress: StreamProgress):
+    def _pull_all(self, request, serving, sink, progress: StreamProgress):
         while True:
             cursor = len(progress.sent)
-            pulling = client.pull(reply.stream_id, cursor, PULL_WAIT_MS)
-            # A stalled link or a frozen endpoint never answers; without a bound the caller
-            # would wait forever. A pull answers within PULL_WAIT_MS when the endpoint is well.
-            pulling.addTimeout(PULL_WAIT_MS / 1000 + PULL_TIMEOUT_MARGIN, self.clock)
-            try:
-                batch = yield pulling
-            except Exception as exc:  # noqa: BLE001 - any failure of the link breaks the stream
-                raise StreamBrokenError(endpoint.name, cursor, exc.__class__.__name__) from exc
-            if batch.generation != reply.generation or batch.first_index != cursor:
+            batch = yield self._pull(request, serving, cursor)
+            expected = serving.reply.generation
+            if batch.generation != expected or batch.first_index != cursor:
                 raise StreamMixupError(
-                    f"{reply.generation}@{cursor}", f"{batch.generation}@{batch.first_index}"
+                    f"{expected}@{cursor}", f"{batch.generation}@{batch.first_index}"
                 )
             for text in batch.tokens:
                 self._send(request, sink, progress, text)
@@ -141,6 +163,45 @@
                 progress.finish_reason = batch.finish_reason
                 sink.end(batch.finish_reason)
                 return
+            if sink.gone and request.repeatable:
+                # Left unpulled, the stream stays readable for a reconnecting caller until its
+                # sidecar cancels it as idle; pulling on would only fill the engine.
+                progress.finish_reason = CALLER_LEFT
+                return
+
+    @defer.inlineCallbacks
+    def _pull(self, request, serving, cursor: int):
+        """Fire with the batch at ``cursor``; a failed pull is read once more over a new link."""
+        stream_id = serving.reply.stream_id
+        try:
+            batch = yield self._call(serving.client.pull, stream_id, cursor, PULL_WAIT_MS)
+            return batch
+        except (UnknownStream, TApplicationException) as exc:
+            # The link is well: the endpoint has lost the stream or its engine does not answer.
+            failed = exc
+        except defer.TimeoutError as exc:
+            failed = exc
+            self.pool.discard(serving.endpoint.address)
+        except Exception as exc:  # noqa: BLE001 - any failure of the link
+            failed = exc
+            self.pool.discard(serving.endpoint.address)
+            with contextlib.suppress(Exception):
+                serving.client = yield self.pool.client(serving.endpoint.address)
+                batch = yield self._call(serving.client.pull, stream_id, cursor, PULL_WAIT_MS)
+                return batch
+            self.pool.discard(serving.endpoint.address)
+        raise StreamBrokenError(
+            serving.endpoint.name, cursor, failed.__class__.__name__, request.repeatable
+        ) from failed
+
+    def _call(self, method, *args) -> defer.Deferred:
+        """Call a sidecar with a bound on the wait.
+
+        A stalled link or a frozen endpoint never answers; without a bound the caller would wait
+        forever. A pull answers within PULL_WAIT_MS when the endpoint is well.
+        """
+        calling = defer.maybeDeferred(method, *args)
+        return calling.addTimeout(START_TIMEOUT, self.clock)
 
     def _send(self, request: CompletionRequest, sink, progress: StreamProgress, text: str) -> None:
         now = self.clock.seconds()
@@ -155,11 +216,22 @@
         progress.last_sent_at = now
 
 
-def _cancel_quietly(client, stream_id: str) -> None:
+class _Serving:
+    """The endpoint now serving a stream, its link, and the answer to its start."""
+
+    __slots__ = ("endpoint", "client", "reply")
+
+    def __init__(self, endpoint, client, reply):
+        self.endpoint = endpoint
+        self.client = client
+        self.reply = reply
+
+
+def _cancel_quietly(serving: _Serving) -> None:
     # Best effort: the old endpoint may be gone; if it is alive, cancelling frees its memory.
     # A dead link may also fail synchronously, hence the suppress.
     with contextlib.suppress(Exception):
-        client.cancel(stream_id).addErrback(lambda _: None)
+        serving.client.cancel(serving.reply.stream_id).addErrback(lambda _: None)
 
 
 def _start_request(request: CompletionRequest, sent: list[str]) -> StartRequest:
--- a/tests/streams/test_relay.py
+++ b/tests/streams/test_relay.py
@@ -11,6 +11,7 @@
 from guavacleat.routing import Router
 from guavacleat.streams import CompletionRequest, Relay, StreamMixupError
 from guavacleat.streams.messages import StreamBrokenError
+from guavacleat.streams.relay import START_TIMEOUT
 from tests.conftest import result_of
 
 LIMITS = Limits(queue_per_account=4, in_flight_per_endpoint=2, retry_after=1.5)
@@ -43,8 +44,13 @@
     def client(self, address):
         return defer.succeed(self.sidecars_by_address[address])
 
+    def discard(self, address):
+        pass
+
 
 class ListSink:
+    gone = False
+
     def __init__(self):
         self.tokens = []
         self.reason = None
@@ -77,8 +83,10 @@
     return Relay(clock, view, Router(), pool, StreamMetrics())
 
 
-def request(clock):
-    return CompletionRequest("r1", "enquiry-lm", "acc", "interactive", 0, "p", 10, None, 0.0)
+def request(clock, repeatable=True):
+    return CompletionRequest(
+        "r1", "enquiry-lm", "acc", "interactive", 0, "p", 10, None, 0.0, repeatable
+    )
 
 
 def test_tokens_delivered_once_in_order_across_batches(clock):
@@ -157,3 +165,85 @@
     result_of(make_relay(clock, [dying, taking_over]).run(request(clock), LIMITS, sink))
     assert sink.tokens == [(0, "x"), (1, "y"), (2, "z"), (3, "w")]
     assert taking_over.resume_seen == ["x", "y"] and sink.reason == "stop"
+
+
+RUNS_TWICE = [
+    # (first sidecar's start outcome, its pulls): in each the call may have run there.
+    (None, [ConnectionResetError(), ConnectionResetError()]),
+    (None, [batch("g-a", 0, ["x"]), ConnectionResetError(), ConnectionResetError()]),
+    (ConnectionResetError(), []),
+]
+
+
+@pytest.mark.parametrize("start_outcome,pulls", RUNS_TWICE)
+def test_non_repeatable_call_never_starts_on_a_second_endpoint(clock, start_outcome, pulls):
+    """
+    Symptom: a connection record is written twice and a subscriber is charged twice.
+    Sequence: the call reaches endpoint a; its start or pull is cut; endpoint b is live.
+    Cause: the relay resumed every broken stream elsewhere, which runs the call again.
+    """
+    first = FakeSidecar("a", pulls, start_outcome=start_outcome)
+    second = FakeSidecar("b", pulls, start_outcome=start_outcome)
+    relay = make_relay(clock, [first, second])
+    with pytest.raises(StreamBrokenError):
+        result_of(relay.run(request(clock, repeatable=False), LIMITS, ListSink()))
+    assert first.started + second.started == 1
+
+
+def test_lost_start_answer_is_never_reported_as_not_run(clock):
+    """
+    Symptom: a lookup refused as "not run" shows up as run in the engine's log.
+    Sequence: every endpoint takes the start and its answer is lost.
+    Cause: the relay treated "nobody left to try" as not run although a start may have arrived.
+    """
+    cut = [FakeSidecar(n, [], start_outcome=ConnectionResetError()) for n in "ab"]
+    with pytest.raises(StreamBrokenError):
+        result_of(make_relay(clock, cut).run(request(clock), LIMITS, ListSink()))
+    assert [sidecar.started for sidecar in cut] == [1, 1]
+
+
+def test_link_cut_on_a_pull_is_read_again_from_the_same_endpoint(clock):
+    """
+    Symptom: a moment's link cut costs a whole prefill on another engine.
+    Sequence: endpoint a sends tokens 0-1; its link resets once; a is well again at once.
+    Cause: a pull by cursor is idempotent, so it can be repeated before giving a up.
+    """
+    pulls = [batch("g-a", 0, ["x", "y"]), ConnectionResetError(), batch("g-a", 2, ["z"], True)]
+    serving, spare = FakeSidecar("a", pulls), FakeSidecar("b", [])
+    sink = ListSink()
+    relay = make_relay(clock, [serving, spare])
+    relay.router.begin("b")
+    result_of(relay.run(request(clock), LIMITS, sink))
+    assert [text for _, text in sink.tokens] == ["x", "y", "z"]
+    assert (serving.started, spare.started) == (1, 0)
+
+
+def test_silent_start_moves_on_after_its_timeout(clock):
+    """
+    Symptom: a caller on hold hears silence until it hangs up.
+    Sequence: the chosen sidecar is frozen and never answers the start; another one is well.
+    Cause: the start had no timeout, so the relay waited on the frozen sidecar forever.
+    """
+    frozen = FakeSidecar("a", [])
+    frozen.start = lambda request: defer.Deferred()
+    serving = FakeSidecar("b", [batch("g-b", 0, ["x"], True)])
+    sink = ListSink()
+    relay = make_relay(clock, [frozen, serving])
+    relay.router.begin("b")
+    running = relay.run(request(clock), LIMITS, sink)
+    clock.advance(START_TIMEOUT)
+    result_of(running)
+    assert sink.tokens == [(0, "x")]
+
+
+def test_caller_gone_stops_pulling_a_repeatable_stream(clock):
+    """
+    Symptom: engines fill up with answers nobody reads after callers hang up.
+    Sequence: the caller leaves after the first batch; the engine would go on for long.
+    Cause: the relay pulled to the end whether or not anybody was listening.
+    """
+    sidecar = FakeSidecar("a", [batch("g-a", 0, ["x"]), batch("g-a", 1, ["y"], True)])
+    sink = ListSink()
+    sink.token = lambda index, text: setattr(sink, "gone", True)
+    progress = result_of(make_relay(clock, [sidecar]).run(request(clock), LIMITS, sink))
+    assert progress.finish_reason == "caller_left" and len(sidecar.batches) == 1
--- a/tests/streams/test_relay_machine.py
+++ b/tests/streams/test_relay_machine.py
@@ -54,6 +54,8 @@
 
 
 class RelayMachine(RuleBasedStateMachine):
+    gone = False
+
     @initialize()
     def setup(self):
         self.clock = Clock()
@@ -162,6 +164,9 @@
     def client(self, address):
         return defer.succeed(self.endpoints_by_name[address])
 
+    def discard(self, address):
+        pass
+
 
 RelayMachine.TestCase.settings = settings(
     max_examples=150, stateful_step_count=30, derandomize=True, database=None, deadline=None
