Release, scope and close call records; prove calls at most once with a state machine

Change: call_name(account, service, key); fingerprint of the body (KeyReusedError -> 400); release() after not run, through store outages, also fencing a create that applies late; mark_unknown() after a broken call; a holder seen for 60 s gets its retries a final answer. Ways weighed: a second watermark (claimed, then started) would let another gateway take over a claim whose gateway died before the call; it costs one more write and 4 ms on every call to shrink a window of microseconds, so it was not built. Conclusion: at most once, and 'not run' can be retried.

--- a/src/guavacleat/checks/__init__.py
+++ b/src/guavacleat/checks/__init__.py
@@ -1,5 +1,11 @@
 """History checks for concurrent runs: what callers received against what the promises allow."""
 
-from guavacleat.checks.history import Violation, check_stream, check_versions
+from guavacleat.checks.history import (
+    CallAttempt,
+    Violation,
+    check_calls,
+    check_stream,
+    check_versions,
+)
 
-__all__ = ["Violation", "check_stream", "check_versions"]
+__all__ = ["CallAttempt", "Violation", "check_calls", "check_stream", "check_versions"]
--- a/src/guavacleat/checks/history.py
+++ b/src/guavacleat/checks/history.py
@@ -4,9 +4,13 @@
   the token at each index is the one the endpoint serving at that moment produced, and an
   endpoint that took over was given exactly the tokens already sent.
 - :func:`check_versions`: a daemon's configuration versions in force never went back.
+- :func:`check_calls`: a non-repeatable call ran at most once, a request refused as not run did
+  not run, and nobody received the answer to another call.
 """
 
-__all__ = ["Violation", "check_stream", "check_versions"]
+from collections import Counter
+
+__all__ = ["CallAttempt", "Violation", "check_calls", "check_stream", "check_versions"]
 
 
 class Violation:
@@ -54,3 +58,43 @@
         for before, after in zip(versions_in_force, versions_in_force[1:], strict=False)
         if after < before
     ]
+
+
+class CallAttempt:
+    """One attempt at a non-repeatable call.
+
+    :param key: the call's idempotency key.
+    :param ran: whether an endpoint ran it for this attempt.
+    :param outcome: what the client was told: ``answered``, ``not_run``, ``accepted``, ``failed``
+        or, if its gateway died first, ``none``.
+    :param answer_key: the key of the call whose answer the client got, or None.
+    """
+
+    __slots__ = ("key", "ran", "outcome", "answer_key")
+
+    def __init__(self, key: str):
+        self.key = key
+        self.ran = False
+        self.outcome = "none"
+        self.answer_key = None
+
+
+def check_calls(attempts: list[CallAttempt]) -> list[Violation]:
+    """Check every attempt at every non-repeatable call of a run."""
+    runs_by_key = Counter(attempt.key for attempt in attempts if attempt.ran)
+    twice = [
+        Violation("at most once", f"{key} ran {runs} times")
+        for key, runs in runs_by_key.items()
+        if runs > 1
+    ]
+    refused = [
+        Violation("not run means not run", attempt.key)
+        for attempt in attempts
+        if attempt.ran and attempt.outcome == "not_run"
+    ]
+    crossed = [
+        Violation("own answer", f"{attempt.key} got the answer of {attempt.answer_key}")
+        for attempt in attempts
+        if attempt.answer_key not in (None, attempt.key)
+    ]
+    return twice + refused + crossed
--- a/src/guavacleat/gateway/app.py
+++ b/src/guavacleat/gateway/app.py
@@ -12,14 +12,14 @@
 
 import math
 
-from eliot import log_message
 from klein import Klein
 from twisted.internet import defer
 
 from guavacleat.errors import NotRunError
 from guavacleat.gateway.requests import RequestError, parse_completion
 from guavacleat.gateway.sse import SseSink
-from guavacleat.idempotency import AlreadyAcceptedError
+from guavacleat.idempotency import AlreadyAcceptedError, KeyReusedError
+from guavacleat.streams.relay import CALLER_LEFT
 from guavacleat.web import json_response
 
 __all__ = ["GatewayApp"]
@@ -60,9 +60,7 @@
             )
             gateway.admission.enter(deployment, completion.account)
         except RequestError as exc:
-            return json_response(
-                request, 400, {"error": {"type": "bad_request", "message": str(exc)}}
-            )
+            return _bad_request(request, exc)
         except NotRunError as exc:
             return _refuse(request, exc)
         try:
@@ -76,44 +74,50 @@
         gateway = self.gateway
         account, klass = completion.account, completion.priority_class
         try:
-            if completion.idempotency_key:
-                yield gateway.calls.claim(completion.idempotency_key, completion.request_id)
+            yield self._claim(completion)
+            sink = _open_stream(request)
+            progress = yield self._relay(completion, deployment, sink)
         except NotRunError as exc:
             gateway.metrics.outcome(account, klass, "not_run")
             return _refuse(request, exc)
         except AlreadyAcceptedError as exc:
             gateway.metrics.outcome(account, klass, "duplicate")
             return _already_accepted(request, exc)
-        sink = _open_stream(request)
-        gateway.in_flight += 1
-        try:
-            progress = yield gateway.relay.run(completion, deployment.limits, sink)
-            gateway.metrics.outcome(account, klass, "completed")
-            if completion.idempotency_key:
-                self._keep_answer(completion, progress)
-        except NotRunError as exc:
-            gateway.metrics.outcome(account, klass, "not_run")
-            return _refuse(request, exc)
+        except KeyReusedError as exc:
+            return _bad_request(request, exc)
         except Exception as exc:  # noqa: BLE001 - the caller must hear why its stream ended
             gateway.metrics.outcome(account, klass, "failed")
+            if completion.call is not None:
+                gateway.calls.mark_unknown(completion.call, completion.request_id)
             sink.error("failed", str(exc))
-        finally:
-            gateway.in_flight -= 1
+            return b""
+        if completion.call is not None:
+            gateway.calls.finish(
+                completion.call, completion.request_id, progress.sent, progress.finish_reason
+            )
+        gateway.metrics.outcome(account, klass, _outcome(progress))
         return b""
 
-    def _keep_answer(self, completion, progress) -> None:
-        keeping = self.gateway.calls.finish(
-            completion.idempotency_key,
-            completion.request_id,
-            progress.sent,
-            progress.finish_reason,
-        )
-        # Losing the kept answer costs only its replay to a retry; the call ran once.
-        keeping.addErrback(
-            lambda failure: log_message(
-                message_type="idempotency:answer-not-kept", error=str(failure.value)
+    @defer.inlineCallbacks
+    def _claim(self, completion):
+        if completion.call is not None:
+            yield self.gateway.calls.claim(
+                completion.call, completion.request_id, completion.fingerprint()
             )
-        )
+
+    @defer.inlineCallbacks
+    def _relay(self, completion, deployment, sink):
+        gateway = self.gateway
+        gateway.in_flight += 1
+        try:
+            progress = yield gateway.relay.run(completion, deployment.limits, sink)
+        except NotRunError:
+            if completion.call is not None:
+                gateway.calls.release(completion.call, completion.request_id)
+            raise
+        finally:
+            gateway.in_flight -= 1
+        return progress
 
     @app.route("/status", methods=["GET"])
     def status(self, request):
@@ -127,6 +131,14 @@
         return body
 
 
+def _outcome(progress) -> str:
+    return "cancelled" if progress.finish_reason == CALLER_LEFT else "completed"
+
+
+def _bad_request(request, exc) -> bytes:
+    return json_response(request, 400, {"error": {"type": "bad_request", "message": str(exc)}})
+
+
 def _open_stream(request) -> SseSink:
     request.setHeader("content-type", "text/event-stream")
     request.setHeader("cache-control", "no-cache")
@@ -136,7 +148,8 @@
 def _already_accepted(request, exc: AlreadyAcceptedError) -> bytes:
     """Replay a finished call's kept answer, or tell the retry when to come back."""
     if exc.answer is None:
-        request.setHeader("retry-after", str(max(1, math.ceil(exc.retry_after))))
+        if exc.retry_after is not None:
+            request.setHeader("retry-after", str(max(1, math.ceil(exc.retry_after))))
         body = {"error": {"type": "already_accepted", "message": str(exc)}}
         return json_response(request, 409, body)
     tokens, finish_reason = exc.answer
--- a/src/guavacleat/gateway/requests.py
+++ b/src/guavacleat/gateway/requests.py
@@ -5,6 +5,7 @@
 
 from guavacleat.config.model import Deployment
 from guavacleat.errors import GuavacleatError
+from guavacleat.idempotency import call_name
 from guavacleat.streams.messages import CompletionRequest
 
 __all__ = ["RequestError", "parse_completion", "MAX_PROMPT_BYTES"]
@@ -50,7 +51,7 @@
         priority=deployment.priority_classes_by_name[priority_class].priority,
         prompt=prompt,
         max_tokens=max_tokens,
-        idempotency_key=idempotency_key,
+        call=call_name(account, service, idempotency_key) if idempotency_key else None,
         arrival=now,
         repeatable=deployment.services_by_name[service].repeatable,
     )
--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -43,7 +43,7 @@
         self.admission = Admission()
         self.metrics = StreamMetrics()
         self.pool = SidecarPool(reactor)
-        self.calls = CallRecords(self.store)
+        self.calls = CallRecords(self.store, reactor)
         self.relay = Relay(reactor, self.membership, self.router, self.pool, self.metrics)
         self.watches = [
             WatchLoop(reactor, self.store, CONFIG_KIND, self.config.offer),
--- a/src/guavacleat/idempotency/__init__.py
+++ b/src/guavacleat/idempotency/__init__.py
@@ -1,5 +1,10 @@
 """At-most-once calls: a record per idempotency key, created in the object API before the call."""
 
-from guavacleat.idempotency.records import AlreadyAcceptedError, CallRecords
+from guavacleat.idempotency.records import (
+    AlreadyAcceptedError,
+    CallRecords,
+    KeyReusedError,
+    call_name,
+)
 
-__all__ = ["AlreadyAcceptedError", "CallRecords"]
+__all__ = ["AlreadyAcceptedError", "CallRecords", "KeyReusedError", "call_name"]
--- a/src/guavacleat/streams/messages.py
+++ b/src/guavacleat/streams/messages.py
@@ -1,5 +1,7 @@
 """Messages of the stream relay."""
 
+import hashlib
+
 from guavacleat.errors import GuavacleatError
 
 __all__ = ["CompletionRequest", "StreamMixupError", "StreamBrokenError"]
@@ -11,6 +13,7 @@
     :param request_id: unique per arrival at this gateway.
     :param priority: the engine priority of ``priority_class`` (lower is more urgent).
     :param arrival: reactor seconds when the request arrived.
+    :param call: the name of the call's record for its idempotency key, or None without a key.
     :param repeatable: false if the call may run at most once, so a broken one is not resumed.
     """
 
@@ -22,7 +25,7 @@
         "priority",
         "prompt",
         "max_tokens",
-        "idempotency_key",
+        "call",
         "arrival",
         "repeatable",
     )
@@ -36,7 +39,7 @@
         priority,
         prompt,
         max_tokens,
-        idempotency_key,
+        call,
         arrival,
         repeatable=True,
     ):
@@ -47,10 +50,15 @@
         self.priority = priority
         self.prompt = prompt
         self.max_tokens = max_tokens
-        self.idempotency_key = idempotency_key
+        self.call = call
         self.arrival = arrival
         self.repeatable = repeatable
 
+    def fingerprint(self) -> str:
+        """Identifies the request's body, so a key reused for another body is noticed."""
+        body = f"{self.service}\0{self.max_tokens}\0{self.prompt}".encode()
+        return hashlib.blake2b(body, digest_size=16).hexdigest()
+
 
 class StreamMixupError(GuavacleatError):
     """A batch came from another generation or another cursor; sending it would mix answers."""
--- /dev/null
+++ b/tests/idempotency/test_claims_machine.py
@@ -0,0 +1,130 @@
+"""A hypothesis state machine: non-repeatable calls through two gateways under faults.
+
+Rules: a client tries a key through either gateway, endpoints refuse or run the call, a gateway
+dies with its calls, the store goes down, slows down or loses acknowledgements, time passes.
+Invariants: :func:`guavacleat.checks.check_calls`; and at the end, with the store well, a key
+whose attempts were all refused as not run can still be called.
+"""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from treq.testing import StubTreq
+from twisted.internet.task import Clock
+
+from guavacleat.checks import CallAttempt, check_calls
+from guavacleat.errors import NotRunError
+from guavacleat.idempotency import AlreadyAcceptedError, CallRecords
+from guavacleat.standin.store import StoreApp, StoreState
+from guavacleat.store import StoreClient
+
+KEYS = ("connect-1", "connect-2")
+OUTAGE_RETRIES = 4
+
+
+class CallsMachine(RuleBasedStateMachine):
+    @initialize()
+    def setup(self):
+        self.clock = Clock()
+        self.store_app = StoreApp(StoreState(self.clock))
+        self.http = StubTreq(self.store_app.resource())
+        self.records = [self._gateway(), self._gateway()]
+        self.epochs = [0, 0]
+        self.attempts = []
+
+    def _gateway(self):
+        return CallRecords(StoreClient("http://store", http=self.http), self.clock)
+
+    def _pass(self, seconds):
+        self.clock.advance(seconds)
+        self.http.flush()
+
+    @rule(key=st.sampled_from(KEYS), gateway=st.sampled_from([0, 1]), refuse=st.booleans())
+    def client_tries(self, key, gateway, refuse):
+        attempt = CallAttempt(key)
+        self.attempts.append(attempt)
+        request_id = f"request-{len(self.attempts)}"
+        epoch = self.epochs[gateway]
+        records = self.records[gateway]
+        claiming = records.claim(key, request_id)
+
+        def claimed(_):
+            if self.epochs[gateway] != epoch:
+                return
+            if refuse:
+                attempt.outcome = "not_run"
+                records.release(key, request_id)
+                return
+            attempt.ran = True
+            attempt.outcome = "answered"
+            attempt.answer_key = key
+            records.finish(key, request_id, [key], "stop")
+
+        def refused(failure):
+            failure.trap(AlreadyAcceptedError, NotRunError)
+            if failure.check(NotRunError):
+                attempt.outcome = "not_run"
+                return
+            attempt.outcome = "accepted"
+            if failure.value.answer is not None:
+                attempt.answer_key = failure.value.answer[0][0]
+
+        claiming.addCallback(claimed).addErrback(refused)
+        self.http.flush()
+
+    @rule(gateway=st.sampled_from([0, 1]))
+    def gateway_dies(self, gateway):
+        self.epochs[gateway] += 1
+        self.records[gateway].store.http = _Dead()
+        self.records[gateway] = self._gateway()
+
+    @rule(down=st.booleans())
+    def store_outage(self, down):
+        self.store_app.faults.outage = down
+
+    @rule(delay=st.sampled_from([0.0, 0.5]))
+    def store_slows(self, delay):
+        self.store_app.faults.delay = delay
+
+    @rule()
+    def next_ack_lost(self):
+        self.store_app.faults.lose_acks = 1
+
+    @rule(seconds=st.sampled_from([0.2, 1.0, 3.0]))
+    def time_passes(self, seconds):
+        self._pass(seconds)
+
+    @invariant()
+    def history_holds(self):
+        assert check_calls(getattr(self, "attempts", [])) == []
+
+    def teardown(self):
+        self.store_app.faults.outage = False
+        self.store_app.faults.lose_acks = 0
+        self.store_app.faults.delay = 0.0
+        for _ in range(OUTAGE_RETRIES):
+            self._pass(2.0)
+        refused_only = [
+            key
+            for key in KEYS
+            if all(a.outcome == "not_run" for a in self.attempts if a.key == key)
+        ]
+        for key in refused_only:
+            claiming = self.records[0].claim(key, f"last-{key}")
+            outcome = []
+            claiming.addBoth(outcome.append)
+            self.http.flush()
+            assert outcome == [None], f"{key} was never run and cannot be called: {outcome}"
+
+
+class _Dead:
+    """The store as a dead gateway reaches it: nothing it still tries has any effect."""
+
+    def request(self, *args, **kwargs):
+        raise ConnectionError("this gateway is dead")
+
+
+CallsMachine.TestCase.settings = settings(
+    max_examples=200, stateful_step_count=30, derandomize=True, database=None, deadline=None
+)
+test_calls_under_faults = CallsMachine.TestCase
