--- a/src/guavacleat/commands/sidecar.py
+++ b/src/guavacleat/commands/sidecar.py
@@ -14,6 +14,7 @@
 flags.declare_key_flag("store")
 flags.DEFINE_string("service", None, "The service this endpoint belongs to.")
 flags.DEFINE_string("data_centre", "local", "The data centre this endpoint runs in.")
+flags.DEFINE_string("instance", "", "The platform's name for this instance, as in its list.")
 flags.DEFINE_string("engine", "http://127.0.0.1:8000", "URL of the engine beside this sidecar.")
 
 
@@ -30,5 +31,7 @@
         parse_address(FLAGS.listen, "listen"),
         FLAGS.engine,
         FLAGS.store,
+        instance=FLAGS.instance,
+        on_superseded=reactor.stop,
     )
     serve(sidecar, lambda: f"ready sidecar {sidecar.record.address}")
--- a/src/guavacleat/membership/lease.py
+++ b/src/guavacleat/membership/lease.py
@@ -14,13 +14,25 @@
 
 
 class Lease:
-    """Renews one endpoint record every ``HEARTBEAT_SECONDS`` with a conditional write."""
+    """Renews one endpoint record every ``HEARTBEAT_SECONDS`` with a conditional write.
 
-    def __init__(self, clock: IReactorTime, store: StoreClient, record: EndpointRecord):
+    The latest sidecar started for an endpoint holds the lease. One that finds its record in
+    another session's hands (it was paused, and its replacement took over) has lost the lease for
+    good: it stops renewing and calls ``on_superseded``, instead of writing its own address over
+    its replacement's, which would send requests back and forth between the two.
+    """
+
+    def __init__(
+        self, clock: IReactorTime, store: StoreClient, record: EndpointRecord, on_superseded=None
+    ):
         self.clock = clock
         self.store = store
         self.record = record
+        self.on_superseded = on_superseded or (lambda: None)
         self.version: int | None = None
+        self.held = False
+        self.displaced: str | None = None
+        self.superseded = False
         self.failures = 0
         self._loop = task.LoopingCall(self.renew)
         self._loop.clock = clock
@@ -35,28 +47,52 @@
     @defer.inlineCallbacks
     def renew(self):
         """Write the record once; a lost or refused write is counted and retried next beat."""
+        if self.superseded:
+            return
         self.record.beat += 1
         try:
-            if self.version is None:
-                current = yield self.store.get(ENDPOINT_KIND, self.record.name)
-                self.version = current.version if current else 0
-            stored = yield self.store.put(
-                ENDPOINT_KIND, self.record.name, self.record.to_json(), self.version
-            )
-        except ConflictError as exc:
-            # Another writer (an earlier incarnation of this sidecar) moved the record; read
-            # again next beat rather than overwrite blindly with a stale version.
-            self.version = None
-            self.failures += 1
-            log_message(message_type="lease:conflict", endpoint=self.record.name, error=str(exc))
-            return
-        except StoreUnavailableError:
-            # The write may have applied with its answer lost; the version is unknown, so the
-            # next beat reads it back before writing.
+            yield self._write()
+        except (ConflictError, StoreUnavailableError):
+            # Another session moved the record, or our own write applied and its answer was
+            # lost; the next beat reads the record to tell which before writing.
             self.version = None
             self.failures += 1
-            return
+
+    @defer.inlineCallbacks
+    def _write(self):
+        if self.version is None:
+            current = yield self.store.get(ENDPOINT_KIND, self.record.name)
+            if current is not None and self._taken_over(current.value):
+                self._step_down()
+                return
+            self.version = current.version if current else 0
+        stored = yield self.store.put(
+            ENDPOINT_KIND, self.record.name, self.record.to_json(), self.version
+        )
         self.version = stored.version
+        self.held = True
+
+    def _taken_over(self, value: dict) -> bool:
+        """Whether the record has gone to another session since this one took it.
+
+        A first write with no answer may have lost to the session it meant to displace, which is
+        no reason to step down: only a third session's record is.
+        """
+        session = value.get("session", "")
+        if session == self.record.session:
+            self.held = True
+            return False
+        if self.held:
+            return True
+        if self.displaced is None:
+            self.displaced = session
+        return session != self.displaced
+
+    def _step_down(self) -> None:
+        self.superseded = True
+        self.stop()
+        log_message(message_type="lease:superseded", endpoint=self.record.name)
+        self.on_superseded()
 
     @defer.inlineCallbacks
     def mark_draining(self):
--- a/src/guavacleat/membership/records.py
+++ b/src/guavacleat/membership/records.py
@@ -11,21 +11,45 @@
     :param address: ``host:port`` of the sidecar's thrift listener.
     :param draining: true once the endpoint is leaving; it must get no new work.
     :param beat: heartbeat counter, +1 on each renewal, so every renewal is a visible change.
+    :param instance: the platform's name for the instance, as its list of instances gives it.
+    :param session: unique per start of the sidecar; tells its own writes from another holder's.
     """
 
-    __slots__ = ("name", "service", "data_centre", "address", "draining", "beat")
-
-    def __init__(self, name, service, data_centre, address, draining=False, beat=0):
+    __slots__ = (
+        "name",
+        "service",
+        "data_centre",
+        "address",
+        "draining",
+        "beat",
+        "instance",
+        "session",
+    )
+
+    def __init__(
+        self,
+        name,
+        service,
+        data_centre,
+        address,
+        draining=False,
+        beat=0,
+        instance="",
+        session="",
+    ):
         self.name = name
         self.service = service
         self.data_centre = data_centre
         self.address = address
         self.draining = draining
         self.beat = beat
+        self.instance = instance
+        self.session = session
 
     def to_json(self) -> dict:
         return {slot: getattr(self, slot) for slot in self.__slots__}
 
     @classmethod
     def from_json(cls, body: dict) -> "EndpointRecord":
-        return cls(**{slot: body[slot] for slot in cls.__slots__})
+        """Build a record; fields a newer release added and this one lacks are ignored."""
+        return cls(**{slot: body[slot] for slot in cls.__slots__ if slot in body})
--- a/src/guavacleat/sidecar/handler.py
+++ b/src/guavacleat/sidecar/handler.py
@@ -15,6 +15,7 @@
     UnknownStream,
 )
 from guavacleat.sidecar.engine_client import EngineClient
+from guavacleat.sidecar.streams import OpenStreams
 from guavacleat.store import StoreUnavailableError
 
 __all__ = ["SidecarHandler"]
@@ -31,15 +32,16 @@
     :param endpoint: this endpoint's name, as in the settings.
     :param engine: client of the engine beside this sidecar.
     :param store: client of the object API, for the fencing numbers of orders.
+    :param clock: times the streams left unread.
     """
 
-    def __init__(self, endpoint: str, engine: EngineClient, store=None):
+    def __init__(self, endpoint: str, engine: EngineClient, store, clock):
         self.endpoint = endpoint
         self.engine = engine
         self.store = store
         self.draining = False
-        self.open_streams: set[str] = set()
-        self.drained = defer.Deferred()
+        self.streams = OpenStreams(clock)
+        self.order_lock = defer.DeferredLock()
 
     @defer.inlineCallbacks
     def start(self, request):
@@ -47,6 +49,8 @@
         # called, so "not run" is true and the gateway may send the request elsewhere.
         if self.draining:
             raise NotRun(reason=f"{self.endpoint} is draining", retry_after_ms=DRAINING_RETRY_MS)
+        stream_id = None
+        self.streams.begin_start()
         try:
             stream_id, generation = yield self.engine.generate(
                 request.request_id,
@@ -62,17 +66,20 @@
                 reason=f"engine of {self.endpoint} refused the connection",
                 retry_after_ms=ENGINE_DOWN_RETRY_MS,
             ) from exc
-        self.open_streams.add(stream_id)
+        finally:
+            self.streams.end_start(stream_id)
         return StartReply(stream_id=stream_id, generation=generation)
 
     @defer.inlineCallbacks
     def pull(self, stream_id: str, cursor: int, wait_ms: int):
+        self.streams.touch(stream_id)
         try:
             batch = yield self.engine.read(stream_id, cursor, wait_ms / 1000)
         except LookupError as exc:
+            self.streams.close(stream_id)
             raise UnknownStream(stream_id=stream_id) from exc
         if batch.finished:
-            self._close(stream_id)
+            self.streams.close(stream_id)
         return TokenBatch(
             generation=batch.generation,
             first_index=batch.first_index,
@@ -84,8 +91,19 @@
 
     @defer.inlineCallbacks
     def cancel(self, stream_id: str):
-        yield self.engine.cancel(stream_id)
-        self._close(stream_id)
+        try:
+            yield self.engine.cancel(stream_id)
+        finally:
+            self.streams.close(stream_id)
+
+    def cancel_idle(self) -> None:
+        """Cancel the streams nobody reads any more.
+
+        A gateway that died, or whose caller hung up, leaves its streams running to their end:
+        the engine's memory fills with answers nobody will get, and a drain waits for them.
+        """
+        for stream_id in self.streams.idle():
+            self.cancel(stream_id).addErrback(lambda _: None)
 
     @defer.inlineCallbacks
     def load(self):
@@ -99,7 +117,6 @@
             draining=self.draining,
         )
 
-    @defer.inlineCallbacks
     def order(self, order):
         """Forward an order to the engine unless its fencing number is older than the newest.
 
@@ -107,7 +124,14 @@
         number; engines of some deployments would apply it anyway. The newest number is read
         from the object API on every order (orders are rare), so a restarted sidecar fences as
         well as a long-running one. Without the store the order is refused as not run.
+
+        Orders pass one at a time: otherwise an order whose check is answered slowly would reach
+        the engine after a newer one that was checked and forwarded meanwhile.
         """
+        return self.order_lock.run(self._order, order)
+
+    @defer.inlineCallbacks
+    def _order(self, order):
         try:
             newest = yield current_fencing(self.store, self.endpoint)
         except StoreUnavailableError as exc:
@@ -124,13 +148,4 @@
     def begin_drain(self) -> defer.Deferred:
         """Refuse new work from now on; fire once every open stream has finished."""
         self.draining = True
-        self._fire_if_drained()
-        return self.drained
-
-    def _close(self, stream_id: str) -> None:
-        self.open_streams.discard(stream_id)
-        self._fire_if_drained()
-
-    def _fire_if_drained(self) -> None:
-        if self.draining and not self.open_streams and not self.drained.called:
-            self.drained.callback(None)
+        return self.streams.drain()
--- a/src/guavacleat/sidecar/service.py
+++ b/src/guavacleat/sidecar/service.py
@@ -1,10 +1,12 @@
 """The sidecar as a Twisted service: thrift listener, lease, and drain on a planned stop."""
 
+from uuid import uuid4
+
 from eliot import log_message
 from thrift.protocol import TBinaryProtocol
 from thrift.transport import TTwisted
 from twisted.application import service
-from twisted.internet import defer
+from twisted.internet import defer, task
 
 from guavacleat.membership import EndpointRecord, Lease
 from guavacleat.protocol.gen.sidecar import Sidecar
@@ -15,6 +17,7 @@
 __all__ = ["SidecarService", "DRAIN_GRACE_SECONDS"]
 
 DRAIN_GRACE_SECONDS = 30.0
+IDLE_SWEEP_SECONDS = 1.0
 
 
 class SidecarService(service.Service):
@@ -27,16 +30,34 @@
     :param listen: ``(host, port)`` for thrift; port 0 picks a free one.
     :param engine_url: ``http://host:port`` of the engine beside it.
     :param store_url: ``http://host:port`` of the object API.
+    :param instance: the platform's name for the instance this runs on, as its list gives it.
+    :param on_superseded: called once drained if another sidecar has taken this endpoint over.
     """
 
-    def __init__(self, reactor, name, service_name, data_centre, listen, engine_url, store_url):
+    def __init__(
+        self,
+        reactor,
+        name,
+        service_name,
+        data_centre,
+        listen,
+        engine_url,
+        store_url,
+        instance: str = "",
+        on_superseded=None,
+    ):
         self.reactor = reactor
         self.name = name
         self.listen = listen
         self.store = StoreClient(store_url)
-        self.handler = SidecarHandler(name, EngineClient(engine_url), self.store)
-        self.record = EndpointRecord(name, service_name, data_centre, address="")
+        self.handler = SidecarHandler(name, EngineClient(engine_url), self.store, reactor)
+        self.record = EndpointRecord(
+            name, service_name, data_centre, address="", instance=instance, session=uuid4().hex
+        )
+        self.on_superseded = on_superseded or (lambda: None)
         self.lease: Lease | None = None
+        self.idle_sweep = task.LoopingCall(self.handler.cancel_idle)
+        self.idle_sweep.clock = reactor
         self.port = None
 
     def startService(self):  # noqa: N802 - Twisted's name
@@ -46,10 +67,14 @@
         host, port = self.listen
         self.port = self.reactor.listenTCP(port, factory, interface=host)
         self.record.address = f"{host}:{self.port.getHost().port}"
-        self.lease = Lease(self.reactor, self.store, self.record)
+        self.lease = Lease(self.reactor, self.store, self.record, on_superseded=self._superseded)
         self.lease.start()
+        self.idle_sweep.start(IDLE_SWEEP_SECONDS)
         log_message(message_type="sidecar:started", endpoint=self.name, address=self.record.address)
 
+    def _superseded(self) -> None:
+        self.handler.begin_drain().addCallback(lambda _: self.on_superseded())
+
     @defer.inlineCallbacks
     def stopService(self):  # noqa: N802 - Twisted's name
         """Graceful stop: announce draining, let open streams finish, then close."""
@@ -63,8 +88,10 @@
             yield drained
         except defer.TimeoutError:
             log_message(
-                message_type="sidecar:drain-timeout", open_streams=len(self.handler.open_streams)
+                message_type="sidecar:drain-timeout", open_streams=len(self.handler.streams)
             )
+        if self.idle_sweep.running:
+            self.idle_sweep.stop()
         self.lease.stop()
         yield self.port.stopListening()
         log_message(message_type="sidecar:stopped", endpoint=self.name)
--- /dev/null
+++ b/tests/membership/test_lease.py
@@ -0,0 +1,82 @@
+"""The lease of an endpoint between sidecar sessions, under pauses and store faults."""
+
+import itertools
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from treq.testing import StubTreq
+from twisted.internet.task import Clock
+
+from guavacleat.membership import EndpointRecord, Lease
+from guavacleat.standin.store import StoreApp, StoreState
+from guavacleat.store import StoreClient
+from tests.conftest import result_of
+
+
+def make_lease(clock, store, session):
+    record = EndpointRecord("e1", "svc", "dc", f"address-of-{session}", session=session)
+    return Lease(clock, store, record)
+
+
+def test_paused_sidecar_does_not_take_its_endpoint_back(clock, store, store_app, stub_http):
+    """
+    Symptom: requests flip between a replaced instance and its replacement every second.
+    Sequence: the sidecar is paused past its lease; a replacement starts and takes the endpoint;
+    the paused one wakes and renews.
+    Cause: on a conflict it read the record again and overwrote it with its own address.
+    """
+    paused, replacement = make_lease(clock, store, "old"), make_lease(clock, store, "new")
+    for lease in (paused, replacement, paused, paused, replacement, paused):
+        result_of(lease.renew(), stub_http.flush)
+    assert store_app.state.get("endpoints", "e1").value["session"] == "new"
+    assert paused.superseded and not replacement.superseded
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Sessions start, renew, pause (by not being chosen) and meet lost answers and outages."""
+
+    @initialize()
+    def setup(self):
+        self.clock = Clock()
+        self.store_app = StoreApp(StoreState(self.clock))
+        self.http = StubTreq(self.store_app.resource())
+        self.numbers = itertools.count()
+        self.leases = []
+        self.holders = []
+        self.session_starts()
+
+    @rule()
+    def session_starts(self):
+        store = StoreClient("http://store", http=self.http)
+        self.leases.append(make_lease(self.clock, store, f"s{next(self.numbers):03}"))
+
+    @rule(data=st.data(), lose_ack=st.booleans(), down=st.booleans())
+    def session_renews(self, data, lose_ack, down):
+        lease = data.draw(st.sampled_from(self.leases))
+        self.store_app.faults.lose_acks = int(lose_ack)
+        self.store_app.faults.outage = down
+        lease.renew()
+        self.http.flush()
+        self.store_app.faults.lose_acks = 0
+        self.store_app.faults.outage = False
+        stored = self.store_app.state.get("endpoints", "e1")
+        holder = stored.value["session"] if stored else None
+        if holder is not None and self.holders[-1:] != [holder]:
+            self.holders.append(holder)
+
+    @invariant()
+    def each_session_holds_once(self):
+        holders = getattr(self, "holders", [])
+        assert len(holders) == len(set(holders)), f"the lease went back: {holders}"
+
+    @invariant()
+    def somebody_can_serve(self):
+        leases = getattr(self, "leases", [])
+        assert not leases or not all(lease.superseded for lease in leases)
+
+
+LeaseMachine.TestCase.settings = settings(
+    max_examples=200, stateful_step_count=30, derandomize=True, database=None, deadline=None
+)
+test_lease_under_pauses_and_faults = LeaseMachine.TestCase
--- a/tests/orders/test_fencing.py
+++ b/tests/orders/test_fencing.py
@@ -29,7 +29,7 @@
     Cause: engines of some deployments ignore fencing numbers; the sidecar must refuse for them.
     """
     engine = Engine(clock, EngineSettings(fencing=mode))
-    handler = SidecarHandler("e1", EngineAdapter(engine), store=store)
+    handler = SidecarHandler("e1", EngineAdapter(engine), store, clock)
     paused = result_of(issue_order(store, "e1"), stub_http.flush)
     newer = result_of(issue_order(store, "e1"), stub_http.flush)
     result_of(handler.order(Order("model", "v2", newer)), stub_http.flush)
@@ -42,9 +42,33 @@
     from guavacleat.protocol.gen.sidecar.ttypes import NotRun
 
     engine = Engine(clock, EngineSettings(fencing="ignore"))
-    handler = SidecarHandler("e1", EngineAdapter(engine), store=store)
+    handler = SidecarHandler("e1", EngineAdapter(engine), store, clock)
     fencing = result_of(issue_order(store, "e1"), stub_http.flush)
     store_app.faults.outage = True
     with pytest.raises(NotRun):
         result_of(handler.order(Order("model", "v1", fencing)), stub_http.flush)
     assert engine.loaded_by_kind == {}
+
+
+def test_order_checked_slowly_does_not_pass_a_newer_one(clock, store, store_app, stub_http):
+    """
+    Symptom: as above, through one sidecar and with both issuers awake.
+    Sequence: the check of order 1 is answered slowly; order 2 is issued, checked and forwarded
+    meanwhile; then order 1's check returns.
+    Cause: the sidecar checked and forwarded orders side by side.
+    """
+    engine = Engine(clock, EngineSettings(fencing="ignore"))
+    handler = SidecarHandler("e1", EngineAdapter(engine), store, clock)
+    first = result_of(issue_order(store, "e1"), stub_http.flush)
+    store_app.faults.delay = 2.0
+    slow = handler.order(Order("model", "v1", first))
+    stub_http.flush()
+    store_app.faults.delay = 0.0
+    second = result_of(issue_order(store, "e1"), stub_http.flush)
+    newer = handler.order(Order("model", "v2", second))
+    stub_http.flush()
+    clock.advance(2.0)
+    stub_http.flush()
+    slow.addErrback(lambda failure: failure.trap(StaleOrder))
+    result_of(newer, stub_http.flush)
+    assert engine.loaded_by_kind == {"model": "v2"}
--- a/tests/sidecar/test_drain.py
+++ b/tests/sidecar/test_drain.py
@@ -6,6 +6,8 @@
 from guavacleat.membership import EndpointRecord, Lease
 from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartRequest
 from guavacleat.sidecar import SidecarService
+from guavacleat.sidecar.handler import SidecarHandler
+from guavacleat.sidecar.streams import IDLE_SECONDS
 from tests.conftest import result_of
 
 
@@ -45,3 +47,42 @@
     assert engine.generated == 0
     clock.advance(5)
     stub_http.flush()
+
+
+def test_drain_waits_for_a_start_under_way(clock, store):
+    """
+    Symptom: a planned stop cuts off a request that had just been accepted.
+    Sequence: a start is on its way to the engine; SIGTERM; the engine answers the start.
+    Cause: only streams already open counted, so the drain was over before the answer came.
+    """
+    engine = FakeEngine()
+    starting = defer.Deferred()
+    engine.generate = lambda *args, **kwargs: starting
+    handler = SidecarHandler("e1", engine, store, clock)
+    started = handler.start(StartRequest("r", "svc", "acc", 0, "p", 5, []))
+    drained = handler.begin_drain()
+    assert not drained.called
+    starting.callback(("s1", "g1"))
+    assert result_of(started).stream_id == "s1" and not drained.called
+    handler.streams.close("s1")
+    assert drained.called
+
+
+def test_stream_nobody_reads_is_cancelled(clock, store):
+    """
+    Symptom: an engine is full of answers nobody gets, and its sidecar never finishes draining.
+    Sequence: a gateway starts a stream and dies; nobody pulls it any more.
+    Cause: a stream ended only when it was pulled to its end or cancelled by its gateway.
+    """
+    engine = FakeEngine()
+    cancelled = []
+    engine.cancel = lambda stream_id: defer.succeed(cancelled.append(stream_id))
+    handler = SidecarHandler("e1", engine, store, clock)
+    result_of(handler.start(StartRequest("r", "svc", "acc", 0, "p", 5, [])))
+    drained = handler.begin_drain()
+    clock.advance(IDLE_SECONDS)
+    handler.cancel_idle()
+    assert cancelled == []
+    clock.advance(0.1)
+    handler.cancel_idle()
+    assert cancelled == ["s1"] and drained.called
