Watches survive forgotten history and unreadable objects; read the platform's instance list

Change: 410 from the stand-in ('forget') -> HistoryLostError -> list afresh; WatchLoop counts and logs objects it cannot take; answers that are not the API's JSON are StoreUnavailableError; InstancePoll reads the lagging list each second, matched by instance name so that a replacement is not taken out by its predecessor's entry; the endpoint watch pauses 0.2 s between answers. Conclusion: store faults no longer end a daemon's hearing.

--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -11,6 +11,7 @@
 from guavacleat.gateway.sidecars import SidecarPool
 from guavacleat.idempotency import CallRecords
 from guavacleat.membership import MembershipView
+from guavacleat.membership.instances import InstancePoll
 from guavacleat.membership.records import ENDPOINT_KIND
 from guavacleat.metrics import StreamMetrics
 from guavacleat.routing import Router
@@ -22,6 +23,7 @@
 
 STOP_GRACE_SECONDS = 30.0
 STOP_POLL_SECONDS = 0.1
+ENDPOINT_WATCH_PAUSE = 0.2
 
 
 class GatewayService(service.Service):
@@ -53,8 +55,10 @@
                 ENDPOINT_KIND,
                 self._endpoint_changed,
                 on_health=self.membership.store_health,
+                pause=ENDPOINT_WATCH_PAUSE,
             ),
         ]
+        self.instance_poll = InstancePoll(reactor, self.store, self.membership.instances_leaving)
         self.in_flight = 0
         self.stopping = False
         self.port = None
@@ -66,6 +70,7 @@
         super().startService()
         for watch in self.watches:
             watch.start()
+        self.instance_poll.start()
         host, port = self.listen
         site = Site(GatewayApp(self).resource())
         self.port = self.reactor.listenTCP(port, site, interface=host)
@@ -84,6 +89,7 @@
             waited += STOP_POLL_SECONDS
         for watch in self.watches:
             watch.stop()
+        self.instance_poll.stop()
         yield self.port.stopListening()
         self.pool.close()
         log_message(message_type="gateway:stopped", unfinished=self.in_flight)
--- /dev/null
+++ b/src/guavacleat/membership/instances.py
@@ -0,0 +1,37 @@
+"""Polls the platform's lagging list of instances, for the leaving ones."""
+
+from twisted.internet import defer, task
+from twisted.internet.interfaces import IReactorTime
+
+from guavacleat.store import StoreClient, StoreUnavailableError
+
+__all__ = ["InstancePoll", "POLL_SECONDS", "LEAVING"]
+
+POLL_SECONDS = 1.0
+LEAVING = "leaving"
+
+
+class InstancePoll:
+    """Calls ``on_leaving(set of instance names)`` after each answer of the platform's list."""
+
+    def __init__(self, clock: IReactorTime, store: StoreClient, on_leaving):
+        self.store = store
+        self.on_leaving = on_leaving
+        self._loop = task.LoopingCall(self.poll)
+        self._loop.clock = clock
+
+    def start(self) -> None:
+        self._loop.start(POLL_SECONDS)
+
+    def stop(self) -> None:
+        if self._loop.running:
+            self._loop.stop()
+
+    @defer.inlineCallbacks
+    def poll(self):
+        """Read the list once; without an answer the last one stands."""
+        try:
+            states_by_name = yield self.store.instances()
+        except StoreUnavailableError:
+            return
+        self.on_leaving({name for name, state in states_by_name.items() if state == LEAVING})
--- a/src/guavacleat/membership/view.py
+++ b/src/guavacleat/membership/view.py
@@ -24,6 +24,7 @@
         self.seen_at_by_name: dict[str, float] = {}
         self.names_by_service: dict[str, dict[str, None]] = {}
         self.store_lost_at: float | None = None
+        self.leaving_instances: frozenset[str] = frozenset()
 
     def observe(self, value: dict) -> None:
         """Take in one record from a watch or a listing."""
@@ -56,13 +57,30 @@
             self.store_lost_at = None
             log_message(message_type="membership:store-back", outage=outage)
 
+    def instances_leaving(self, names: set[str]) -> None:
+        """Take in which instances the platform's list shows as leaving.
+
+        The list names instances, not endpoints: it lags, so it may still show the instance an
+        endpoint had before it was replaced, which must not take the replacement out of service.
+        """
+        if names != self.leaving_instances:
+            log_message(message_type="membership:leaving", instances=sorted(names))
+        self.leaving_instances = frozenset(names)
+
+    def _takes_work(self, record: EndpointRecord, oldest: float) -> bool:
+        return (
+            not record.draining
+            and self.seen_at_by_name[record.name] >= oldest
+            and (not record.instance or record.instance not in self.leaving_instances)
+        )
+
     def live(self, service: str) -> list[EndpointRecord]:
-        """Endpoints of ``service`` renewed in time and not draining, in order of arrival."""
+        """Endpoints of ``service`` renewed in time and not leaving, in order of arrival."""
         now = self.clock.seconds() if self.store_lost_at is None else self.store_lost_at
         oldest = now - LEASE_SECONDS
         records_by_name = self.records_by_name
         return [
             records_by_name[name]
             for name in self.names_by_service.get(service, ())
-            if not records_by_name[name].draining and self.seen_at_by_name[name] >= oldest
+            if self._takes_work(records_by_name[name], oldest)
         ]
--- a/src/guavacleat/standin/store.py
+++ b/src/guavacleat/standin/store.py
@@ -7,11 +7,15 @@
 - ``PUT /v1/objects/<kind>/<name>`` with ``{"value": V, "expected_version": N}``: 200 with the
   new object, or 409 with ``{"current_version": M}``. ``N`` = 0 asks that it not exist.
 - ``GET /v1/watch/<kind>?since=R&wait=S``: waits up to S seconds for writes after revision R.
-- ``POST /v1/faults`` with ``{"outage": bool, "delay": s, "lose_acks": n}``.
+  410 if the history after R has been forgotten.
+- ``GET /v1/instances``: the platform's lagging list; ``POST /v1/instances`` with
+  ``{"name", "state"}`` changes it (state ``live``, ``leaving`` or null).
+- ``POST /v1/faults`` with ``{"outage": bool, "delay": s, "lose_acks": n, "forget": bool}``.
 - ``GET /v1/stats``: calls counted by type.
 
 Faults: an outage answers 503; a delay holds each answer; a lost acknowledgement applies the
-write and then drops the connection without answering, as the brief says the platform may.
+write and then drops the connection without answering, as the brief says the platform may;
+``forget`` makes the store forget the history of writes up to now.
 """
 
 import json
@@ -20,6 +24,7 @@
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
+from guavacleat.standin.instances import InstanceList
 from guavacleat.store.messages import MUST_NOT_EXIST, StoredObject
 from guavacleat.web import json_response
 
@@ -45,6 +50,7 @@
     def __init__(self, clock: IReactorTime):
         self.clock = clock
         self.revision = 0
+        self.forgotten_revision = 0
         self.objects_by_key: dict[tuple[str, str], StoredObject] = {}
         self.watchers_by_kind: dict[str, list[defer.Deferred]] = {}
         self.calls_by_type: dict[str, int] = {"read": 0, "write": 0, "watch": 0}
@@ -104,6 +110,7 @@
 
     def __init__(self, state: StoreState):
         self.state = state
+        self.instances = InstanceList(state.clock)
         self.faults = Faults()
 
     def resource(self):
@@ -162,6 +169,8 @@
             return refused
         since = int(request.args.get(b"since", [b"0"])[0])
         wait = float(request.args.get(b"wait", [b"10"])[0])
+        if since < self.state.forgotten_revision:
+            return self._answer(request, 410, {"error": "history forgotten"})
         waiting = self.state.wait_for_change(kind, since, wait)
         waiting.addCallback(
             lambda found: self._answer(
@@ -172,12 +181,28 @@
         )
         return waiting
 
+    @app.route("/v1/instances", methods=["GET"])
+    def list_instances(self, request):
+        self.state.calls_by_type["read"] += 1
+        refused = self._outage(request)
+        if refused:
+            return refused
+        return self._answer(request, 200, {"instances": dict(self.instances.states_by_name)})
+
+    @app.route("/v1/instances", methods=["POST"])
+    def change_instance(self, request):
+        body = json.loads(request.content.read())
+        self.instances.change(body["name"], body["state"])
+        return self._answer(request, 200, {"ok": True})
+
     @app.route("/v1/faults", methods=["POST"])
     def set_faults(self, request):
         body = json.loads(request.content.read())
         self.faults.outage = bool(body.get("outage", self.faults.outage))
         self.faults.delay = float(body.get("delay", self.faults.delay))
         self.faults.lose_acks = int(body.get("lose_acks", self.faults.lose_acks))
+        if body.get("forget"):
+            self.state.forgotten_revision = self.state.revision
         return self._answer(request, 200, {"ok": True})
 
     @app.route("/v1/stats", methods=["GET"])
--- a/src/guavacleat/store/client.py
+++ b/src/guavacleat/store/client.py
@@ -11,6 +11,7 @@
 
 from guavacleat.store.messages import (
     ConflictError,
+    HistoryLostError,
     StoredObject,
     StoreUnavailableError,
     WatchBatch,
@@ -20,6 +21,8 @@
 
 CALL_TIMEOUT = 5.0
 WATCH_WAIT = 10.0
+HISTORY_LOST = 410
+EXPECTED_STATUSES = (200, 404, 409, HISTORY_LOST)
 
 
 class StoreClient:
@@ -60,12 +63,24 @@
         _, body = yield self._call("GET", f"/v1/objects/{kind}")
         return _batch(body)
 
+    @defer.inlineCallbacks
+    def instances(self):
+        """Fire with the platform's lagging list: ``{instance name: "live" or "leaving"}``."""
+        self.calls_by_type["read"] += 1
+        _, body = yield self._call("GET", "/v1/instances")
+        return body["instances"]
+
     @defer.inlineCallbacks
     def watch(self, kind: str, since: int, wait: float = WATCH_WAIT):
-        """Fire with a :class:`WatchBatch` of writes to ``kind`` after revision ``since``."""
+        """Fire with a :class:`WatchBatch` of writes to ``kind`` after revision ``since``.
+
+        Raises :class:`HistoryLostError` if the store no longer knows the writes after ``since``.
+        """
         self.calls_by_type["watch"] += 1
         path = f"/v1/watch/{kind}?since={since}&wait={wait}"
-        _, body = yield self._call("GET", path, timeout=wait + CALL_TIMEOUT)
+        status, body = yield self._call("GET", path, timeout=wait + CALL_TIMEOUT)
+        if status == HISTORY_LOST:
+            raise HistoryLostError(kind, since)
         return _batch(body)
 
     @defer.inlineCallbacks
@@ -78,9 +93,14 @@
             content = yield response.content()
         except Exception as exc:  # noqa: BLE001 - every transport failure means "no answer"
             raise StoreUnavailableError(f"{method} {path}: {exc.__class__.__name__}") from exc
-        if response.code >= 500:
+        if response.code not in EXPECTED_STATUSES:
             raise StoreUnavailableError(f"{method} {path}: status {response.code}")
-        return response.code, json.loads(content) if content else {}
+        try:
+            return response.code, json.loads(content)
+        except ValueError as exc:
+            # A garbled answer tells nothing about the write; left to escape, it would end the
+            # watch or lease loop that made the call.
+            raise StoreUnavailableError(f"{method} {path}: the answer is not JSON") from exc
 
 
 def _batch(body: dict) -> WatchBatch:
--- a/src/guavacleat/store/messages.py
+++ b/src/guavacleat/store/messages.py
@@ -2,7 +2,13 @@
 
 from guavacleat.errors import StoreError
 
-__all__ = ["ConflictError", "StoreUnavailableError", "StoredObject", "WatchBatch"]
+__all__ = [
+    "ConflictError",
+    "HistoryLostError",
+    "StoreUnavailableError",
+    "StoredObject",
+    "WatchBatch",
+]
 
 # ``expected_version`` that asks for the object not to exist yet.
 MUST_NOT_EXIST = 0
@@ -62,3 +68,13 @@
             f"the object API did not answer: {detail}.",
             "retry later; a write may have taken effect, so read before writing again.",
         )
+
+
+class HistoryLostError(StoreError):
+    """The store forgot the writes a watch asked for."""
+
+    def __init__(self, kind: str, since: int):
+        super().__init__(
+            f"the object API no longer holds the changes to {kind} after revision {since}.",
+            "list the objects afresh and watch from the listing's revision.",
+        )
--- a/src/guavacleat/store/watch.py
+++ b/src/guavacleat/store/watch.py
@@ -1,16 +1,17 @@
 """A loop that mirrors one kind of object from the object API: list once, then watch.
 
 A watch can fail (outage, timeout, lost answer); the loop then waits with backoff and watches
-again from the last revision it saw, so nothing is skipped. After an outage long enough for the
-store to forget history it lists afresh. Callers see each object version at most once per change
+again from the last revision it saw, so nothing is skipped. If the store has forgotten the history
+since then, the loop lists afresh. Callers see each object version at most once per change
 and must themselves ignore versions older than what they hold (see config.watch).
 """
 
+from eliot import log_message
 from twisted.internet import defer, task
 from twisted.internet.interfaces import IReactorTime
 
 from guavacleat.store.client import WATCH_WAIT, StoreClient
-from guavacleat.store.messages import StoreUnavailableError
+from guavacleat.store.messages import HistoryLostError, StoreUnavailableError
 
 __all__ = ["WatchLoop"]
 
@@ -21,7 +22,9 @@
 class WatchLoop:
     """Calls ``on_object(StoredObject)`` for every object of ``kind`` and every later change.
 
-    ``on_health(bool)`` hears after every attempt whether the store answered.
+    ``on_health(bool)`` hears after every attempt whether the store answered. ``pause`` seconds
+    pass between an answer and the next watch, which bounds the reads a busy kind costs: without
+    it every write to the kind wakes every watcher.
     """
 
     def __init__(
@@ -32,6 +35,7 @@
         on_object,
         wait=None,
         on_health=None,
+        pause: float = 0.0,
     ):
         self.clock = clock
         self.store = store
@@ -39,6 +43,8 @@
         self.on_object = on_object
         self.wait = WATCH_WAIT if wait is None else wait
         self.on_health = on_health or (lambda healthy: None)
+        self.pause = pause
+        self.refused = 0
         self.revision: int | None = None
         self.failures = 0
         self.running = False
@@ -61,6 +67,11 @@
                 batch = yield self.store.list_objects(self.kind)
             else:
                 batch = yield self.store.watch(self.kind, self.revision, self.wait)
+        except HistoryLostError:
+            log_message(message_type="watch:history-lost", kind=self.kind, since=self.revision)
+            self.revision = None
+            self._next(0)
+            return
         except StoreUnavailableError:
             self.failures += 1
             self.on_health(False)
@@ -69,6 +80,21 @@
         self.failures = 0
         self.on_health(True)
         for stored in batch.objects:
-            self.on_object(stored)
+            self._offer(stored)
         self.revision = max([batch.revision, self.revision or 0])
-        self._next(0)
+        self._next(self.pause)
+
+    def _offer(self, stored) -> None:
+        # One object nobody can read (written by hand or by another release) must not end the
+        # loop: the daemon would silently stop hearing of every later change.
+        try:
+            self.on_object(stored)
+        except Exception as exc:  # noqa: BLE001 - whatever the object holds
+            self.refused += 1
+            log_message(
+                message_type="watch:object-refused",
+                kind=self.kind,
+                name=stored.name,
+                version=stored.version,
+                error=repr(exc),
+            )
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -1,7 +1,9 @@
 """Membership as a gateway sees it: leases judged by its own clock, draining endpoints left out."""
 
 from guavacleat.membership import MembershipView
+from guavacleat.membership.instances import InstancePoll
 from guavacleat.membership.lease import LEASE_SECONDS
+from tests.conftest import result_of
 
 
 def record(name, draining=False, beat=1):
@@ -45,7 +47,6 @@
     endpoint; liveness must stand still while the watch cannot reach the store.
     """
     from guavacleat.store.watch import WatchLoop
-    from tests.conftest import result_of
 
     result_of(store.put("endpoints", "keur-llm-1", record("keur-llm-1"), 0), stub_http.flush)
     view = MembershipView(clock)
@@ -70,3 +71,27 @@
         clock.advance(1)
         stub_http.flush()
     assert view.live("keur-llm") == [], "a lease never renewed after the outage must lapse"
+
+
+def test_instance_listed_as_leaving_gets_no_new_work_but_its_replacement_does(
+    clock, store, store_app, stub_http
+):
+    """
+    Symptom: an endpoint on a reclaimed instance keeps getting new work until it dies; or its
+    replacement gets none while the list lags.
+    Sequence: the platform lists instance i-1 as leaving; then i-2 takes the endpoint over while
+    the list still shows i-1.
+    Cause: the list was not read; and it names instances, not endpoints.
+    """
+    view = MembershipView(clock)
+    poll = InstancePoll(clock, store, view.instances_leaving)
+    view.observe(dict(record("keur-llm-1"), instance="i-1"))
+    store_app.instances.change("i-1", "leaving")
+    clock.advance(store_app.instances.lag)
+    result_of(poll.poll(), stub_http.flush)
+    assert view.live("keur-llm") == []
+    store_app.faults.outage = True
+    result_of(poll.poll(), stub_http.flush)
+    assert view.live("keur-llm") == []
+    view.observe(dict(record("keur-llm-1", beat=2), instance="i-2"))
+    assert [r.instance for r in view.live("keur-llm")] == ["i-2"]
