A caller that lost its connection goes on from its last token, through any gateway

Change: the stream announces a handle (endpoint, stream, generation) whenever its endpoint changes; a caller posts its body again with resume {stream, received} to any gateway, which reads on from the endpoint if it still has that very generation, else starts elsewhere with the tokens received. Ways weighed: cursors kept in the object API (a write per token batch: 6.9 M tokens/s against several hundred writes); cursors kept by the gateway only (lost with it); brought by the caller (chosen; nothing kept anywhere). Conclusion: a gateway's death costs a reconnect, not the answer.

--- a/src/guavacleat/gateway/app.py
+++ b/src/guavacleat/gateway/app.py
@@ -2,10 +2,13 @@
 
 - ``POST /v1/completions``: JSON ``{"service", "account", "priority_class", "prompt",
   "max_tokens"}``, optional ``Idempotency-Key`` header; answers with SSE events
-  ``{"index", "text"}``, then ``{"finish_reason", "tokens"}`` and ``[DONE]``. A request refused
+  ``{"stream"}`` (the handle to reconnect with), ``{"index", "text"}``, then
+  ``{"finish_reason", "tokens"}`` and ``[DONE]``. A request refused
   before any engine started it gets 429 (or 503 with no configuration) with a ``Retry-After``
   header and ``{"error": {"type": "not_run", ...}}``. A retry of a non-repeatable call gets the
-  kept answer replayed, or 409 with ``Retry-After`` while the first attempt still runs.
+  kept answer replayed, or 409 with ``Retry-After`` while the first attempt still runs. A caller
+  that lost its connection posts the same body to any gateway with ``"resume": {"stream": handle,
+  "received": [texts]}`` and gets the tokens after those.
 - ``GET /status``: configuration version, live endpoints, in-flight counts, latency summary.
 - ``GET /metrics``: Prometheus text.
 """
--- a/src/guavacleat/gateway/requests.py
+++ b/src/guavacleat/gateway/requests.py
@@ -6,7 +6,7 @@
 from guavacleat.config.model import Deployment
 from guavacleat.errors import GuavacleatError
 from guavacleat.idempotency import call_name
-from guavacleat.streams.messages import CompletionRequest
+from guavacleat.streams.messages import CompletionRequest, ResumePoint
 
 __all__ = ["RequestError", "parse_completion", "MAX_PROMPT_BYTES"]
 
@@ -43,6 +43,12 @@
             f"service {service} runs each call at most once and needs an idempotency key.",
             "send an Idempotency-Key header, the same on every retry of this call.",
         )
+    resume = _resume_point(raw)
+    if resume is not None and not deployment.services_by_name[service].repeatable:
+        raise RequestError(
+            f"calls of service {service} are not resumed.",
+            "send the call again with its Idempotency-Key; its answer is replayed.",
+        )
     return CompletionRequest(
         request_id=uuid.uuid4().hex,
         service=service,
@@ -54,9 +60,24 @@
         call=call_name(account, service, idempotency_key) if idempotency_key else None,
         arrival=now,
         repeatable=deployment.services_by_name[service].repeatable,
+        resume=resume,
     )
 
 
+def _resume_point(raw: dict) -> ResumePoint | None:
+    body = raw.get("resume")
+    if body is None:
+        return None
+    remedy = 'send {"stream": the last stream handle, "received": [text of every token so far]}.'
+    received = body.get("received") if isinstance(body, dict) else None
+    if not isinstance(received, list) or not all(isinstance(text, str) for text in received):
+        raise RequestError("resume does not name the tokens received.", remedy)
+    try:
+        return ResumePoint.from_handle(body["stream"], received)
+    except (KeyError, AttributeError, ValueError) as exc:
+        raise RequestError("resume does not name a stream.", remedy) from exc
+
+
 def _known(raw: dict, field: str, by_name: dict) -> str:
     value = raw.get(field)
     if not isinstance(value, str) or value not in by_name:
--- a/src/guavacleat/gateway/sse.py
+++ b/src/guavacleat/gateway/sse.py
@@ -16,6 +16,10 @@
         self.sent = 0
         request.notifyFinish().addErrback(self._caller_left)
 
+    def serving(self, handle: str) -> None:
+        """Tell the caller the handle to reconnect with; it changes if the stream moves."""
+        self._write({"stream": handle})
+
     def token(self, index: int, text: str) -> None:
         self._write({"index": index, "text": text})
         self.sent += 1
--- a/src/guavacleat/load/client.py
+++ b/src/guavacleat/load/client.py
@@ -20,10 +20,20 @@
     :param arrivals: reactor seconds at which each token event arrived.
     :param finish_reason: from the final event, or "" if none came.
     :param error: the error object of an error answer or event, or None.
+    :param stream: the handle to reconnect with, from the latest stream event.
     :param retry_after: the Retry-After header, in seconds, or None.
     """
 
-    __slots__ = ("status", "indices", "texts", "arrivals", "finish_reason", "error", "retry_after")
+    __slots__ = (
+        "status",
+        "indices",
+        "texts",
+        "arrivals",
+        "finish_reason",
+        "error",
+        "stream",
+        "retry_after",
+    )
 
     def __init__(self):
         self.status = 0
@@ -32,6 +42,7 @@
         self.arrivals: list[float] = []
         self.finish_reason = ""
         self.error = None
+        self.stream = ""
         self.retry_after: float | None = None
 
 
@@ -57,6 +68,8 @@
             self.result.indices.append(body["index"])
             self.result.texts.append(body["text"])
             self.result.arrivals.append(self.clock.seconds())
+        elif "stream" in body:
+            self.result.stream = body["stream"]
         elif "finish_reason" in body:
             self.result.finish_reason = body["finish_reason"]
         elif "error" in body:
--- a/src/guavacleat/streams/messages.py
+++ b/src/guavacleat/streams/messages.py
@@ -1,10 +1,44 @@
 """Messages of the stream relay."""
 
+import base64
 import hashlib
+import json
 
 from guavacleat.errors import GuavacleatError
 
-__all__ = ["CompletionRequest", "StreamMixupError", "StreamBrokenError"]
+__all__ = ["CompletionRequest", "ResumePoint", "StreamMixupError", "StreamBrokenError"]
+
+HANDLE_PARTS = 3
+
+
+class ResumePoint:
+    """Where a reconnecting caller left off: the stream and the tokens it has received.
+
+    The caller brings all of it, so any gateway can go on, also one that never saw the stream.
+
+    :param received: texts of the tokens the caller has, from index 0.
+    """
+
+    __slots__ = ("endpoint", "stream_id", "generation", "received")
+
+    def __init__(self, endpoint: str, stream_id: str, generation: str, received=()):
+        self.endpoint = endpoint
+        self.stream_id = stream_id
+        self.generation = generation
+        self.received = list(received)
+
+    def handle(self) -> str:
+        """The opaque text a caller keeps; the generation in it cannot be guessed by another."""
+        parts = [self.endpoint, self.stream_id, self.generation]
+        return base64.urlsafe_b64encode(json.dumps(parts).encode()).decode()
+
+    @classmethod
+    def from_handle(cls, handle: str, received) -> "ResumePoint":
+        """Raises ValueError if ``handle`` is none that :meth:`handle` made."""
+        parts = json.loads(base64.urlsafe_b64decode(handle.encode()))
+        if not isinstance(parts, list) or [type(part) for part in parts] != [str] * HANDLE_PARTS:
+            raise ValueError("not a stream handle")
+        return cls(*parts, received)
 
 
 class CompletionRequest:
@@ -15,6 +49,7 @@
     :param arrival: reactor seconds when the request arrived.
     :param call: the name of the call's record for its idempotency key, or None without a key.
     :param repeatable: false if the call may run at most once, so a broken one is not resumed.
+    :param resume: the :class:`ResumePoint` of a caller that reconnects, or None.
     """
 
     __slots__ = (
@@ -28,6 +63,7 @@
         "call",
         "arrival",
         "repeatable",
+        "resume",
     )
 
     def __init__(
@@ -42,6 +78,7 @@
         call,
         arrival,
         repeatable=True,
+        resume=None,
     ):
         self.request_id = request_id
         self.service = service
@@ -53,6 +90,7 @@
         self.call = call
         self.arrival = arrival
         self.repeatable = repeatable
+        self.resume = resume
 
     def fingerprint(self) -> str:
         """Identifies the request's body, so a key reused for another body is noticed."""
--- a/src/guavacleat/streams/relay.py
+++ b/src/guavacleat/streams/relay.py
@@ -21,8 +21,13 @@
 from twisted.internet.error import ConnectError
 
 from guavacleat.errors import NotRunError
-from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartRequest, UnknownStream
-from guavacleat.streams.messages import CompletionRequest, StreamBrokenError, StreamMixupError
+from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartReply, StartRequest, UnknownStream
+from guavacleat.streams.messages import (
+    CompletionRequest,
+    ResumePoint,
+    StreamBrokenError,
+    StreamMixupError,
+)
 
 __all__ = [
     "Relay",
@@ -85,26 +90,55 @@
         progress = StreamProgress(request.arrival)
         tried: set[str] = set()
         failure = None
+        serving = yield self._reattach(request, progress)
         for _ in range(MAX_RESUMES + 1):
             try:
-                serving = yield self._start(request, limits, tried, progress)
+                if serving is None:
+                    serving = yield self._start(request, limits, tried, progress)
             except NotRunError:
                 if failure is None:
                     raise
                 break
             self.resumes += failure is not None
+            sink.serving(serving.handle())
             try:
                 yield self._pull_all(request, serving, sink, progress)
                 return progress
             except StreamBrokenError as broken:
                 failure = broken
+                tried.add(serving.endpoint.name)
                 _cancel_quietly(serving)
             finally:
                 self.router.end(serving.endpoint.name)
+                serving = None
             if not request.repeatable:
                 break
         raise failure
 
+    @defer.inlineCallbacks
+    def _reattach(self, request: CompletionRequest, progress: StreamProgress):
+        """Go on reading a reconnecting caller's stream where it runs, if it still does.
+
+        Fires with a :class:`_Serving`, or None if there is none: the request then starts
+        elsewhere with the tokens the caller has, like a stream whose endpoint died.
+        """
+        point = request.resume
+        if point is None:
+            return None
+        progress.sent.extend(point.received)
+        record = self.membership.records_by_name.get(point.endpoint)
+        if record is None:
+            return None
+        try:
+            client = yield self.pool.client(record.address)
+            probe = yield self._call(client.pull, point.stream_id, len(progress.sent), 0)
+        except Exception:  # noqa: BLE001 - the stream cannot be read there any more
+            return None
+        if probe.generation != point.generation:
+            return None
+        self.router.begin(record.name)
+        return _Serving(record, client, StartReply(point.stream_id, point.generation))
+
     @defer.inlineCallbacks
     def _start(self, request: CompletionRequest, limits, tried: set[str], progress: StreamProgress):
         """Fire with a :class:`_Serving`, its endpoint counted in flight."""
@@ -226,6 +260,10 @@
         self.client = client
         self.reply = reply
 
+    def handle(self) -> str:
+        """What a caller brings to reconnect to this stream."""
+        return ResumePoint(self.endpoint.name, self.reply.stream_id, self.reply.generation).handle()
+
 
 def _cancel_quietly(serving: _Serving) -> None:
     # Best effort: the old endpoint may be gone; if it is alive, cancelling frees its memory.
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -84,6 +84,9 @@
     gateway = start("gateway", "--listen=127.0.0.1:0", f"--store={store.address}")
     _wait_routable(gateway.address)
     gateway.sidecars_by_name = sidecars_by_name
+    gateway.start_another = lambda: start(
+        "gateway", "--listen=127.0.0.1:0", f"--store={store.address}"
+    )
     yield gateway
     codes = [daemon.stop() for daemon in reversed(started) if not daemon.killed]
     assert codes == [0] * len(codes), "a planned stop must be graceful"
@@ -217,3 +220,29 @@
     assert system.sidecars_by_name[leaving].process.wait(timeout=STOP_TIMEOUT) == 0
     served = _get_json(system.address, "/status")["endpoints"]
     assert served[leaving]["draining"]
+
+
+def test_caller_of_a_killed_gateway_goes_on_through_another(system):
+    """
+    Symptom: an agent's listing summary stops halfway for good when an entry instance dies.
+    Sequence: a 200-token generation runs; after 5 tokens its gateway is SIGKILLed; the caller
+    reconnects to another gateway with its stream handle and the tokens it has.
+    Cause: progress lived only in the dead gateway; the engine still runs the generation.
+    """
+    other = system.start_another()
+    _wait_routable(other.address)
+    body = {
+        "service": "enquiry-lm",
+        "account": "carrier-04",
+        "priority_class": "standard",
+        "prompt": "long listing summary",
+        "max_tokens": LONG,
+    }
+    events = _events(_open_stream(system.address, body))
+    handle = next(events)["stream"]
+    texts = [next(events)["text"] for _ in range(TOKENS_BEFORE_KILL)]
+    system.kill()
+    rest = _complete(other.address, dict(body, resume={"stream": handle, "received": texts}))
+    assert [event["index"] for event in rest if "index" in event] == list(range(len(texts), LONG))
+    assert rest[0]["stream"] == handle, "the same generation goes on"
+    assert rest[-1]["finish_reason"] == "stop"
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -34,6 +34,9 @@
     ({"max_tokens": 0}, None, "max_tokens"),
     ({"prompt": ""}, None, "prompt"),
     ({"service": "switchboard"}, None, "idempotency key"),
+    ({"resume": {"received": ["x"]}}, None, "stream"),
+    ({"resume": {"stream": "junk", "received": []}}, None, "stream"),
+    ({"resume": "junk"}, None, "tokens received"),
 ]
 
 
--- a/tests/streams/test_relay.py
+++ b/tests/streams/test_relay.py
@@ -7,10 +7,10 @@
 from guavacleat.errors import NotRunError
 from guavacleat.membership import MembershipView
 from guavacleat.metrics import StreamMetrics
-from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartReply, TokenBatch
+from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartReply, TokenBatch, UnknownStream
 from guavacleat.routing import Router
 from guavacleat.streams import CompletionRequest, Relay, StreamMixupError
-from guavacleat.streams.messages import StreamBrokenError
+from guavacleat.streams.messages import ResumePoint, StreamBrokenError
 from guavacleat.streams.relay import START_TIMEOUT
 from tests.conftest import result_of
 
@@ -61,6 +61,9 @@
     def end(self, reason):
         self.reason = reason
 
+    def serving(self, handle):
+        self.handle = handle
+
 
 def batch(generation, first, tokens, finished=False):
     return TokenBatch(generation, first, tokens, finished, "stop" if finished else "", 0)
@@ -83,9 +86,9 @@
     return Relay(clock, view, Router(), pool, StreamMetrics())
 
 
-def request(clock, repeatable=True):
+def request(clock, repeatable=True, resume=None):
     return CompletionRequest(
-        "r1", "enquiry-lm", "acc", "interactive", 0, "p", 10, None, 0.0, repeatable
+        "r1", "enquiry-lm", "acc", "interactive", 0, "p", 10, None, 0.0, repeatable, resume
     )
 
 
@@ -247,3 +250,32 @@
     sink.token = lambda index, text: setattr(sink, "gone", True)
     progress = result_of(make_relay(clock, [sidecar]).run(request(clock), LIMITS, sink))
     assert progress.finish_reason == "caller_left" and len(sidecar.batches) == 1
+
+
+RECONNECTS = [
+    # (the old endpoint's answer to the reconnecting pull, endpoint that must serve the rest)
+    ([batch("g-a", 2, []), batch("g-a", 2, ["z"], True)], "a"),
+    ([UnknownStream("s-a")], "b"),
+    ([ConnectionResetError()], "b"),
+    ([batch("g-of-another-caller", 2, ["secret"])], "b"),
+]
+
+
+@pytest.mark.parametrize("old_answers,served_by", RECONNECTS)
+def test_reconnecting_caller_goes_on_from_its_last_token(clock, old_answers, served_by):
+    """
+    Symptom: an agent whose gateway died gets the summary again from the start, or another's.
+    Sequence: the caller has tokens 0-1 and reconnects to a gateway that never saw the stream;
+    the old endpoint still has it, has lost it, is gone, or gave the id to another caller.
+    Cause: stream progress lived only in the memory of the gateway that died.
+    """
+    old = FakeSidecar("a", old_answers)
+    spare = ResumingSidecar("b", [batch("g-b", 2, ["z"], True)], ["x", "y"])
+    relay = make_relay(clock, [old, spare])
+    relay.router.begin("a")
+    point = ResumePoint.from_handle(ResumePoint("a", "s-a", "g-a").handle(), ["x", "y"])
+    sink = ListSink()
+    result_of(relay.run(request(clock, resume=point), LIMITS, sink))
+    assert sink.tokens == [(2, "z")] and sink.reason == "stop"
+    assert (spare.resume_seen == ["x", "y"]) is (served_by == "b")
+    assert ResumePoint.from_handle(sink.handle, []).endpoint == served_by
--- a/tests/streams/test_relay_machine.py
+++ b/tests/streams/test_relay_machine.py
@@ -42,7 +42,7 @@
         self.machine.produced_by_attempt[attempt] = resume + [
             f"{attempt}:{i}" for i in range(len(resume), LENGTH)
         ]
-        self.machine.serving = (self, attempt, len(resume))
+        self.machine.current = (self, attempt, len(resume))
         return defer.succeed(StartReply(stream_id=attempt, generation=attempt))
 
     def pull(self, stream_id, cursor, wait_ms):
@@ -64,7 +64,7 @@
         self.produced_by_attempt = {}
         self.resumes_by_attempt = {}
         self.received = []
-        self.serving = None
+        self.current = None
         self.outcome = []
         for name in ("a", "b"):
             self._join(name)
@@ -82,15 +82,18 @@
         self.view.observe(_record(name))
 
     def token(self, index, text):
-        self.received.append((index, text, self.serving[1]))
+        self.received.append((index, text, self.current[1]))
 
     def end(self, reason):
         pass
 
+    def serving(self, handle):
+        pass
+
     def _pending(self):
-        if self.outcome or self.serving is None:
+        if self.outcome or self.current is None:
             return None
-        return self.serving[0].pending
+        return self.current[0].pending
 
     @rule(count=st.integers(min_value=1, max_value=4))
     def tokens_ready(self, count):
