ctl order: operators' orders to engines under a fresh fencing number

Cause: issue_order and the sidecar's fence existed, but no program issued orders. Change: orders/issue.py send_order (typed: refused, lost, conflict), ctl order ENDPOINT KIND TARGET; ctl's commands in a table. Fault table of what an operator is told. Measured: 7 new cases pass; a lost answer is OrderLostError, never 'refused'. Conclusion: the order path is whole from operator to engine.

--- a/src/guavacleat/commands/ctl.py
+++ b/src/guavacleat/commands/ctl.py
@@ -1,4 +1,9 @@
-"""``guavacleat ctl apply FILE`` and ``guavacleat ctl status``: the operators' command line."""
+"""The operators' command line.
+
+- ``guavacleat ctl apply FILE``: apply a settings file whole.
+- ``guavacleat ctl status``: configuration versions and endpoints.
+- ``guavacleat ctl order ENDPOINT model|adapter|version|role TARGET``: order an engine.
+"""
 
 import sys
 
@@ -8,6 +13,8 @@
 from guavacleat.commands.common import FLAGS
 from guavacleat.ctl import apply_settings, read_status
 from guavacleat.errors import GuavacleatError
+from guavacleat.gateway.sidecars import SidecarPool
+from guavacleat.orders.issue import send_order
 from guavacleat.store import StoreClient
 
 flags.declare_key_flag("store")
@@ -15,7 +22,10 @@
     "base_version", None, "apply: the version this file was based on (default: the current one)."
 )
 
-USAGE = "usage: guavacleat ctl apply FILE | guavacleat ctl status [--store URL]"
+USAGE = (
+    "usage: guavacleat ctl apply FILE | guavacleat ctl status"
+    " | guavacleat ctl order ENDPOINT KIND TARGET   [--store URL]"
+)
 
 
 @defer.inlineCallbacks
@@ -30,16 +40,26 @@
     print("\n".join(lines))
 
 
+@defer.inlineCallbacks
+def _order(reactor, endpoint: str, kind: str, target: str):
+    store = StoreClient(FLAGS.store)
+    fencing = yield send_order(reactor, store, SidecarPool(reactor), endpoint, kind, target)
+    print(f"{endpoint} took order {fencing}: {kind} {target}")
+
+
 def _report(failure):
     failure.trap(GuavacleatError)
     sys.stderr.write(f"guavacleat ctl: {failure.value}\n")
     raise SystemExit(1)
 
 
+# Commands by name, with the number of arguments each takes.
+COMMANDS_BY_NAME = {"apply": (_apply, 1), "status": (_status, 0), "order": (_order, 3)}
+
+
 def main(argv):
-    if len(argv) == 3 and argv[1] == "apply":
-        task.react(lambda reactor: _apply(reactor, argv[2]).addErrback(_report))
-    elif len(argv) == 2 and argv[1] == "status":
-        task.react(lambda reactor: _status(reactor).addErrback(_report))
-    else:
+    name, arguments = (argv[1], argv[2:]) if len(argv) > 1 else ("", [])
+    command, count = COMMANDS_BY_NAME.get(name, (None, 0))
+    if command is None or len(arguments) != count:
         sys.exit(USAGE)
+    task.react(lambda reactor: command(reactor, *arguments).addErrback(_report))
--- /dev/null
+++ b/src/guavacleat/orders/issue.py
@@ -0,0 +1,68 @@
+"""Sending an operator's order to the sidecar of one endpoint, under a new fencing number."""
+
+from twisted.internet import defer
+from twisted.internet.error import ConnectError
+
+from guavacleat.errors import GuavacleatError, NotRunError
+from guavacleat.membership.records import ENDPOINT_KIND
+from guavacleat.orders.fencing import issue_order
+from guavacleat.protocol.gen.sidecar.ttypes import NotRun, Order, StaleOrder
+from guavacleat.store import StoreClient
+
+__all__ = ["ORDER_KINDS", "OrderLostError", "OrderRefusedError", "send_order"]
+
+ORDER_KINDS = ("model", "adapter", "version", "role")
+ORDER_TIMEOUT = 10.0
+
+
+class OrderRefusedError(GuavacleatError):
+    """The order was not applied."""
+
+
+class OrderLostError(GuavacleatError):
+    """The sidecar's answer was lost; the order may have been applied."""
+
+
+@defer.inlineCallbacks
+def send_order(clock, store: StoreClient, pool, endpoint: str, kind: str, target: str):
+    """Order ``endpoint`` to load or become ``target``; fire with the fencing number used.
+
+    Raises OrderRefusedError if it was not applied, OrderLostError if that is not known,
+    ConflictError if another operator ordered at the same moment.
+    """
+    if kind not in ORDER_KINDS:
+        raise OrderRefusedError(f"{kind!r} is no order.", f"use one of {', '.join(ORDER_KINDS)}.")
+    stored = yield store.get(ENDPOINT_KIND, endpoint)
+    if stored is None:
+        raise OrderRefusedError(
+            f"no sidecar has registered endpoint {endpoint!r}.",
+            "look its name up with `guavacleat ctl status`.",
+        )
+    fencing = yield issue_order(store, endpoint)
+    try:
+        client = yield pool.client(stored.value["address"])
+        ordering = client.order(Order(kind=kind, target=target, fencing=fencing))
+        ordering.addTimeout(ORDER_TIMEOUT, clock)
+        yield ordering
+    except ConnectError as exc:
+        raise OrderRefusedError(
+            f"the sidecar of {endpoint} cannot be reached: {exc}.",
+            "look its state up with `guavacleat ctl status` and order again.",
+        ) from exc
+    except StaleOrder as exc:
+        raise OrderRefusedError(
+            f"order {fencing} to {endpoint} is older than order {exc.newest}.",
+            "another operator ordered after you; check status and order again if still wanted.",
+        ) from exc
+    except NotRun as exc:
+        raise NotRunError(
+            f"the sidecar of {endpoint} refused the order: {exc.reason}.",
+            "order again once the object API answers.",
+            retry_after=exc.retry_after_ms / 1000,
+        ) from exc
+    except Exception as exc:  # noqa: BLE001 - any loss of the answer
+        raise OrderLostError(
+            f"the sidecar of {endpoint} did not answer order {fencing}.",
+            "order again; the new number makes a late one harmless.",
+        ) from exc
+    return fencing
--- a/tests/orders/test_fencing.py
+++ b/tests/orders/test_fencing.py
@@ -2,14 +2,31 @@
 
 import pytest
 from twisted.internet import defer
+from twisted.internet.error import ConnectError
 
 from guavacleat.orders import issue_order
-from guavacleat.protocol.gen.sidecar.ttypes import Order, StaleOrder
+from guavacleat.orders.issue import (
+    ORDER_TIMEOUT,
+    OrderLostError,
+    OrderRefusedError,
+    send_order,
+)
+from guavacleat.protocol.gen.sidecar.ttypes import NotRun, Order, StaleOrder
 from guavacleat.sidecar.handler import SidecarHandler
 from guavacleat.standin.engine import Engine, EngineSettings
 from tests.conftest import result_of
 
 
+class OnePool:
+    """Reaches one sidecar's handler in place of a thrift connection."""
+
+    def __init__(self, handler):
+        self.handler = handler
+
+    def client(self, address):
+        return defer.succeed(self.handler)
+
+
 class EngineAdapter:
     """Calls a stand-in Engine directly, as the HTTP client would."""
 
@@ -39,8 +56,6 @@
 
 
 def test_store_unreachable_refuses_order_as_not_run(clock, store, store_app, stub_http):
-    from guavacleat.protocol.gen.sidecar.ttypes import NotRun
-
     engine = Engine(clock, EngineSettings(fencing="ignore"))
     handler = SidecarHandler("e1", EngineAdapter(engine), store, clock)
     fencing = result_of(issue_order(store, "e1"), stub_http.flush)
@@ -72,3 +87,50 @@
     slow.addErrback(lambda failure: failure.trap(StaleOrder))
     result_of(newer, stub_http.flush)
     assert engine.loaded_by_kind == {"model": "v2"}
+
+
+def _frozen(order):
+    return defer.Deferred()
+
+
+SEND_FAULTS = [
+    # (endpoint, kind, what replaces the sidecar's order call, error)
+    ("e1", "weights", None, OrderRefusedError),
+    ("e9", "model", None, OrderRefusedError),
+    ("e1", "model", lambda order: defer.fail(StaleOrder(fencing=1, newest=2)), OrderRefusedError),
+    ("e1", "model", lambda order: defer.fail(ConnectError()), OrderRefusedError),
+    ("e1", "model", lambda order: defer.fail(ConnectionResetError()), OrderLostError),
+    ("e1", "model", _frozen, OrderLostError),
+]
+
+
+@pytest.mark.parametrize("endpoint,kind,call,error", SEND_FAULTS)
+def test_order_that_fails_says_whether_it_applied(
+    clock, store, stub_http, endpoint, kind, call, error
+):
+    """
+    Symptom: an operator is left not knowing whether an engine took an order.
+    Sequence: the order is malformed, names no endpoint, is overtaken, or its answer is lost.
+    Cause: refused and unknown are different; each needs its own remedy.
+    """
+    handler = SidecarHandler("e1", EngineAdapter(Engine(clock, EngineSettings())), store, clock)
+    if call is not None:
+        handler.order = call
+    result_of(store.put("endpoints", "e1", {"address": "a"}, 0), stub_http.flush)
+    sending = send_order(clock, store, OnePool(handler), endpoint, kind, "v1")
+    for _ in range(4):
+        stub_http.flush()
+    clock.advance(ORDER_TIMEOUT)
+    with pytest.raises(error):
+        result_of(sending, stub_http.flush)
+
+
+def test_order_reaches_the_engine(clock, store, stub_http):
+    engine = Engine(clock, EngineSettings())
+    handler = SidecarHandler("e1", EngineAdapter(engine), store, clock)
+    result_of(store.put("endpoints", "e1", {"address": "a"}, 0), stub_http.flush)
+    sending = send_order(clock, store, OnePool(handler), "e1", "adapter", "nl-legal")
+    for _ in range(5):
+        stub_http.flush()
+    assert result_of(sending, stub_http.flush) == 1
+    assert engine.loaded_by_kind == {"adapter": "nl-legal"}
