--- a/src/guavacleat/admission/__init__.py
+++ b/src/guavacleat/admission/__init__.py
@@ -1,5 +1,7 @@
-"""Admission of requests: per client account bounds, refusal as not run with a retry time."""
+"""Admission of requests: fair queues, bounds per client account, refusal as not run."""
 
+from guavacleat.admission.dispatcher import Dispatcher
 from guavacleat.admission.gate import Admission
+from guavacleat.admission.queues import QUEUES_BY_NAME, get_queue_by_name
 
-__all__ = ["Admission"]
+__all__ = ["Admission", "Dispatcher", "QUEUES_BY_NAME", "get_queue_by_name"]
--- /dev/null
+++ b/src/guavacleat/admission/dispatcher.py
@@ -0,0 +1,207 @@
+"""Matches waiting requests with endpoints that have room, and refuses what cannot be served.
+
+Requests wait here and not in the engines' own queues, so that the order is decided as late as
+possible, by :mod:`guavacleat.admission.queues`. A request is refused at once, as not run and
+with the time to come back, if its account already has too many waiting or if it would expect to
+wait longer than ``limits.max_wait``; one whose expectation was wrong is refused when that time
+is up.
+"""
+
+from collections import deque
+
+from twisted.internet import defer
+from twisted.internet.interfaces import IReactorTime
+
+from guavacleat.admission.gate import Admission
+from guavacleat.admission.queues import get_queue_by_name
+from guavacleat.errors import NotRunError
+
+__all__ = ["Dispatcher", "PROMPT_TOKEN_COST"]
+
+# What reading one prompt token costs next to emitting one output token: an engine reads 14
+# prompt tokens in a millisecond and emits a token of each of some 20 streams every 7 (the users'
+# engines), so about 0.2 of the time.
+PROMPT_TOKEN_COST = 0.2
+RATE_WINDOW = 32
+RATE_MIN = 8
+
+
+class _Waiting:
+    """A request waiting for an endpoint."""
+
+    __slots__ = ("request", "limits", "tried", "given", "timer", "counted")
+
+    def __init__(self, request, limits, tried):
+        self.request = request
+        self.limits = limits
+        self.tried = tried
+        self.given = defer.Deferred()
+        self.timer = None
+        self.counted = False
+
+
+class Dispatcher:
+    """Queues per service over one router.
+
+    :param membership: a ``MembershipView``.
+    :param router: a ``Router``.
+    :param queue: the name of the queue kind, see ``QUEUES_BY_NAME``.
+    """
+
+    def __init__(self, clock: IReactorTime, membership, router, queue: str = "fair"):
+        self.clock = clock
+        self.membership = membership
+        self.router = router
+        self.queue = queue
+        self.waiting = Admission()
+        self.queues_by_service: dict[str, object] = {}
+        self.dispatched_at_by_service: dict[str, deque] = {}
+        self.charged_by_request: dict[str, float] = {}
+        self.refused = 0
+
+    def acquire(
+        self, request, limits, tried=frozenset(), front: bool = False, deadline: float | None = None
+    ) -> defer.Deferred:
+        """Fire with the endpoint for ``request``, counted in flight there until released.
+
+        ``tried`` endpoints are left out. ``front``: it goes before all others (its caller has
+        tokens already, or an endpoint has just refused it). Fails with NotRunError if it is
+        refused, at ``deadline`` (reactor seconds; default ``limits.max_wait`` from now) at last.
+        """
+        now = self.clock.seconds()
+        entry = _Waiting(request, limits, frozenset(tried))
+        queue = self._queue(request.service)
+        try:
+            if not self._candidates(entry):
+                raise self.refusal(request, limits)
+            if not front:
+                self._enter(entry, queue)
+        except NotRunError as exc:
+            self.refused += 1
+            return defer.fail(exc)
+        queue.push(entry, front=front)
+        wait = limits.max_wait if deadline is None else max(0.0, deadline - now)
+        entry.timer = self.clock.callLater(wait, self._expire, entry)
+        self.pump(request.service)
+        return entry.given
+
+    def release(self, name: str, request, tokens: int = 0, finished: bool = False) -> None:
+        """The request no longer runs on ``name``; ``tokens``: its whole output so far."""
+        self.router.end(name, request)
+        queue = self._queue(request.service)
+        expected = self.charged_by_request.pop(request.request_id, 0.0)
+        queue.charge(request, self._cost(request, tokens) - expected)
+        if finished:
+            self._learn(request, tokens)
+        self.pump(request.service)
+
+    def pump(self, service: str) -> None:
+        """Dispatch waiting requests while there is room for the next in turn."""
+        queue = self._queue(service)
+        entry = queue.head()
+        while entry is not None:
+            candidates = self._candidates(entry)
+            if not candidates or entry.request.abandoned:
+                queue.remove(entry)
+                self._refuse(entry, self.refusal(entry.request, entry.limits))
+            else:
+                endpoint = self.router.choose(
+                    candidates, entry.request, entry.limits.in_flight_per_endpoint, entry.tried
+                )
+                if endpoint is None:
+                    return
+                queue.remove(entry)
+                self._dispatch(entry, queue, endpoint)
+            entry = queue.head()
+
+    def pump_all(self) -> None:
+        """Look again at every queue (after membership or occupancy changed)."""
+        for service, queue in self.queues_by_service.items():
+            if len(queue):
+                self.pump(service)
+
+    def depth(self) -> dict[str, int]:
+        """Requests waiting, by service."""
+        return {service: len(queue) for service, queue in self.queues_by_service.items()}
+
+    def _queue(self, service: str):
+        queue = self.queues_by_service.get(service)
+        if queue is None:
+            queue = self.queues_by_service[service] = get_queue_by_name(self.queue)
+            self.dispatched_at_by_service[service] = deque(maxlen=RATE_WINDOW)
+        return queue
+
+    def _candidates(self, entry: _Waiting):
+        live = self.membership.live(entry.request.service)
+        return [record for record in live if record.name not in entry.tried]
+
+    def _enter(self, entry: _Waiting, queue) -> None:
+        request, limits = entry.request, entry.limits
+        expected = self._expected_wait(request, queue)
+        if expected > limits.max_wait:
+            problem = f"client account {request.account} would wait about {expected:.0f} s"
+            raise self.refusal(request, limits, problem, expected - limits.max_wait)
+        self.waiting.enter(limits, request.account)
+        entry.counted = True
+
+    def _expected_wait(self, request, queue) -> float:
+        """Seconds until the account's next request would be dispatched, at the recent rate."""
+        held = self.waiting.held_by_account.get(request.account, 0)
+        dispatched_at = self.dispatched_at_by_service[request.service]
+        if not held or len(dispatched_at) < RATE_MIN:
+            return 0.0
+        span = max(self.clock.seconds() - dispatched_at[0], 1e-3)
+        rate = len(dispatched_at) / span * queue.share(request.account)
+        return (held + 1) / rate
+
+    def _dispatch(self, entry: _Waiting, queue, endpoint) -> None:
+        request = entry.request
+        self._settle(entry)
+        expected = self._cost(request, self._expected_output(request))
+        self.charged_by_request[request.request_id] = expected
+        queue.charge(request, expected)
+        self.dispatched_at_by_service[request.service].append(self.clock.seconds())
+        self.router.begin(endpoint.name, request)
+        entry.given.callback(endpoint)
+
+    def _cost(self, request, output: int) -> float:
+        return request.prompt_tokens * PROMPT_TOKEN_COST + output
+
+    def _expected_output(self, request) -> int:
+        return self.router.lengths.remaining(request.kind(), 0, request.max_tokens)
+
+    def _learn(self, request, tokens: int) -> None:
+        self.router.lengths.finished(request.kind(), tokens)
+
+    def _expire(self, entry: _Waiting) -> None:
+        self._queue(entry.request.service).remove(entry)
+        problem = "no endpoint had room in time"
+        self._refuse(entry, self.refusal(entry.request, entry.limits, problem))
+        self.pump(entry.request.service)
+
+    def _refuse(self, entry: _Waiting, error: NotRunError) -> None:
+        self._settle(entry)
+        self.refused += 1
+        entry.given.errback(error)
+
+    def _settle(self, entry: _Waiting) -> None:
+        if entry.timer.active():
+            entry.timer.cancel()
+        if entry.counted:
+            entry.counted = False
+            self.waiting.leave(entry.request.account)
+
+    def refusal(
+        self,
+        request,
+        limits,
+        problem: str = "no endpoint can take the request",
+        retry_after: float = 0.0,
+    ) -> NotRunError:
+        """The error that tells a caller its request was not run and when to come back."""
+        retry_after = max(limits.retry_after, retry_after)
+        return NotRunError(
+            f"{problem} (service {request.service}).",
+            f"retry after {retry_after:.1f} s.",
+            retry_after=retry_after,
+        )
--- a/src/guavacleat/admission/gate.py
+++ b/src/guavacleat/admission/gate.py
@@ -1,10 +1,10 @@
-"""Per client account bound on requests a gateway holds at once.
+"""Per client account bound on requests a gateway has waiting at once.
 
 A request over its account's bound is refused at once as not run, with the time to come back;
-it is never held until near its deadline. Fair shares by tokens come with issue 5.
+it is never held until near its deadline.
 """
 
-from guavacleat.config.model import Deployment
+from guavacleat.config.model import Limits
 from guavacleat.errors import NotRunError
 
 __all__ = ["Admission"]
@@ -16,13 +16,12 @@
     def __init__(self):
         self.held_by_account: dict[str, int] = {}
 
-    def enter(self, deployment: Deployment, account: str) -> None:
+    def enter(self, limits: Limits, account: str) -> None:
         """Count the request in, or raise NotRunError naming when to come back."""
-        limits = deployment.limits
         held = self.held_by_account.get(account, 0)
         if held >= limits.queue_per_account:
             raise NotRunError(
-                f"client account {account} has {held} requests in progress.",
+                f"client account {account} has {held} requests waiting.",
                 f"retry after {limits.retry_after} s or raise limits.queue_per_account.",
                 retry_after=limits.retry_after,
             )
@@ -30,3 +29,5 @@
 
     def leave(self, account: str) -> None:
         self.held_by_account[account] -= 1
+        if not self.held_by_account[account]:
+            del self.held_by_account[account]
--- a/src/guavacleat/config/loader.py
+++ b/src/guavacleat/config/loader.py
@@ -24,7 +24,12 @@
 __all__ = ["check_raw", "check_settings", "load_settings", "parse_settings", "read_settings"]
 
 SERVICE_KINDS = ("engine", "plain")
-DEFAULT_LIMITS = {"queue_per_account": 64, "in_flight_per_endpoint": 32, "retry_after": 1.0}
+DEFAULT_LIMITS = {
+    "queue_per_account": 64,
+    "in_flight_per_endpoint": 32,
+    "retry_after": 1.0,
+    "max_wait": 10.0,
+}
 
 
 class _Problems:
@@ -219,4 +224,5 @@
         queue_per_account=int(_number(merged, "queue_per_account", problems, "limits.")),
         in_flight_per_endpoint=int(_number(merged, "in_flight_per_endpoint", problems, "limits.")),
         retry_after=float(_number(merged, "retry_after", problems, "limits.")),
+        max_wait=float(_number(merged, "max_wait", problems, "limits.")),
     )
--- a/src/guavacleat/config/model.py
+++ b/src/guavacleat/config/model.py
@@ -55,15 +55,24 @@
 
     :param queue_per_account: waiting requests per client account before refusing as not run.
     :param in_flight_per_endpoint: generations one gateway keeps running on one endpoint.
-    :param retry_after: seconds a refused caller is told to wait.
+    :param retry_after: seconds a refused caller is told to wait, at least.
+    :param max_wait: seconds a request may expect to wait for an endpoint; one that would wait
+        longer is refused at once.
     """
 
-    __slots__ = ("queue_per_account", "in_flight_per_endpoint", "retry_after")
+    __slots__ = ("queue_per_account", "in_flight_per_endpoint", "retry_after", "max_wait")
 
-    def __init__(self, queue_per_account: int, in_flight_per_endpoint: int, retry_after: float):
+    def __init__(
+        self,
+        queue_per_account: int,
+        in_flight_per_endpoint: int,
+        retry_after: float,
+        max_wait: float = 10.0,
+    ):
         self.queue_per_account = queue_per_account
         self.in_flight_per_endpoint = in_flight_per_endpoint
         self.retry_after = retry_after
+        self.max_wait = max_wait
 
 
 class Deployment:
--- a/src/guavacleat/gateway/app.py
+++ b/src/guavacleat/gateway/app.py
@@ -21,7 +21,7 @@
 from guavacleat.errors import NotRunError
 from guavacleat.gateway.requests import RequestError, parse_completion
 from guavacleat.gateway.sse import SseSink
-from guavacleat.idempotency import AlreadyAcceptedError, KeyReusedError
+from guavacleat.idempotency import AlreadyAcceptedError, CallGuard, KeyReusedError
 from guavacleat.streams.relay import CALLER_LEFT
 from guavacleat.web import json_response
 
@@ -61,67 +61,41 @@
             completion = parse_completion(
                 request.content.read(), key, deployment, gateway.reactor.seconds()
             )
-            gateway.admission.enter(deployment, completion.account)
         except RequestError as exc:
             return _bad_request(request, exc)
-        except NotRunError as exc:
-            return _refuse(request, exc)
+        gateway.in_flight += 1
         try:
             result = yield self._serve(request, completion, deployment)
         finally:
-            gateway.admission.leave(completion.account)
+            gateway.in_flight -= 1
         return result
 
     @defer.inlineCallbacks
     def _serve(self, request, completion, deployment):
         gateway = self.gateway
         account, klass = completion.account, completion.priority_class
+        call = CallGuard(gateway.calls, completion)
+        sink = SseSink(request, completion)
         try:
-            yield self._claim(completion)
-            sink = _open_stream(request)
-            progress = yield self._relay(completion, deployment, sink)
+            progress = yield gateway.relay.run(completion, deployment.limits, sink, call.claim)
         except NotRunError as exc:
+            call.not_run()
             gateway.metrics.outcome(account, klass, "not_run")
             return _refuse(request, exc)
         except AlreadyAcceptedError as exc:
             gateway.metrics.outcome(account, klass, "duplicate")
-            return _already_accepted(request, exc)
+            return _already_accepted(request, completion, exc)
         except KeyReusedError as exc:
             return _bad_request(request, exc)
         except Exception as exc:  # noqa: BLE001 - the caller must hear why its stream ended
+            call.broken()
             gateway.metrics.outcome(account, klass, "failed")
-            if completion.call is not None:
-                gateway.calls.mark_unknown(completion.call, completion.request_id)
             sink.error("failed", str(exc))
             return b""
-        if completion.call is not None:
-            gateway.calls.finish(
-                completion.call, completion.request_id, progress.sent, progress.finish_reason
-            )
+        call.finished(progress)
         gateway.metrics.outcome(account, klass, _outcome(progress))
         return b""
 
-    @defer.inlineCallbacks
-    def _claim(self, completion):
-        if completion.call is not None:
-            yield self.gateway.calls.claim(
-                completion.call, completion.request_id, completion.fingerprint()
-            )
-
-    @defer.inlineCallbacks
-    def _relay(self, completion, deployment, sink):
-        gateway = self.gateway
-        gateway.in_flight += 1
-        try:
-            progress = yield gateway.relay.run(completion, deployment.limits, sink)
-        except NotRunError:
-            if completion.call is not None:
-                gateway.calls.release(completion.call, completion.request_id)
-            raise
-        finally:
-            gateway.in_flight -= 1
-        return progress
-
     @app.route("/status", methods=["GET"])
     def status(self, request):
         return json_response(request, 200, self.gateway.status())
@@ -142,13 +116,7 @@
     return json_response(request, 400, {"error": {"type": "bad_request", "message": str(exc)}})
 
 
-def _open_stream(request) -> SseSink:
-    request.setHeader("content-type", "text/event-stream")
-    request.setHeader("cache-control", "no-cache")
-    return SseSink(request)
-
-
-def _already_accepted(request, exc: AlreadyAcceptedError) -> bytes:
+def _already_accepted(request, completion, exc: AlreadyAcceptedError) -> bytes:
     """Replay a finished call's kept answer, or tell the retry when to come back."""
     if exc.answer is None:
         if exc.retry_after is not None:
@@ -156,7 +124,7 @@
         body = {"error": {"type": "already_accepted", "message": str(exc)}}
         return json_response(request, 409, body)
     tokens, finish_reason = exc.answer
-    sink = _open_stream(request)
+    sink = SseSink(request, completion)
     for index, text in enumerate(tokens):
         sink.token(index, text)
     sink.end(finish_reason)
--- a/src/guavacleat/gateway/requests.py
+++ b/src/guavacleat/gateway/requests.py
@@ -61,6 +61,7 @@
         arrival=now,
         repeatable=deployment.services_by_name[service].repeatable,
         resume=resume,
+        weight=deployment.client_accounts_by_name[account].weight,
     )
 
 
--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer, task
 from twisted.web.server import Site
 
-from guavacleat.admission import Admission
+from guavacleat.admission import Dispatcher
 from guavacleat.config.holder import CONFIG_KIND, ConfigHolder
 from guavacleat.gateway.app import GatewayApp
 from guavacleat.gateway.sidecars import SidecarPool
@@ -14,7 +14,8 @@
 from guavacleat.membership.instances import InstancePoll
 from guavacleat.membership.records import ENDPOINT_KIND
 from guavacleat.metrics import StreamMetrics
-from guavacleat.routing import Router
+from guavacleat.routing import get_router_by_name
+from guavacleat.routing.poll import DigestPoll
 from guavacleat.store import StoreClient
 from guavacleat.store.watch import WatchLoop
 from guavacleat.streams import Relay
@@ -24,6 +25,7 @@
 STOP_GRACE_SECONDS = 30.0
 STOP_POLL_SECONDS = 0.1
 ENDPOINT_WATCH_PAUSE = 0.2
+ROUTER = "cache-load"
 
 
 class GatewayService(service.Service):
@@ -41,12 +43,13 @@
         self.store = StoreClient(store_url)
         self.config = ConfigHolder(deployment)
         self.membership = MembershipView(reactor)
-        self.router = Router()
-        self.admission = Admission()
+        self.router = get_router_by_name(ROUTER, reactor)
+        self.dispatcher = Dispatcher(reactor, self.membership, self.router)
         self.metrics = StreamMetrics()
         self.pool = SidecarPool(reactor)
         self.calls = CallRecords(self.store, reactor)
-        self.relay = Relay(reactor, self.membership, self.router, self.pool, self.metrics)
+        self.relay = Relay(reactor, self.membership, self.dispatcher, self.pool, self.metrics)
+        self.digest_poll = DigestPoll(reactor, self.membership, self.dispatcher, self.pool)
         self.watches = [
             WatchLoop(reactor, self.store, CONFIG_KIND, self.config.offer),
             WatchLoop(
@@ -71,6 +74,7 @@
         for watch in self.watches:
             watch.start()
         self.instance_poll.start()
+        self.digest_poll.start()
         host, port = self.listen
         site = Site(GatewayApp(self).resource())
         self.port = self.reactor.listenTCP(port, site, interface=host)
@@ -90,6 +94,7 @@
         for watch in self.watches:
             watch.stop()
         self.instance_poll.stop()
+        self.digest_poll.stop()
         yield self.port.stopListening()
         self.pool.close()
         log_message(message_type="gateway:stopped", unfinished=self.in_flight)
@@ -115,6 +120,8 @@
                 for name in sorted(deployment.services_by_name if deployment else ())
             },
             "in_flight": self.in_flight,
+            "waiting": self.dispatcher.depth(),
+            "refused": self.dispatcher.refused,
             "resumes": self.relay.resumes,
             "store_calls": dict(self.store.calls_by_type),
             "latency": self.metrics.book.summary(),
--- a/src/guavacleat/gateway/sse.py
+++ b/src/guavacleat/gateway/sse.py
@@ -8,10 +8,15 @@
 
 
 class SseSink:
-    """Writes tokens to a caller as SSE; stops writing once the caller has gone."""
+    """Writes tokens to a caller as SSE; stops writing once the caller has gone.
 
-    def __init__(self, request):
+    The stream's headers go out with its first event, so a request refused before that can still
+    be answered with a status of its own.
+    """
+
+    def __init__(self, request, completion):
         self.request = request
+        self.completion = completion
         self.gone = False
         self.sent = 0
         request.notifyFinish().addErrback(self._caller_left)
@@ -37,7 +42,11 @@
 
     def _write(self, body: dict) -> None:
         if not self.gone:
+            if not self.request.startedWriting:
+                self.request.setHeader("content-type", "text/event-stream")
+                self.request.setHeader("cache-control", "no-cache")
             self.request.write(b"data: " + json.dumps(body).encode() + b"\n\n")
 
     def _caller_left(self, _failure) -> None:
         self.gone = True
+        self.completion.abandoned = True
--- a/src/guavacleat/membership/view.py
+++ b/src/guavacleat/membership/view.py
@@ -6,6 +6,8 @@
 Records are indexed by service, so a routing decision reads only that service's endpoints.
 """
 
+import itertools
+
 from eliot import log_message
 from twisted.internet.interfaces import IReactorTime
 
@@ -84,3 +86,7 @@
             for name in self.names_by_service.get(service, ())
             if self._takes_work(records_by_name[name], oldest)
         ]
+
+    def all_live(self) -> list[EndpointRecord]:
+        """Live endpoints of every service."""
+        return list(itertools.chain.from_iterable(map(self.live, self.names_by_service)))
--- a/src/guavacleat/protocol/gen/sidecar/Sidecar.py
+++ b/src/guavacleat/protocol/gen/sidecar/Sidecar.py
@@ -51,6 +51,14 @@
     def load():
         pass
 
+    def digest(since):
+        """
+        Parameters:
+         - since
+
+        """
+        pass
+
     def order(order):
         """
         Parameters:
@@ -261,6 +269,54 @@
             return d.callback(result.success)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "load failed: unknown result"))
 
+    def digest(self, since):
+        """
+        Parameters:
+         - since
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_digest, since)
+        d.addCallbacks(
+            callback=self.cb_send_digest,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_digest,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_digest(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_digest(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_digest(self, since):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('digest', TMessageType.CALL, self._seqid)
+        args = digest_args()
+        args.since = since
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_digest(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = digest_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return d.callback(result.success)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "digest failed: unknown result"))
+
     def order(self, order):
         """
         Parameters:
@@ -321,6 +377,7 @@
         self._processMap["pull"] = Processor.process_pull
         self._processMap["cancel"] = Processor.process_cancel
         self._processMap["load"] = Processor.process_load
+        self._processMap["digest"] = Processor.process_digest
         self._processMap["order"] = Processor.process_order
         self._on_message_begin = None
 
@@ -490,6 +547,42 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_digest(self, seqid, iprot, oprot):
+        args = digest_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = digest_result()
+        d = defer.maybeDeferred(self._handler.digest, args.since)
+        d.addCallback(self.write_results_success_digest, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_digest, result, seqid, oprot)
+        return d
+
+    def write_results_success_digest(self, success, result, seqid, oprot):
+        result.success = success
+        oprot.writeMessageBegin("digest", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_digest(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("digest", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_order(self, seqid, iprot, oprot):
         args = order_args()
         args.read(iprot)
@@ -1039,6 +1132,130 @@
 )
 
 
+class digest_args(object):
+    """
+    Attributes:
+     - since
+
+    """
+
+
+    def __init__(self, since=None,):
+        self.since = since
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.since = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('digest_args')
+        if self.since is not None:
+            oprot.writeFieldBegin('since', TType.I64, 1)
+            oprot.writeI64(self.since)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(digest_args)
+digest_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'since', None, None, ),  # 1
+)
+
+
+class digest_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = Digest()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('digest_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(digest_result)
+digest_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Digest, None], None, ),  # 0
+)
+
+
 class order_args(object):
     """
     Attributes:
--- a/src/guavacleat/protocol/gen/sidecar/ttypes.py
+++ b/src/guavacleat/protocol/gen/sidecar/ttypes.py
@@ -159,18 +159,131 @@
         return not (self == other)
 
 
+class Occupancy(object):
+    """
+    Attributes:
+     - open_streams
+     - slots
+     - held
+     - peak
+     - capacity
+
+    """
+
+
+    def __init__(self, open_streams=None, slots=None, held=None, peak=None, capacity=None,):
+        self.open_streams = open_streams
+        self.slots = slots
+        self.held = held
+        self.peak = peak
+        self.capacity = capacity
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.open_streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.held = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.peak = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.capacity = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Occupancy')
+        if self.open_streams is not None:
+            oprot.writeFieldBegin('open_streams', TType.I32, 1)
+            oprot.writeI32(self.open_streams)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 2)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.I64, 3)
+            oprot.writeI64(self.held)
+            oprot.writeFieldEnd()
+        if self.peak is not None:
+            oprot.writeFieldBegin('peak', TType.I64, 4)
+            oprot.writeI64(self.peak)
+            oprot.writeFieldEnd()
+        if self.capacity is not None:
+            oprot.writeFieldBegin('capacity', TType.I64, 5)
+            oprot.writeI64(self.capacity)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.open_streams is None:
+            raise TProtocolException(message='Required field open_streams is unset!')
+        if self.slots is None:
+            raise TProtocolException(message='Required field slots is unset!')
+        if self.held is None:
+            raise TProtocolException(message='Required field held is unset!')
+        if self.peak is None:
+            raise TProtocolException(message='Required field peak is unset!')
+        if self.capacity is None:
+            raise TProtocolException(message='Required field capacity is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StartReply(object):
     """
     Attributes:
      - stream_id
      - generation
+     - occupancy
 
     """
 
 
-    def __init__(self, stream_id=None, generation=None,):
+    def __init__(self, stream_id=None, generation=None, occupancy=None,):
         self.stream_id = stream_id
         self.generation = generation
+        self.occupancy = occupancy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -191,6 +304,12 @@
                     self.generation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.occupancy = Occupancy()
+                    self.occupancy.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -209,6 +328,10 @@
             oprot.writeFieldBegin('generation', TType.STRING, 2)
             oprot.writeString(self.generation.encode('utf-8') if sys.version_info[0] == 2 else self.generation)
             oprot.writeFieldEnd()
+        if self.occupancy is not None:
+            oprot.writeFieldBegin('occupancy', TType.STRUCT, 3)
+            self.occupancy.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -240,17 +363,19 @@
      - finished
      - finish_reason
      - preemptions
+     - occupancy
 
     """
 
 
-    def __init__(self, generation=None, first_index=None, tokens=None, finished=None, finish_reason=None, preemptions=None,):
+    def __init__(self, generation=None, first_index=None, tokens=None, finished=None, finish_reason=None, preemptions=None, occupancy=None,):
         self.generation = generation
         self.first_index = first_index
         self.tokens = tokens
         self.finished = finished
         self.finish_reason = finish_reason
         self.preemptions = preemptions
+        self.occupancy = occupancy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -296,6 +421,12 @@
                     self.preemptions = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.occupancy = Occupancy()
+                    self.occupancy.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -333,6 +464,10 @@
             oprot.writeFieldBegin('preemptions', TType.I32, 6)
             oprot.writeI32(self.preemptions)
             oprot.writeFieldEnd()
+        if self.occupancy is not None:
+            oprot.writeFieldBegin('occupancy', TType.STRUCT, 7)
+            self.occupancy.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -363,6 +498,173 @@
         return not (self == other)
 
 
+class CacheEvent(object):
+    """
+    Attributes:
+     - number
+     - stored
+     - block
+
+    """
+
+
+    def __init__(self, number=None, stored=None, block=None,):
+        self.number = number
+        self.stored = stored
+        self.block = block
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.stored = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.block = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CacheEvent')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.stored is not None:
+            oprot.writeFieldBegin('stored', TType.BOOL, 2)
+            oprot.writeBool(self.stored)
+            oprot.writeFieldEnd()
+        if self.block is not None:
+            oprot.writeFieldBegin('block', TType.STRING, 3)
+            oprot.writeString(self.block.encode('utf-8') if sys.version_info[0] == 2 else self.block)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.stored is None:
+            raise TProtocolException(message='Required field stored is unset!')
+        if self.block is None:
+            raise TProtocolException(message='Required field block is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Digest(object):
+    """
+    Attributes:
+     - occupancy
+     - events
+
+    """
+
+
+    def __init__(self, occupancy=None, events=None,):
+        self.occupancy = occupancy
+        self.events = events
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.occupancy = Occupancy()
+                    self.occupancy.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.events = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = CacheEvent()
+                        _elem19.read(iprot)
+                        self.events.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Digest')
+        if self.occupancy is not None:
+            oprot.writeFieldBegin('occupancy', TType.STRUCT, 1)
+            self.occupancy.write(oprot)
+            oprot.writeFieldEnd()
+        if self.events is not None:
+            oprot.writeFieldBegin('events', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.events))
+            for iter20 in self.events:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.occupancy is None:
+            raise TProtocolException(message='Required field occupancy is unset!')
+        if self.events is None:
+            raise TProtocolException(message='Required field events is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LoadReport(object):
     """
     Attributes:
@@ -492,13 +794,15 @@
     Attributes:
      - reason
      - retry_after_ms
+     - full
 
     """
 
 
-    def __init__(self, reason=None, retry_after_ms=None,):
+    def __init__(self, reason=None, retry_after_ms=None, full=None,):
         super(NotRun, self).__setattr__('reason', reason)
         super(NotRun, self).__setattr__('retry_after_ms', retry_after_ms)
+        super(NotRun, self).__setattr__('full', full)
 
     def __setattr__(self, *args):
         raise TypeError("can't modify immutable instance")
@@ -507,7 +811,7 @@
         raise TypeError("can't modify immutable instance")
 
     def __hash__(self):
-        return hash(self.__class__) ^ hash((self.reason, self.retry_after_ms, ))
+        return hash(self.__class__) ^ hash((self.reason, self.retry_after_ms, self.full, ))
 
     @classmethod
     def read(cls, iprot):
@@ -516,6 +820,7 @@
         iprot.readStructBegin()
         reason = None
         retry_after_ms = None
+        full = None
         while True:
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
@@ -530,6 +835,11 @@
                     retry_after_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    full = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -537,6 +847,7 @@
         return cls(
             reason=reason,
             retry_after_ms=retry_after_ms,
+            full=full,
         )
 
     def write(self, oprot):
@@ -552,6 +863,10 @@
             oprot.writeFieldBegin('retry_after_ms', TType.I32, 2)
             oprot.writeI32(self.retry_after_ms)
             oprot.writeFieldEnd()
+        if self.full is not None:
+            oprot.writeFieldBegin('full', TType.BOOL, 3)
+            oprot.writeBool(self.full)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -836,11 +1151,21 @@
     (6, TType.I32, 'max_tokens', None, None, ),  # 6
     (7, TType.LIST, 'resume_tokens', (TType.STRING, 'UTF8', False), None, ),  # 7
 )
+all_structs.append(Occupancy)
+Occupancy.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'open_streams', None, None, ),  # 1
+    (2, TType.I32, 'slots', None, None, ),  # 2
+    (3, TType.I64, 'held', None, None, ),  # 3
+    (4, TType.I64, 'peak', None, None, ),  # 4
+    (5, TType.I64, 'capacity', None, None, ),  # 5
+)
 all_structs.append(StartReply)
 StartReply.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'stream_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'generation', 'UTF8', None, ),  # 2
+    (3, TType.STRUCT, 'occupancy', [Occupancy, None], None, ),  # 3
 )
 all_structs.append(TokenBatch)
 TokenBatch.thrift_spec = (
@@ -851,6 +1176,20 @@
     (4, TType.BOOL, 'finished', None, None, ),  # 4
     (5, TType.STRING, 'finish_reason', 'UTF8', None, ),  # 5
     (6, TType.I32, 'preemptions', None, None, ),  # 6
+    (7, TType.STRUCT, 'occupancy', [Occupancy, None], None, ),  # 7
+)
+all_structs.append(CacheEvent)
+CacheEvent.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.BOOL, 'stored', None, None, ),  # 2
+    (3, TType.STRING, 'block', 'UTF8', None, ),  # 3
+)
+all_structs.append(Digest)
+Digest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'occupancy', [Occupancy, None], None, ),  # 1
+    (2, TType.LIST, 'events', (TType.STRUCT, [CacheEvent, None], False), None, ),  # 2
 )
 all_structs.append(LoadReport)
 LoadReport.thrift_spec = (
@@ -867,6 +1206,7 @@
     None,  # 0
     (1, TType.STRING, 'reason', 'UTF8', None, ),  # 1
     (2, TType.I32, 'retry_after_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'full', None, None, ),  # 3
 )
 all_structs.append(Order)
 Order.thrift_spec = (
--- a/src/guavacleat/routing/__init__.py
+++ b/src/guavacleat/routing/__init__.py
@@ -1,5 +1,5 @@
 """Choosing an endpoint for a request."""
 
-from guavacleat.routing.router import Router
+from guavacleat.routing.router import ROUTERS_BY_NAME, Router, get_router_by_name
 
-__all__ = ["Router"]
+__all__ = ["ROUTERS_BY_NAME", "Router", "get_router_by_name"]
--- a/src/guavacleat/routing/router.py
+++ b/src/guavacleat/routing/router.py
@@ -1,23 +1,35 @@
-"""Picks the endpoint for a request from the live ones, by this gateway's own in-flight count.
+"""Routers: which endpoint takes a request, or none for now.
 
-Among the endpoints with the fewest generations this gateway has in flight, the tie is broken by
-rendezvous hashing of the prompt's first words, so requests sharing a prefix tend to land on the
-same engine (whose prefix cache then holds it) and every gateway breaks ties the same way without
-talking to the others. Endpoints at the per-endpoint in-flight limit are skipped.
+Every router counts the streams this gateway has in flight per endpoint. :class:`CacheLoadRouter`
+is the product's; the others are the baselines it is measured against. Look them up with
+:func:`get_router_by_name`.
 """
 
 import hashlib
+import itertools
 
-from guavacleat.membership.records import EndpointRecord
-
-__all__ = ["Router", "prefix_key"]
+from twisted.internet.interfaces import IReactorTime
 
-PREFIX_WORDS = 16
+from guavacleat.lengths import LengthEstimator
+from guavacleat.membership.records import EndpointRecord
+from guavacleat.routing.cache_map import CacheMap
+from guavacleat.routing.prefix import BLOCK_TOKENS
 
+__all__ = [
+    "CacheLoadRouter",
+    "LeastLoadedRouter",
+    "ROUTERS_BY_NAME",
+    "RoundRobinRouter",
+    "Router",
+    "get_router_by_name",
+]
 
-def prefix_key(prompt: str) -> str:
-    """The part of a prompt that decides cache affinity."""
-    return " ".join(prompt.split()[:PREFIX_WORDS])
+# Weight of reading a whole prompt again against an engine full of expected memory (1.0).
+PREFILL_WEIGHT = 0.5
+# Weight of a request sent to an endpoint whose first token has not come: its prompt is still
+# being read, which delays every other first token there.
+STARTING_WEIGHT = 0.15
+HEADROOM = 0.1
 
 
 def _rendezvous(key: str, endpoint: str) -> int:
@@ -26,33 +38,155 @@
 
 
 class Router:
-    """Keeps in-flight counts by endpoint name and picks an endpoint for each request."""
+    """Counts streams in flight by endpoint, skips full and refusing endpoints, picks by rank."""
 
-    def __init__(self):
+    def __init__(self, clock: IReactorTime):
+        self.clock = clock
+        self.lengths = LengthEstimator()
         self.in_flight_by_name: dict[str, int] = {}
+        self.avoid_until_by_name: dict[str, float] = {}
 
-    def choose(
-        self, candidates: list[EndpointRecord], prompt: str, limit: int, excluded=()
-    ) -> EndpointRecord | None:
-        """The endpoint to try, or None if every candidate is excluded or full."""
+    def choose(self, candidates: list[EndpointRecord], request, limit: int, excluded=()):
+        """The endpoint to try, or None if every candidate is excluded, refusing or full.
+
+        ``limit``: streams this gateway keeps on one endpoint at most.
+        """
+        now = self.clock.seconds()
         open_ones = [
             record
             for record in candidates
-            if record.name not in excluded and self.in_flight_by_name.get(record.name, 0) < limit
+            if record.name not in excluded
+            and self.in_flight_by_name.get(record.name, 0) < limit
+            and self.avoid_until_by_name.get(record.name, now) <= now
+            and self.has_room(record.name, request)
         ]
-        if not open_ones:
-            return None
-        key = prefix_key(prompt)
-        return min(
-            open_ones,
-            key=lambda record: (
-                self.in_flight_by_name.get(record.name, 0),
-                -_rendezvous(key, record.name),
-            ),
-        )
+        return min(open_ones, key=lambda record: self.rank(record.name, request), default=None)
 
-    def begin(self, name: str) -> None:
+    def begin(self, name: str, request=None) -> None:
+        """Count a stream in; ``request`` is given when it is about to be started there."""
         self.in_flight_by_name[name] = self.in_flight_by_name.get(name, 0) + 1
 
-    def end(self, name: str) -> None:
+    def end(self, name: str, request=None) -> None:
         self.in_flight_by_name[name] -= 1
+
+    def avoid(self, name: str, seconds: float) -> None:
+        """Send nothing to ``name`` for a while: it refused a request."""
+        self.avoid_until_by_name[name] = self.clock.seconds() + seconds
+
+    def observe(self, name: str, occupancy, request=None) -> None:
+        """Hear how full an endpoint is; ``request`` is given if it has now been started there."""
+
+    def observe_cache(self, name: str, events) -> int:
+        """Hear cache events of an endpoint; return the number of the last one heard."""
+        return 0
+
+    def has_room(self, name: str, request) -> bool:
+        """Whether ``request`` fits ``name``; the baselines leave that to the engine."""
+        return True
+
+    def rank(self, name: str, request):
+        """Endpoints with a lower rank are preferred."""
+        raise NotImplementedError
+
+
+class RoundRobinRouter(Router):
+    """Baseline: endpoints in turn."""
+
+    def __init__(self, clock: IReactorTime):
+        super().__init__(clock)
+        self.numbers = itertools.count(1)
+        self.last_turn_by_name: dict[str, int] = {}
+
+    def rank(self, name, request):
+        return self.last_turn_by_name.get(name, 0), name
+
+    def begin(self, name, request=None):
+        super().begin(name, request)
+        self.last_turn_by_name[name] = next(self.numbers)
+
+
+class LeastLoadedRouter(Router):
+    """Baseline: fewest streams in flight from this gateway; ties by a hash of the prefix."""
+
+    def rank(self, name, request):
+        key = request.blocks()[0] if request.blocks() else request.prompt
+        return self.in_flight_by_name.get(name, 0), -_rendezvous(key, name)
+
+
+class CacheLoadRouter(Router):
+    """Expected memory, prompt blocks already cached, and prompts being read, weighed together.
+
+    Memory is the sidecar's last report plus what this gateway has sent since, so several
+    gateways see each other's streams without talking to each other. The report lags by one
+    reply; the sidecar's own check (:mod:`guavacleat.sidecar.occupancy`) is what holds.
+    """
+
+    def __init__(self, clock: IReactorTime):
+        super().__init__(clock)
+        self.cache = CacheMap(clock)
+        self.occupancy_by_name: dict[str, object] = {}
+        self.starting_by_name: dict[str, dict[str, int]] = {}
+
+    def begin(self, name, request=None):
+        super().begin(name, request)
+        if request is not None:
+            self.starting_by_name.setdefault(name, {})[request.request_id] = self.need(request)
+            self.cache.sent(name, request.blocks())
+
+    def end(self, name, request=None):
+        super().end(name, request)
+        self._started(name, request)
+
+    def observe(self, name, occupancy, request=None):
+        self.occupancy_by_name[name] = occupancy
+        self._started(name, request)
+
+    def observe_cache(self, name, events):
+        self.cache.observe(name, events)
+        return self.cache.last_event_by_endpoint[name]
+
+    def _started(self, name: str, request) -> None:
+        if request is not None:
+            self.starting_by_name.get(name, {}).pop(request.request_id, None)
+
+    def need(self, request) -> int:
+        """Memory ``request`` is expected to hold at its end."""
+        return request.prompt_tokens + self.lengths.remaining(request.kind(), 0, request.max_tokens)
+
+    def has_room(self, name, request):
+        occupancy = self.occupancy_by_name.get(name)
+        if occupancy is None or not occupancy.capacity:
+            return True
+        starting = self.starting_by_name.get(name, {})
+        streams = occupancy.open_streams + len(starting)
+        if not streams:
+            return True
+        if streams >= occupancy.slots:
+            return False
+        expected = occupancy.peak + sum(starting.values()) + self.need(request)
+        return expected <= occupancy.capacity * (1 - HEADROOM)
+
+    def rank(self, name, request):
+        occupancy = self.occupancy_by_name.get(name)
+        starting = self.starting_by_name.get(name, {})
+        memory = 0.0
+        if occupancy is not None and occupancy.capacity:
+            memory = (occupancy.peak + sum(starting.values())) / occupancy.capacity
+        cached = self.cache.cached_blocks(name, request.blocks()) * BLOCK_TOKENS
+        to_read = 1 - cached / max(1, request.prompt_tokens)
+        return (
+            memory + PREFILL_WEIGHT * to_read + STARTING_WEIGHT * len(starting),
+            self.in_flight_by_name.get(name, 0),
+        )
+
+
+ROUTERS_BY_NAME = {
+    "cache-load": CacheLoadRouter,
+    "least-loaded": LeastLoadedRouter,
+    "round-robin": RoundRobinRouter,
+}
+
+
+def get_router_by_name(name: str, clock: IReactorTime) -> Router:
+    """A new router; raises KeyError if there is none of that name."""
+    return ROUTERS_BY_NAME[name](clock)
--- a/src/guavacleat/sidecar/engine_client.py
+++ b/src/guavacleat/sidecar/engine_client.py
@@ -71,6 +71,12 @@
     def load(self) -> defer.Deferred:
         return self._json("GET", "/v1/load")
 
+    @defer.inlineCallbacks
+    def cache_events(self, since: int):
+        """Fire with ``[(number, "stored" or "evicted", block)]`` after event ``since``."""
+        answer = yield self._json("GET", f"/v1/cache-events?since={since}")
+        return answer["events"]
+
     @defer.inlineCallbacks
     def _json(self, method: str, path: str, body=None, timeout: float = CALL_TIMEOUT):
         data = None if body is None else json.dumps(body).encode()
--- a/src/guavacleat/sidecar/handler.py
+++ b/src/guavacleat/sidecar/handler.py
@@ -7,6 +7,8 @@
 from guavacleat.orders import current_fencing
 from guavacleat.protocol.gen.sidecar import Sidecar
 from guavacleat.protocol.gen.sidecar.ttypes import (
+    CacheEvent,
+    Digest,
     LoadReport,
     NotRun,
     StaleOrder,
@@ -15,6 +17,7 @@
     UnknownStream,
 )
 from guavacleat.sidecar.engine_client import EngineClient
+from guavacleat.sidecar.occupancy import EngineOccupancy, RunningStream
 from guavacleat.sidecar.streams import OpenStreams
 from guavacleat.store import StoreUnavailableError
 
@@ -23,6 +26,9 @@
 DRAINING_RETRY_MS = 200
 ENGINE_DOWN_RETRY_MS = 1000
 ORDER_STORE_RETRY_MS = 2000
+FULL_RETRY_MS = 50
+MAX_DIGEST_EVENTS = 256
+STORED = "stored"
 
 
 @implementer(Sidecar.Iface)
@@ -41,6 +47,7 @@
         self.store = store
         self.draining = False
         self.streams = OpenStreams(clock)
+        self.occupancy = EngineOccupancy()
         self.order_lock = defer.DeferredLock()
 
     @defer.inlineCallbacks
@@ -49,6 +56,14 @@
         # called, so "not run" is true and the gateway may send the request elsewhere.
         if self.draining:
             raise NotRun(reason=f"{self.endpoint} is draining", retry_after_ms=DRAINING_RETRY_MS)
+        stream = _running(request)
+        if not self.occupancy.fits(stream):
+            raise NotRun(
+                reason=f"{self.endpoint} has no room now", retry_after_ms=FULL_RETRY_MS, full=True
+            )
+        # Counted from before the engine is called: two starts arriving together must not both
+        # be given the last room.
+        self.occupancy.add(request.request_id, stream)
         stream_id = None
         self.streams.begin_start()
         try:
@@ -68,7 +83,11 @@
             ) from exc
         finally:
             self.streams.end_start(stream_id)
-        return StartReply(stream_id=stream_id, generation=generation)
+            self.occupancy.remove(request.request_id)
+        self.occupancy.add(stream_id, stream)
+        return StartReply(
+            stream_id=stream_id, generation=generation, occupancy=self.occupancy.report()
+        )
 
     @defer.inlineCallbacks
     def pull(self, stream_id: str, cursor: int, wait_ms: int):
@@ -76,10 +95,11 @@
         try:
             batch = yield self.engine.read(stream_id, cursor, wait_ms / 1000)
         except LookupError as exc:
-            self.streams.close(stream_id)
+            self._close(stream_id)
             raise UnknownStream(stream_id=stream_id) from exc
+        self.occupancy.emitted(stream_id, batch.first_index + len(batch.tokens))
         if batch.finished:
-            self.streams.close(stream_id)
+            self._close(stream_id, finished=True)
         return TokenBatch(
             generation=batch.generation,
             first_index=batch.first_index,
@@ -87,6 +107,7 @@
             finished=batch.finished,
             finish_reason=batch.finish_reason,
             preemptions=batch.preemptions,
+            occupancy=self.occupancy.report(),
         )
 
     @defer.inlineCallbacks
@@ -94,7 +115,11 @@
         try:
             yield self.engine.cancel(stream_id)
         finally:
-            self.streams.close(stream_id)
+            self._close(stream_id)
+
+    def _close(self, stream_id: str, finished: bool = False) -> None:
+        self.streams.close(stream_id)
+        self.occupancy.remove(stream_id, finished)
 
     def cancel_idle(self) -> None:
         """Cancel the streams nobody reads any more.
@@ -117,6 +142,27 @@
             draining=self.draining,
         )
 
+    @defer.inlineCallbacks
+    def refresh(self):
+        """Read the engine's sizes; without an answer the last ones stand."""
+        try:
+            report = yield self.engine.load()
+        except Exception:  # noqa: BLE001 - whatever keeps the engine from answering
+            return
+        self.occupancy.resize(report["kv_capacity"], report["slots"])
+
+    @defer.inlineCallbacks
+    def digest(self, since: int):
+        """Occupancy and cache events after ``since``, for gateways without streams here."""
+        events = yield self.engine.cache_events(since)
+        return Digest(
+            occupancy=self.occupancy.report(),
+            events=[
+                CacheEvent(number=number, stored=kind == STORED, block=block)
+                for number, kind, block in events[:MAX_DIGEST_EVENTS]
+            ],
+        )
+
     def order(self, order):
         """Forward an order to the engine unless its fencing number is older than the newest.
 
@@ -149,3 +195,9 @@
         """Refuse new work from now on; fire once every open stream has finished."""
         self.draining = True
         return self.streams.drain()
+
+
+def _running(request) -> RunningStream:
+    resumed = len(request.resume_tokens or ())
+    kind = (request.service_name, request.priority)
+    return RunningStream(kind, len(request.prompt.split()), request.max_tokens, resumed)
--- a/src/guavacleat/sidecar/service.py
+++ b/src/guavacleat/sidecar/service.py
@@ -18,6 +18,7 @@
 
 DRAIN_GRACE_SECONDS = 30.0
 IDLE_SWEEP_SECONDS = 1.0
+ENGINE_REFRESH_SECONDS = 5.0
 
 
 class SidecarService(service.Service):
@@ -58,6 +59,8 @@
         self.lease: Lease | None = None
         self.idle_sweep = task.LoopingCall(self.handler.cancel_idle)
         self.idle_sweep.clock = reactor
+        self.engine_refresh = task.LoopingCall(self.handler.refresh)
+        self.engine_refresh.clock = reactor
         self.port = None
 
     def startService(self):  # noqa: N802 - Twisted's name
@@ -70,6 +73,7 @@
         self.lease = Lease(self.reactor, self.store, self.record, on_superseded=self._superseded)
         self.lease.start()
         self.idle_sweep.start(IDLE_SWEEP_SECONDS)
+        self.engine_refresh.start(ENGINE_REFRESH_SECONDS)
         log_message(message_type="sidecar:started", endpoint=self.name, address=self.record.address)
 
     def _superseded(self) -> None:
@@ -90,8 +94,9 @@
             log_message(
                 message_type="sidecar:drain-timeout", open_streams=len(self.handler.streams)
             )
-        if self.idle_sweep.running:
-            self.idle_sweep.stop()
+        for loop in (self.idle_sweep, self.engine_refresh):
+            if loop.running:
+                loop.stop()
         self.lease.stop()
         yield self.port.stopListening()
         log_message(message_type="sidecar:stopped", endpoint=self.name)
--- a/src/guavacleat/standin/engine.py
+++ b/src/guavacleat/standin/engine.py
@@ -2,9 +2,12 @@
 
 Each step (``step_seconds``) every running sequence emits one token and grows its memory by one
 token. Waiting sequences are admitted by priority (lower number first), then arrival, while the
-batch and memory have room; a prompt whose prefix blocks are cached costs less memory to admit.
+batch and memory have room. A sequence's prompt is read before its first token, at
+``prefill_rate`` tokens a second and at most ``prefill_chunk`` a step, which makes that step
+longer for every running sequence; the blocks of its prefix that are cached need no reading.
 When memory fills mid-decode the engine preempts the least urgent, newest sequence: it goes back
-to waiting, keeps the tokens it has emitted and resumes later in the same generation.
+to waiting, keeps the tokens it has emitted, reads prompt and tokens in again later and goes on
+in the same generation.
 
 Output lengths are drawn from a heavy-tailed distribution seeded by the request id, capped by
 ``max_tokens``, so neither caller nor gateway knows them ahead (benchmarks may fix the length
@@ -21,16 +24,22 @@
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
+from guavacleat.routing.prefix import BLOCK_TOKENS, prefix_blocks
+
 __all__ = ["Engine", "EngineSettings", "Sequence"]
 
 WORDS = ("the", "caller", "listing", "number", "garage", "slot", "summary", "check", "route", "ok")
-PREFIX_BLOCK = 16
 PARETO_SHAPE = 1.2
 MIN_OUTPUT = 4
 
 
 class EngineSettings:
-    """Sizes and behaviour of one stand-in engine; times in seconds, memory in tokens."""
+    """Sizes and behaviour of one stand-in engine; times in seconds, memory in tokens.
+
+    :param output_length: None to draw lengths, a number for every output, or a callable from
+        request id to length (the load tool's workloads).
+    :param prefill_rate: prompt tokens read a second; None: reading takes no time.
+    """
 
     __slots__ = (
         "name",
@@ -43,6 +52,8 @@
         "event_gap_every",
         "fencing",
         "output_length",
+        "prefill_rate",
+        "prefill_chunk",
     )
 
     def __init__(
@@ -56,7 +67,9 @@
         event_lag: float = 0.2,
         event_gap_every: int = 7,
         fencing: str = "refuse",
-        output_length: int | None = None,
+        output_length=None,
+        prefill_rate: float | None = None,
+        prefill_chunk: int = 512,
     ):
         self.name = name
         self.step_seconds = step_seconds
@@ -68,6 +81,8 @@
         self.event_gap_every = event_gap_every
         self.fencing = fencing
         self.output_length = output_length
+        self.prefill_rate = prefill_rate
+        self.prefill_chunk = prefill_chunk
 
 
 class Sequence:
@@ -86,9 +101,13 @@
         "finish_reason",
         "arrival",
         "waiters",
+        "blocks",
+        "to_read",
     )
 
-    def __init__(self, stream_id, generation, priority, prompt_tokens, target_length, arrival):
+    def __init__(
+        self, stream_id, generation, priority, prompt_tokens, target_length, arrival, blocks
+    ):
         self.stream_id = stream_id
         self.generation = generation
         self.priority = priority
@@ -101,6 +120,8 @@
         self.finish_reason = ""
         self.arrival = arrival
         self.waiters: list[defer.Deferred] = []
+        self.blocks = blocks
+        self.to_read = 0
 
 
 class Engine:
@@ -118,6 +139,7 @@
         self.highest_fencing = 0
         self.loaded_by_kind: dict[str, str] = {}
         self.preemptions = 0
+        self.prompt_tokens_read = 0
         self._ids = itertools.count(1)
         self._event_numbers = itertools.count(1)
         self._stepping = None
@@ -139,6 +161,7 @@
             prompt_tokens=max(1, len(prompt.split())),
             target_length=_output_length(request_id, max_tokens, self.settings.output_length),
             arrival=self.clock.seconds(),
+            blocks=prefix_blocks(prompt.split()),
         )
         sequence.tokens.extend(resume)
         self.sequences_by_id[stream_id] = sequence
@@ -146,7 +169,8 @@
             self._finish(sequence, "stop")
             return sequence
         self.waiting.append(sequence)
-        self._note_prefix(prompt)
+        if self.settings.prefill_rate is None:
+            self._note_prefix(sequence.blocks)
         self._ensure_stepping()
         return sequence
 
@@ -168,22 +192,45 @@
 
     # Steps ------------------------------------------------------------------------------
     def step(self) -> None:
-        """Admit, decode one token per running sequence, and preempt if memory overflows."""
+        """Admit, read prompts, decode a token per sequence read, preempt if memory overflows."""
         self._admit()
-        for sequence in list(self.running):
+        read = self._read_prompts()
+        for sequence in [seq for seq in self.running if not seq.to_read]:
             self._decode(sequence)
         while self.kv_used() > self.settings.kv_capacity and self.running:
             self._preempt(max(self.running, key=lambda seq: (seq.priority, seq.arrival)))
         self._record_load()
         self._stepping = None
-        self._ensure_stepping()
+        self._ensure_stepping(read / self.settings.prefill_rate if read else 0.0)
+
+    def _read_prompts(self) -> int:
+        """Read up to a chunk of the prompts admitted; return how many tokens were read."""
+        budget = self.settings.prefill_chunk
+        for sequence in [seq for seq in self.running if seq.to_read]:
+            taken = min(budget, sequence.to_read)
+            sequence.to_read -= taken
+            budget -= taken
+            if taken and not sequence.to_read:
+                self._note_prefix(sequence.blocks)
+        read = self.settings.prefill_chunk - budget
+        self.prompt_tokens_read += read
+        return read
+
+    def _to_read(self, sequence: Sequence) -> int:
+        """Tokens to read before the sequence goes on: all but the cached prefix."""
+        if self.settings.prefill_rate is None:
+            return 0
+        cached = itertools.takewhile(self.cached_blocks.__contains__, sequence.blocks)
+        cached_tokens = sum(BLOCK_TOKENS for _ in cached)
+        return max(1, sequence.prompt_tokens + len(sequence.tokens) - cached_tokens)
 
     def kv_used(self) -> int:
         return sum(seq.kv_held for seq in self.running)
 
-    def _ensure_stepping(self) -> None:
+    def _ensure_stepping(self, reading: float = 0.0) -> None:
         if self._stepping is None and (self.waiting or self.running):
-            self._stepping = self.clock.callLater(self.settings.step_seconds, self.step)
+            delay = self.settings.step_seconds + reading
+            self._stepping = self.clock.callLater(delay, self.step)
 
     def _admit(self) -> None:
         self.waiting.sort(key=lambda seq: (seq.priority, seq.arrival))
@@ -194,6 +241,7 @@
                 return
             self.waiting.pop(0)
             candidate.kv_held = needed
+            candidate.to_read = self._to_read(candidate)
             self.running.append(candidate)
 
     def _decode(self, sequence: Sequence) -> None:
@@ -229,6 +277,7 @@
             "waiting": len(self.waiting),
             "kv_used": self.kv_used(),
             "kv_capacity": self.settings.kv_capacity,
+            "slots": self.settings.max_batch,
             "preemptions": self.preemptions,
         }
         self.load_history.append((now, snapshot))
@@ -240,17 +289,16 @@
         cutoff = self.clock.seconds() - self.settings.load_lag
         older = [snapshot for at, snapshot in self.load_history if at <= cutoff]
         empty = {"running": 0, "waiting": 0, "kv_used": 0, "preemptions": 0}
-        return older[-1] if older else {**empty, "kv_capacity": self.settings.kv_capacity}
+        sizes = {"kv_capacity": self.settings.kv_capacity, "slots": self.settings.max_batch}
+        return older[-1] if older else {**empty, **sizes}
 
-    def _note_prefix(self, prompt: str) -> None:
-        words = prompt.split()
-        for end in range(PREFIX_BLOCK, len(words) + 1, PREFIX_BLOCK):
-            block = hashlib.blake2b(" ".join(words[:end]).encode(), digest_size=8).hexdigest()
-            if block not in self.cached_blocks:
+    def _note_prefix(self, blocks: list[str]) -> None:
+        for block in blocks:
+            if self.cached_blocks.pop(block, None) is None:
                 self._publish("stored", block)
             self.cached_blocks[block] = self.clock.seconds()
         while len(self.cached_blocks) > self.settings.cache_blocks:
-            oldest = min(self.cached_blocks, key=self.cached_blocks.get)
+            oldest = next(iter(self.cached_blocks))
             del self.cached_blocks[oldest]
             self._publish("evicted", oldest)
 
@@ -276,9 +324,9 @@
         return True
 
 
-def _output_length(request_id: str, max_tokens: int, fixed: int | None) -> int:
+def _output_length(request_id: str, max_tokens: int, fixed) -> int:
     if fixed is not None:
-        return min(max_tokens, fixed)
+        return min(max_tokens, fixed(request_id) if callable(fixed) else fixed)
     draw = random.Random(request_id).paretovariate(PARETO_SHAPE)
     return max(1, min(max_tokens, int(MIN_OUTPUT * draw)))
 
--- a/src/guavacleat/streams/messages.py
+++ b/src/guavacleat/streams/messages.py
@@ -5,10 +5,13 @@
 import json
 
 from guavacleat.errors import GuavacleatError
+from guavacleat.routing.prefix import prefix_blocks
 
 __all__ = ["CompletionRequest", "ResumePoint", "StreamMixupError", "StreamBrokenError"]
 
 HANDLE_PARTS = 3
+# Blocks of a prompt that routing looks at; beyond them the choice of engine matters little.
+ROUTED_BLOCKS = 64
 
 
 class ResumePoint:
@@ -50,6 +53,10 @@
     :param call: the name of the call's record for its idempotency key, or None without a key.
     :param repeatable: false if the call may run at most once, so a broken one is not resumed.
     :param resume: the :class:`ResumePoint` of a caller that reconnects, or None.
+    :param weight: the client account's share of tokens when engines are full.
+
+    ``abandoned`` is set once the caller has left; ``prompt_tokens`` is the prompt's length in
+    words, which stand in for the engine's tokens.
     """
 
     __slots__ = (
@@ -64,6 +71,10 @@
         "arrival",
         "repeatable",
         "resume",
+        "weight",
+        "abandoned",
+        "prompt_tokens",
+        "_blocks",
     )
 
     def __init__(
@@ -79,6 +90,7 @@
         arrival,
         repeatable=True,
         resume=None,
+        weight=1.0,
     ):
         self.request_id = request_id
         self.service = service
@@ -91,6 +103,20 @@
         self.arrival = arrival
         self.repeatable = repeatable
         self.resume = resume
+        self.weight = weight
+        self.abandoned = False
+        self.prompt_tokens = len(prompt.split())
+        self._blocks: list[str] | None = None
+
+    def blocks(self) -> list[str]:
+        """The first blocks of the prompt, as prefix caches name them."""
+        if self._blocks is None:
+            self._blocks = prefix_blocks(self.prompt.split(), ROUTED_BLOCKS)
+        return self._blocks
+
+    def kind(self) -> tuple[str, int]:
+        """What output lengths are learnt by."""
+        return self.service, self.priority
 
     def fingerprint(self) -> str:
         """Identifies the request's body, so a key reused for another body is noticed."""
--- a/src/guavacleat/streams/relay.py
+++ b/src/guavacleat/streams/relay.py
@@ -21,7 +21,12 @@
 from twisted.internet.error import ConnectError
 
 from guavacleat.errors import NotRunError
-from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartReply, StartRequest, UnknownStream
+from guavacleat.protocol.gen.sidecar.ttypes import (
+    NotRun,
+    StartReply,
+    StartRequest,
+    UnknownStream,
+)
 from guavacleat.streams.messages import (
     CompletionRequest,
     ResumePoint,
@@ -43,6 +48,8 @@
 PULL_WAIT_MS = 1000
 PULL_TIMEOUT_MARGIN = 2.0
 START_ATTEMPTS = 3
+UNREACHABLE_SECONDS = 1.0
+FINISHED = "stop"
 START_TIMEOUT = PULL_WAIT_MS / 1000 + PULL_TIMEOUT_MARGIN
 MAX_RESUMES = 3
 CALLER_LEFT = "caller_left"
@@ -64,25 +71,28 @@
 
     :param clock: the reactor's time.
     :param membership: a ``MembershipView``.
-    :param router: a ``Router``.
+    :param dispatcher: a ``Dispatcher``.
     :param pool: a ``SidecarPool``.
     :param metrics: a ``StreamMetrics``.
     """
 
-    def __init__(self, clock, membership, router, pool, metrics):
+    def __init__(self, clock, membership, dispatcher, pool, metrics):
         self.clock = clock
         self.membership = membership
-        self.router = router
+        self.dispatcher = dispatcher
+        self.router = dispatcher.router
         self.pool = pool
         self.metrics = metrics
         self.resumes = 0
 
     @defer.inlineCallbacks
-    def run(self, request: CompletionRequest, limits, sink):
+    def run(self, request: CompletionRequest, limits, sink, before_start=None):
         """Deliver every token to ``sink.token(index, text)``, then ``sink.end(reason)``.
 
         Fires with the :class:`StreamProgress` of the finished stream. A repeatable stream whose
         caller has gone (``sink.gone``) is no longer pulled and finishes as ``CALLER_LEFT``.
+        ``before_start()`` is called, and its Deferred waited for, once an endpoint has been
+        found and before the first start is sent.
 
         Raises NotRunError if no endpoint can have started the generation, StreamBrokenError if
         it broke and no endpoint could resume it, StreamMixupError if a batch did not fit.
@@ -94,11 +104,12 @@
         for _ in range(MAX_RESUMES + 1):
             try:
                 if serving is None:
-                    serving = yield self._start(request, limits, tried, progress)
+                    serving = yield self._start(request, limits, tried, progress, before_start)
             except NotRunError:
                 if failure is None:
                     raise
                 break
+            before_start = None
             self.resumes += failure is not None
             sink.serving(serving.handle())
             try:
@@ -109,12 +120,16 @@
                 tried.add(serving.endpoint.name)
                 _cancel_quietly(serving)
             finally:
-                self.router.end(serving.endpoint.name)
+                self._release(serving.endpoint, request, progress)
                 serving = None
             if not request.repeatable:
                 break
         raise failure
 
+    def _release(self, endpoint, request: CompletionRequest, progress: StreamProgress) -> None:
+        finished = progress.finish_reason == FINISHED
+        self.dispatcher.release(endpoint.name, request, len(progress.sent), finished)
+
     @defer.inlineCallbacks
     def _reattach(self, request: CompletionRequest, progress: StreamProgress):
         """Go on reading a reconnecting caller's stream where it runs, if it still does.
@@ -140,45 +155,67 @@
         return _Serving(record, client, StartReply(point.stream_id, point.generation))
 
     @defer.inlineCallbacks
-    def _start(self, request: CompletionRequest, limits, tried: set[str], progress: StreamProgress):
+    def _start(self, request, limits, tried: set[str], progress, before_start):
         """Fire with a :class:`_Serving`, its endpoint counted in flight."""
+        deadline = self.clock.seconds() + limits.max_wait
+        front = bool(progress.sent)
         unknown = None
-        for _ in range(START_ATTEMPTS):
-            candidates = self.membership.live(request.service)
-            endpoint = self.router.choose(
-                candidates, request.prompt, limits.in_flight_per_endpoint, tried
-            )
-            if endpoint is None:
+        while len(tried) < START_ATTEMPTS + MAX_RESUMES:
+            try:
+                endpoint = yield self.dispatcher.acquire(request, limits, tried, front, deadline)
+            except NotRunError:
+                # An earlier start may have arrived, so "not run" would not be true.
+                if unknown is None:
+                    raise
                 break
-            tried.add(endpoint.name)
-            self.router.begin(endpoint.name)
+            front = True
+            serving = None
             try:
-                client = yield self.pool.client(endpoint.address)
-                reply = yield self._call(client.start, _start_request(request, progress.sent))
-                return _Serving(endpoint, client, reply)
-            except (NotRun, ConnectError):
-                # Refused before the engine read it (draining, engine down, no connection):
-                # it did not run there, so another endpoint may take it.
-                self.router.end(endpoint.name)
-            except Exception as exc:  # noqa: BLE001 - the start was sent and its answer lost
-                self.router.end(endpoint.name)
-                if not isinstance(exc, TApplicationException):
-                    self.pool.discard(endpoint.address)
-                sent, detail = len(progress.sent), exc.__class__.__name__
-                unknown = StreamBrokenError(endpoint.name, sent, detail, request.repeatable)
-                # The endpoint may be running it. Starting it elsewhere would run a
-                # non-repeatable call twice; a repeatable one is safe, since nobody reads the
-                # first generation and its sidecar cancels streams left unread.
+                if before_start is not None:
+                    yield before_start()
+                    before_start = None
+                serving = yield self._start_on(endpoint, request, progress, tried)
+            except StreamBrokenError as broken:
+                unknown = broken
                 if not request.repeatable:
-                    raise unknown from exc
-        if unknown is not None:
-            raise unknown
-        raise NotRunError(
-            f"no endpoint of service {request.service} could start the request"
-            f" (tried {len(tried)}).",
-            f"retry after {limits.retry_after} s.",
-            retry_after=limits.retry_after,
-        )
+                    break
+            finally:
+                if serving is None:
+                    self._release(endpoint, request, progress)
+            if serving is not None:
+                return serving
+        raise unknown or self.dispatcher.refusal(request, limits)
+
+    @defer.inlineCallbacks
+    def _start_on(self, endpoint, request, progress: StreamProgress, tried: set[str]):
+        """Fire with a :class:`_Serving`, or None if ``endpoint`` refused without running it.
+
+        Raises StreamBrokenError if the answer was lost: the endpoint may be running it. Starting
+        it elsewhere would run a non-repeatable call twice; a repeatable one is safe, since nobody
+        reads the first generation and its sidecar cancels streams left unread.
+        """
+        try:
+            client = yield self.pool.client(endpoint.address)
+            reply = yield self._call(client.start, _start_request(request, progress.sent))
+        except NotRun as refused:
+            self.router.avoid(endpoint.name, refused.retry_after_ms / 1000)
+            if not refused.full:
+                tried.add(endpoint.name)
+            return None
+        except ConnectError:
+            self.router.avoid(endpoint.name, UNREACHABLE_SECONDS)
+            tried.add(endpoint.name)
+            return None
+        except Exception as exc:  # noqa: BLE001 - the start was sent and its answer lost
+            if not isinstance(exc, TApplicationException):
+                self.pool.discard(endpoint.address)
+            tried.add(endpoint.name)
+            raise StreamBrokenError(
+                endpoint.name, len(progress.sent), exc.__class__.__name__, request.repeatable
+            ) from exc
+        if reply.occupancy is not None:
+            self.router.observe(endpoint.name, reply.occupancy, request)
+        return _Serving(endpoint, client, reply)
 
     @defer.inlineCallbacks
     def _pull_all(self, request, serving, sink, progress: StreamProgress):
@@ -190,6 +227,8 @@
                 raise StreamMixupError(
                     f"{expected}@{cursor}", f"{batch.generation}@{batch.first_index}"
                 )
+            if batch.occupancy is not None:
+                self.router.observe(serving.endpoint.name, batch.occupancy)
             for text in batch.tokens:
                 self._send(request, sink, progress, text)
             if batch.finished:
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -18,13 +18,13 @@
     admission = Admission()
     bound = NILE.limits.queue_per_account
     for _ in range(bound):
-        admission.enter(NILE, "carrier-04")
+        admission.enter(NILE.limits, "carrier-04")
     with pytest.raises(NotRunError) as caught:
-        admission.enter(NILE, "carrier-04")
+        admission.enter(NILE.limits, "carrier-04")
     assert caught.value.retry_after == NILE.limits.retry_after
-    admission.enter(NILE, "carrier-05")
+    admission.enter(NILE.limits, "carrier-05")
     admission.leave("carrier-04")
-    admission.enter(NILE, "carrier-04")
+    admission.enter(NILE.limits, "carrier-04")
 
 
 BAD_REQUESTS = [
--- a/tests/streams/test_relay.py
+++ b/tests/streams/test_relay.py
@@ -3,12 +3,13 @@
 import pytest
 from twisted.internet import defer
 
+from guavacleat.admission import Dispatcher
 from guavacleat.config.model import Limits
 from guavacleat.errors import NotRunError
 from guavacleat.membership import MembershipView
 from guavacleat.metrics import StreamMetrics
 from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartReply, TokenBatch, UnknownStream
-from guavacleat.routing import Router
+from guavacleat.routing import get_router_by_name
 from guavacleat.streams import CompletionRequest, Relay, StreamMixupError
 from guavacleat.streams.messages import ResumePoint, StreamBrokenError
 from guavacleat.streams.relay import START_TIMEOUT
@@ -83,7 +84,8 @@
             }
         )
     pool = FakePool({sidecar.name: sidecar for sidecar in sidecars})
-    return Relay(clock, view, Router(), pool, StreamMetrics())
+    dispatcher = Dispatcher(clock, view, get_router_by_name("least-loaded", clock))
+    return Relay(clock, view, dispatcher, pool, StreamMetrics())
 
 
 def request(clock, repeatable=True, resume=None):
--- a/tests/streams/test_relay_machine.py
+++ b/tests/streams/test_relay_machine.py
@@ -13,13 +13,14 @@
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
+from guavacleat.admission import Dispatcher
 from guavacleat.checks import check_stream
 from guavacleat.config.model import Limits
 from guavacleat.membership import MembershipView
 from guavacleat.membership.lease import HEARTBEAT_SECONDS
 from guavacleat.metrics import StreamMetrics
 from guavacleat.protocol.gen.sidecar.ttypes import StartReply, TokenBatch
-from guavacleat.routing import Router
+from guavacleat.routing import get_router_by_name
 from guavacleat.streams import CompletionRequest, Relay
 from guavacleat.streams.relay import MAX_RESUMES, PULL_TIMEOUT_MARGIN, PULL_WAIT_MS
 
@@ -69,7 +70,8 @@
         for name in ("a", "b"):
             self._join(name)
         pool = _Pool(self.endpoints_by_name)
-        relay = Relay(self.clock, self.view, Router(), pool, StreamMetrics())
+        dispatcher = Dispatcher(self.clock, self.view, get_router_by_name("cache-load", self.clock))
+        relay = Relay(self.clock, self.view, dispatcher, pool, StreamMetrics())
         request = CompletionRequest("r", "svc", "acc", "standard", 5, "p", LENGTH, None, 0.0)
         relay.run(request, LIMITS, self).addBoth(self._finished)
 
--- a/thrift/sidecar.thrift
+++ b/thrift/sidecar.thrift
@@ -16,9 +16,21 @@
   7: optional list<string> resume_tokens,
 }
 
+// What is running on an endpoint, as its sidecar counts it from every gateway's streams.
+// ``peak`` is the most key-value memory those streams are expected to hold together at any later
+// moment; ``held`` is what they hold now. Memory in tokens.
+struct Occupancy {
+  1: required i32 open_streams,
+  2: required i32 slots,
+  3: required i64 held,
+  4: required i64 peak,
+  5: required i64 capacity,
+}
+
 struct StartReply {
   1: required string stream_id,
   2: required string generation,
+  3: optional Occupancy occupancy,
 }
 
 struct TokenBatch {
@@ -28,6 +40,20 @@
   4: required bool finished,
   5: required string finish_reason,
   6: required i32 preemptions,
+  7: optional Occupancy occupancy,
+}
+
+// One event of the engine's prefix cache; events are numbered, come late, and some are missing.
+struct CacheEvent {
+  1: required i64 number,
+  2: required bool stored,
+  3: required string block,
+}
+
+// What a gateway needs for routing from an endpoint it has no streams on.
+struct Digest {
+  1: required Occupancy occupancy,
+  2: required list<CacheEvent> events,
 }
 
 struct LoadReport {
@@ -43,6 +69,8 @@
 exception NotRun {
   1: required string reason,
   2: required i32 retry_after_ms,
+  // The endpoint has no room now; it may have some shortly.
+  3: optional bool full,
 }
 
 // An order to the engine: load a model, adapter or version, or change role. ``fencing`` is the
@@ -69,5 +97,7 @@
       throws (1: UnknownStream unknown),
   void cancel(1: string stream_id),
   LoadReport load(),
+  // Cache events numbered above ``since``, and the occupancy.
+  Digest digest(1: i64 since),
   void order(1: Order order) throws (1: StaleOrder stale, 2: NotRun not_run),
 }
