--- a/src/guavacleat/admission/dispatcher.py
+++ b/src/guavacleat/admission/dispatcher.py
@@ -22,6 +22,8 @@
 # prompt tokens in a millisecond and emits a token of each of some 20 streams every 7 (the users'
 # engines), so about 0.2 of the time.
 PROMPT_TOKEN_COST = 0.2
+# An output expected to be at most this many tokens counts as short.
+SHORT_OUTPUT = 64
 RATE_WINDOW = 32
 RATE_MIN = 8
 
@@ -100,20 +102,38 @@
         queue = self._queue(service)
         entry = queue.head()
         while entry is not None:
-            candidates = self._candidates(entry)
-            if not candidates or entry.request.abandoned:
-                queue.remove(entry)
-                self._refuse(entry, self.refusal(entry.request, entry.limits))
-            else:
-                endpoint = self.router.choose(
-                    candidates, entry.request, entry.limits.in_flight_per_endpoint, entry.tried
-                )
-                if endpoint is None:
-                    return
-                queue.remove(entry)
-                self._dispatch(entry, queue, endpoint)
+            if not self._place(entry, queue):
+                self._fill_gaps(queue)
+                return
             entry = queue.head()
 
+    def _fill_gaps(self, queue) -> None:
+        """Let short requests go before a head that no endpoint has room for yet.
+
+        A long prompt waits for room that a short one does not need, and a short output gives
+        its room back before it delays the head by much. What it uses is charged to its account
+        like everything else, so nobody gains a share by sending short requests.
+        """
+        for entry in queue.others():
+            if self._expected_output(entry.request) <= SHORT_OUTPUT:
+                self._place(entry, queue)
+
+    def _place(self, entry: _Waiting, queue) -> bool:
+        """Dispatch or refuse ``entry``; False if it has to wait."""
+        candidates = self._candidates(entry)
+        if not candidates or entry.request.abandoned:
+            queue.remove(entry)
+            self._refuse(entry, self.refusal(entry.request, entry.limits))
+            return True
+        endpoint = self.router.choose(
+            candidates, entry.request, entry.limits.in_flight_per_endpoint, entry.tried
+        )
+        if endpoint is None:
+            return False
+        queue.remove(entry)
+        self._dispatch(entry, queue, endpoint)
+        return True
+
     def pump_all(self) -> None:
         """Look again at every queue (after membership or occupancy changed)."""
         for service, queue in self.queues_by_service.items():
@@ -146,13 +166,13 @@
 
     def _expected_wait(self, request, queue) -> float:
         """Seconds until the account's next request would be dispatched, at the recent rate."""
-        held = self.waiting.held_by_account.get(request.account, 0)
+        ahead = queue.ahead(request)
         dispatched_at = self.dispatched_at_by_service[request.service]
-        if not held or len(dispatched_at) < RATE_MIN:
+        if not ahead or len(dispatched_at) < RATE_MIN:
             return 0.0
         span = max(self.clock.seconds() - dispatched_at[0], 1e-3)
         rate = len(dispatched_at) / span * queue.share(request.account)
-        return (held + 1) / rate
+        return (ahead + 1) / rate
 
     def _dispatch(self, entry: _Waiting, queue, endpoint) -> None:
         request = entry.request
--- a/src/guavacleat/admission/queues.py
+++ b/src/guavacleat/admission/queues.py
@@ -38,6 +38,14 @@
         """The entry to dispatch next, or None."""
         return self.entries[0] if self.entries else None
 
+    def others(self):
+        """Entries that may go before a head that has no room: none, in order of arrival."""
+        return ()
+
+    def ahead(self, request) -> int:
+        """How many waiting requests of the same account go before ``request``."""
+        return sum(entry.request.account == request.account for entry in self.entries)
+
     def remove(self, entry) -> None:
         self.entries.remove(entry)
 
@@ -96,6 +104,16 @@
         urgency = self.heaps_by_account[account][0][0]
         return self.time_by_account[account] - PRIORITY_LEAD / (1 + urgency)
 
+    def others(self):
+        """The next entry of each account, in order; the head's own comes first."""
+        accounts = sorted(self.heaps_by_account, key=self._start_time)
+        return [self.heaps_by_account[account][0][2] for account in accounts]
+
+    def ahead(self, request) -> int:
+        """How many waiting requests of the same account go before ``request``."""
+        heap = self.heaps_by_account.get(request.account, ())
+        return sum(priority <= request.priority for priority, _, _ in heap)
+
     def remove(self, entry) -> None:
         """Take an entry out: it is dispatched, or given up."""
         if entry in self.front:
--- a/src/guavacleat/cmdline.py
+++ b/src/guavacleat/cmdline.py
@@ -14,8 +14,12 @@
 COMMANDS_BY_NAME = {
     "gateway": ("guavacleat.commands.gateway", "entry daemon behind the platform's balancer"),
     "sidecar": ("guavacleat.commands.sidecar", "the process beside one endpoint"),
-    "ctl": ("guavacleat.commands.ctl", "operators: `ctl apply FILE`, `ctl status`"),
+    "ctl": (
+        "guavacleat.commands.ctl",
+        "operators: `ctl apply FILE`, `ctl status`, `ctl order ...`",
+    ),
     "standin": ("guavacleat.commands.standin", "stand-ins: `standin engine`, `standin store`"),
+    "load": ("guavacleat.commands.load", "drive the stand-ins with traffic and compare policies"),
     "demo": ("guavacleat.commands.demo", "the main job on embedded defaults, on loopback"),
 }
 
--- /dev/null
+++ b/src/guavacleat/commands/load.py
@@ -0,0 +1,87 @@
+"""``guavacleat load``: drive the stand-ins with a deployment's kind of traffic and report.
+
+Every policy plays the same seeded requests on a virtual clock, so a run is exact and repeatable
+and takes no real waiting. Prints a table per policy and class (per account with --accounts), the
+ratios to the best baseline, and saves the figures and plots with --out.
+"""
+
+import sys
+from pathlib import Path
+
+from absl import flags
+from tqdm import tqdm
+
+from guavacleat.load.experiment import POLICIES_BY_NAME, run_policy
+from guavacleat.load.plots import save_plots
+from guavacleat.load.report import Report, dump, make_report, table
+from guavacleat.load.workloads import WORKLOADS_BY_NAME, arrivals
+
+FLAGS = flags.FLAGS
+flags.DEFINE_enum("workload", "nile", sorted(WORKLOADS_BY_NAME), "Whose traffic to play.")
+flags.DEFINE_list("policies", ["guavacleat", "least-loaded", "round-robin"], "Policies to play.")
+flags.DEFINE_float("seconds", 60.0, "Length of the traffic, in virtual seconds.", lower_bound=1.0)
+flags.DEFINE_float("load", 1.5, "Factor on all request rates.", lower_bound=0.01)
+flags.DEFINE_integer("seed", 1, "Seed of the traffic.")
+flags.DEFINE_integer("gateways", 3, "Gateways the callers are spread over.", lower_bound=1)
+flags.DEFINE_float("max_wait", 10.0, "Seconds a request may wait before it is refused.")
+flags.DEFINE_bool("accounts", False, "Print a row per client account as well.")
+flags.DEFINE_string("out", None, "Folder to save the figures (JSON) and plots (PNG) to.")
+
+OWN = "guavacleat"
+
+
+def main(argv):
+    if len(argv) > 1:
+        sys.exit(f"guavacleat load: unknown argument {argv[1]!r}. Remedy: see --help.")
+    unknown = set(FLAGS.policies) - set(POLICIES_BY_NAME)
+    if unknown:
+        names = ", ".join(POLICIES_BY_NAME)
+        sys.exit(f"--policies names unknown {sorted(unknown)}. Remedy: use some of {names}.")
+    workload = WORKLOADS_BY_NAME[FLAGS.workload]
+    requests = arrivals(workload, FLAGS.seconds, FLAGS.seed, FLAGS.load)
+    reports = [_play(name, workload, requests) for name in FLAGS.policies]
+    print("\n".join(table(reports, FLAGS.accounts)))
+    print("\n".join(_ratios(reports)))
+    if FLAGS.out:
+        _save(reports)
+
+
+def _play(name: str, workload, requests) -> Report:
+    with tqdm(total=round(FLAGS.seconds), desc=name, unit="s", leave=False) as bar:
+        run = run_policy(
+            POLICIES_BY_NAME[name],
+            workload,
+            requests,
+            FLAGS.seconds,
+            FLAGS.gateways,
+            max_wait=FLAGS.max_wait,
+            on_progress=lambda now: bar.update(min(int(now), bar.total) - bar.n),
+        )
+    return make_report(run)
+
+
+def _ratios(reports: list[Report]) -> list[str]:
+    """Our figures over the best baseline's, where both were played."""
+    own = [report for report in reports if report.policy == OWN]
+    others = [report.total() for report in reports if report.policy != OWN]
+    if not own or not others:
+        return []
+    total = own[0].total()
+    measures = ("stall_time", "waits", "stalls", "preemptions", "goodput")
+    lines = []
+    for measure in measures:
+        values = [getattr(row, measure) for row in others]
+        best = max(values) if measure == "goodput" else min(values)
+        ratio = f"{getattr(total, measure) / best:.2f}" if best else "no baseline value"
+        lines.append(f"{measure} over the best baseline's: {ratio}")
+    shares = ", ".join(f"{report.policy} {report.least_share():.2f}" for report in reports)
+    return [*lines, f"least share of any account: {shares}"]
+
+
+def _save(reports: list[Report]) -> None:
+    folder = Path(FLAGS.out)
+    folder.mkdir(parents=True, exist_ok=True)
+    stem = f"{FLAGS.workload}-load{FLAGS.load:g}-seed{FLAGS.seed}"
+    dump(reports, str(folder / f"{stem}.json"))
+    save_plots(reports, str(folder / f"{stem}.png"), f"{stem}, {FLAGS.seconds:g} s")
+    print(f"saved {folder / stem}.json and .png")
--- a/src/guavacleat/lengths.py
+++ b/src/guavacleat/lengths.py
@@ -1,31 +1,33 @@
 """Estimates of how much longer a generation will run, learnt from the ones that finished.
 
 Output lengths are unknown ahead and heavy-tailed: the longer a generation has run, the longer it
-will probably still run. The estimate is therefore the mean of what past generations of the same
-kind had left at the length this one has reached.
+will probably still run. The estimate is therefore a quantile of what past generations of the
+same kind had left at the length this one has reached.
 """
 
 import bisect
-import itertools
 from collections import deque
 
-__all__ = ["LengthEstimator"]
+__all__ = ["HEADROOM", "LengthEstimator"]
 
 KEPT = 512
 REFRESH_EVERY = 16
 ENOUGH = 8
 FIRST_GUESS = 128
+# Share of an engine's memory kept free for outputs longer than expected.
+HEADROOM = 0.0
+# The estimate is this quantile of what generations had left.
+QUANTILE = 0.5
 
 
 class _Lengths:
-    """Finished lengths of one kind, sorted, with the sums from each rank on."""
+    """Finished lengths of one kind: the latest, and those in order of length."""
 
-    __slots__ = ("recent", "ordered", "sums_from", "unseen")
+    __slots__ = ("recent", "ordered", "unseen")
 
     def __init__(self):
         self.recent: deque[int] = deque(maxlen=KEPT)
         self.ordered: list[int] = []
-        self.sums_from: list[int] = [0]
         self.unseen = 0
 
     def add(self, length: int) -> None:
@@ -34,7 +36,6 @@
         if self.unseen >= REFRESH_EVERY or len(self.recent) <= REFRESH_EVERY:
             self.unseen = 0
             self.ordered = sorted(self.recent)
-            self.sums_from = list(itertools.accumulate(reversed(self.ordered), initial=0))[::-1]
 
 
 class LengthEstimator:
@@ -61,5 +62,5 @@
         longer = len(lengths.ordered) - rank
         if longer < ENOUGH:
             return min(most, max(FIRST_GUESS, emitted))
-        mean = lengths.sums_from[rank] / longer - emitted
-        return min(most, max(1, int(mean)))
+        expected = lengths.ordered[rank + int(longer * QUANTILE)]
+        return min(most, expected - emitted)
--- /dev/null
+++ b/src/guavacleat/load/report.py
@@ -0,0 +1,224 @@
+"""What a run's callers saw, per client account and class, and against the baselines."""
+
+import itertools
+import json
+
+from guavacleat.admission.dispatcher import PROMPT_TOKEN_COST
+from guavacleat.load.experiment import Run
+from guavacleat.metrics import LatencyBook
+
+__all__ = ["Report", "Row", "STALL_GAP_SECONDS", "fair_shares", "make_report", "table"]
+
+# A caller hears a pause between tokens as silence from about three token times on.
+STALL_GAP_SECONDS = 0.1
+ALL = "all"
+
+
+class Row:
+    """Figures of one account and class (or ``all``); times in seconds.
+
+    :param waits: time to first token, summed over the answered requests.
+    :param stalls: time in gaps over ``STALL_GAP_SECONDS`` within answers, summed.
+    :param share: work done over the fair share of it (1 and more: got its due); accounts only.
+    """
+
+    __slots__ = (
+        "account",
+        "priority_class",
+        "requests",
+        "completed",
+        "not_run",
+        "failed",
+        "waits",
+        "stalls",
+        "preemptions",
+        "ttft",
+        "gap",
+        "goodput",
+        "share",
+    )
+
+    def __init__(self, account: str, priority_class: str):
+        self.account = account
+        self.priority_class = priority_class
+        self.requests = self.completed = self.not_run = self.failed = 0
+        self.waits = self.stalls = self.goodput = 0.0
+        self.preemptions = 0
+        self.ttft: dict[str, float] = {}
+        self.gap: dict[str, float] = {}
+        self.share: float | None = None
+
+    @property
+    def stall_time(self) -> float:
+        """All the time callers heard nothing: waits for first tokens and stalls after them."""
+        return self.waits + self.stalls
+
+    def to_json(self) -> dict:
+        return {slot: getattr(self, slot) for slot in self.__slots__}
+
+
+class Report:
+    """A policy's rows: one over everything, one per class, one per account, one per both."""
+
+    __slots__ = ("policy", "rows_by_key", "prompt_tokens_read")
+
+    def __init__(self, policy: str, rows_by_key: dict[tuple[str, str], Row], prompt_tokens_read):
+        self.policy = policy
+        self.rows_by_key = rows_by_key
+        self.prompt_tokens_read = prompt_tokens_read
+
+    def total(self) -> Row:
+        return self.rows_by_key[ALL, ALL]
+
+    def least_share(self) -> float:
+        """The worst-served account's work over its fair share."""
+        shares = (row.share for row in self.rows_by_key.values() if row.share is not None)
+        return min(shares, default=1.0)
+
+    def to_json(self) -> dict:
+        rows = [row.to_json() for _, row in sorted(self.rows_by_key.items())]
+        return {"policy": self.policy, "read": self.prompt_tokens_read, "rows": rows}
+
+
+def make_report(run: Run) -> Report:
+    """Add up what the callers of ``run`` saw."""
+    rows_by_key: dict[tuple[str, str], Row] = {}
+    book = LatencyBook()
+    for log in run.logs:
+        for key in _keys(log.arrival.account, log.arrival.kind.priority_class):
+            row = rows_by_key.setdefault(key, Row(*key))
+            _add(row, log, run.seconds)
+            _record(book, key, log)
+    for gateway, key in itertools.product(run.fleet.gateways, list(rows_by_key)):
+        if ALL not in key:
+            labels = {"account": key[0], "class": key[1]}
+            for wider in _keys(*key):
+                rows_by_key[wider].preemptions += gateway.metrics.preemption_count(labels)
+    _fill_percentiles(book, rows_by_key)
+    for account, share in _shares(run).items():
+        rows_by_key[account, ALL].share = share
+    return Report(run.policy.name, rows_by_key, run.fleet.prompt_tokens_read())
+
+
+def _keys(account: str, priority_class: str):
+    return itertools.product((account, ALL), (priority_class, ALL))
+
+
+def _add(row: Row, log, seconds: float) -> None:
+    row.requests += 1
+    row.completed += log.outcome == "completed"
+    row.not_run += log.outcome == "not_run"
+    row.failed += log.outcome in ("failed", "open")
+    if log.token_times:
+        row.waits += log.token_times[0] - log.arrival.at
+        row.stalls += sum(gap for gap in _gaps(log) if gap > STALL_GAP_SECONDS)
+    row.goodput += (len(log.token_times) if log.outcome == "completed" else 0) / seconds
+
+
+def _gaps(log):
+    return (after - before for before, after in itertools.pairwise(log.token_times))
+
+
+def _record(book: LatencyBook, key: tuple[str, str], log) -> None:
+    if log.token_times:
+        book.record("ttft", *key, log.token_times[0] - log.arrival.at)
+    for gap in _gaps(log):
+        book.record("gap", *key, gap)
+
+
+def _fill_percentiles(book: LatencyBook, rows_by_key) -> None:
+    for summary in book.summary():
+        row = rows_by_key[summary["account"], summary["class"]]
+        figures = {name: summary[name] for name in ("p50", "p95", "p99")}
+        setattr(row, summary["measure"], figures)
+
+
+def _shares(run: Run) -> dict[str, float]:
+    """Each account's work done over its fair share of all the work done."""
+    asked: dict[str, float] = {}
+    done: dict[str, float] = {}
+    for log in run.logs:
+        work = len(log.arrival.prompt.split()) * PROMPT_TOKEN_COST + log.arrival.length
+        account = log.arrival.account
+        asked[account] = asked.get(account, 0.0) + work
+        done[account] = done.get(account, 0.0) + work * (log.outcome == "completed")
+    fair = fair_shares(asked, run.workload.weights_by_account, sum(done.values()))
+    return {account: done[account] / fair[account] for account in asked}
+
+
+def fair_shares(asked: dict[str, float], weights: dict[str, float], total: float):
+    """Weighted max-min shares of ``total``: nobody gets more than it asked for, and what it
+    leaves over is shared by weight among the others."""
+    shares: dict[str, float] = {}
+    left, open_accounts = total, set(asked)
+    while open_accounts:
+        unit = left / sum(weights[account] for account in open_accounts)
+        content = {a for a in open_accounts if asked[a] <= unit * weights[a] * (1 + 1e-9)}
+        for account in content or open_accounts:
+            shares[account] = min(asked[account], unit * weights[account])
+            left -= shares[account]
+        open_accounts -= content or open_accounts
+    return shares
+
+
+COLUMNS = (
+    ("policy", 14, "{}"),
+    ("account", 9, "{}"),
+    ("class", 12, "{}"),
+    ("requests", 8, "{}"),
+    ("done", 6, "{}"),
+    ("not run", 7, "{}"),
+    ("failed", 6, "{}"),
+    ("stall s", 9, "{:.1f}"),
+    ("wait s", 9, "{:.1f}"),
+    ("mid s", 8, "{:.1f}"),
+    ("preempt", 7, "{}"),
+    ("ttft p50", 8, "{:.3f}"),
+    ("p95", 7, "{:.3f}"),
+    ("p99", 7, "{:.3f}"),
+    ("gap p50", 7, "{:.3f}"),
+    ("p95", 6, "{:.3f}"),
+    ("p99", 6, "{:.3f}"),
+    ("tok/s", 7, "{:.0f}"),
+    ("share", 5, "{}"),
+)
+
+
+def table(reports: list[Report], per_account: bool = False) -> list[str]:
+    """Lines of a table: all and per class of each policy, per account too if asked for."""
+    lines = ["  ".join(name.rjust(width) for name, width, _ in COLUMNS)]
+    for report in reports:
+        for (account, _), row in sorted(report.rows_by_key.items()):
+            if per_account or account == ALL:
+                lines.append(_line(report.policy, row))
+    return lines
+
+
+def _line(policy: str, row: Row) -> str:
+    percentiles = [
+        measure.get(name, 0.0) for measure in (row.ttft, row.gap) for name in ("p50", "p95", "p99")
+    ]
+    values = (
+        policy,
+        row.account,
+        row.priority_class,
+        row.requests,
+        row.completed,
+        row.not_run,
+        row.failed,
+        row.stall_time,
+        row.waits,
+        row.stalls,
+        row.preemptions,
+        *percentiles,
+        row.goodput,
+        "" if row.share is None else f"{row.share:.2f}",
+    )
+    cells = zip(values, COLUMNS, strict=True)
+    return "  ".join(form.format(value).rjust(width) for value, (_, width, form) in cells)
+
+
+def dump(reports: list[Report], path: str) -> None:
+    """Write the reports as JSON."""
+    with open(path, "w", encoding="utf-8") as file:
+        json.dump([report.to_json() for report in reports], file, indent=1)
--- a/src/guavacleat/metrics/book.py
+++ b/src/guavacleat/metrics/book.py
@@ -93,6 +93,13 @@
         if count:
             self.preemptions.add({"account": account, "class": priority_class}, count)
 
+    def preemption_count(self, labels: dict[str, str]) -> int:
+        """Preemptions counted so far for one account and class."""
+        try:
+            return int(self.preemptions.get(labels))
+        except KeyError:
+            return 0
+
     def exposition(self) -> tuple[bytes, dict]:
         """The Prometheus text body and its headers."""
         return render(self.registry, [])
--- a/src/guavacleat/protocol/gen/sidecar/ttypes.py
+++ b/src/guavacleat/protocol/gen/sidecar/ttypes.py
@@ -167,16 +167,20 @@
      - held
      - peak
      - capacity
+     - peak_in
+     - to_read
 
     """
 
 
-    def __init__(self, open_streams=None, slots=None, held=None, peak=None, capacity=None,):
+    def __init__(self, open_streams=None, slots=None, held=None, peak=None, capacity=None, peak_in=None, to_read=None,):
         self.open_streams = open_streams
         self.slots = slots
         self.held = held
         self.peak = peak
         self.capacity = capacity
+        self.peak_in = peak_in
+        self.to_read = to_read
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -212,6 +216,16 @@
                     self.capacity = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.peak_in = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.to_read = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -242,6 +256,14 @@
             oprot.writeFieldBegin('capacity', TType.I64, 5)
             oprot.writeI64(self.capacity)
             oprot.writeFieldEnd()
+        if self.peak_in is not None:
+            oprot.writeFieldBegin('peak_in', TType.I32, 6)
+            oprot.writeI32(self.peak_in)
+            oprot.writeFieldEnd()
+        if self.to_read is not None:
+            oprot.writeFieldBegin('to_read', TType.I64, 7)
+            oprot.writeI64(self.to_read)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1159,6 +1181,8 @@
     (3, TType.I64, 'held', None, None, ),  # 3
     (4, TType.I64, 'peak', None, None, ),  # 4
     (5, TType.I64, 'capacity', None, None, ),  # 5
+    (6, TType.I32, 'peak_in', None, None, ),  # 6
+    (7, TType.I64, 'to_read', None, None, ),  # 7
 )
 all_structs.append(StartReply)
 StartReply.thrift_spec = (
--- a/src/guavacleat/routing/poll.py
+++ b/src/guavacleat/routing/poll.py
@@ -8,7 +8,7 @@
 
 __all__ = ["DigestPoll", "POLL_SECONDS", "POLLS_AT_ONCE"]
 
-POLL_SECONDS = 0.25
+POLL_SECONDS = 0.5
 # Endpoints asked in one round; with more of them each is asked less often, so that a gateway's
 # control traffic does not grow with the fleet.
 POLLS_AT_ONCE = 8
@@ -59,5 +59,6 @@
             asking = client.digest(self.last_event_by_name.get(record.name, 0))
             digest = yield asking.addTimeout(DIGEST_TIMEOUT, self.clock)
             self.router.observe(record.name, digest.occupancy)
-            last = self.router.observe_cache(record.name, digest.events)
-            self.last_event_by_name[record.name] = last
+            self.router.observe_cache(record.name, digest.events)
+            if digest.events:
+                self.last_event_by_name[record.name] = digest.events[-1].number
--- a/src/guavacleat/routing/router.py
+++ b/src/guavacleat/routing/router.py
@@ -10,7 +10,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from guavacleat.lengths import LengthEstimator
+from guavacleat.lengths import HEADROOM, LengthEstimator
 from guavacleat.membership.records import EndpointRecord
 from guavacleat.routing.cache_map import CacheMap
 from guavacleat.routing.prefix import BLOCK_TOKENS
@@ -24,13 +24,6 @@
     "get_router_by_name",
 ]
 
-# Weight of reading a whole prompt again against an engine full of expected memory (1.0).
-PREFILL_WEIGHT = 0.5
-# Weight of a request sent to an endpoint whose first token has not come: its prompt is still
-# being read, which delays every other first token there.
-STARTING_WEIGHT = 0.15
-HEADROOM = 0.1
-
 
 def _rendezvous(key: str, endpoint: str) -> int:
     digest = hashlib.blake2b(f"{key}|{endpoint}".encode(), digest_size=8).digest()
@@ -76,9 +69,8 @@
     def observe(self, name: str, occupancy, request=None) -> None:
         """Hear how full an endpoint is; ``request`` is given if it has now been started there."""
 
-    def observe_cache(self, name: str, events) -> int:
-        """Hear cache events of an endpoint; return the number of the last one heard."""
-        return 0
+    def observe_cache(self, name: str, events) -> None:
+        """Hear cache events of an endpoint."""
 
     def has_room(self, name: str, request) -> bool:
         """Whether ``request`` fits ``name``; the baselines leave that to the engine."""
@@ -114,11 +106,13 @@
 
 
 class CacheLoadRouter(Router):
-    """Expected memory, prompt blocks already cached, and prompts being read, weighed together.
+    """The endpoint with the least to read before the first token, of those with memory to spare.
 
-    Memory is the sidecar's last report plus what this gateway has sent since, so several
-    gateways see each other's streams without talking to each other. The report lags by one
-    reply; the sidecar's own check (:mod:`guavacleat.sidecar.occupancy`) is what holds.
+    What is to be read: the prompts there that have no token yet, and the request's own prompt
+    but for the blocks its engine has cached. Memory is the sidecar's last report plus what this
+    gateway has sent since, so several gateways see each other's streams without talking to each
+    other. The report lags by one reply; the sidecar's own check is what holds (see
+    :mod:`guavacleat.sidecar.occupancy`).
     """
 
     def __init__(self, clock: IReactorTime):
@@ -130,7 +124,7 @@
     def begin(self, name, request=None):
         super().begin(name, request)
         if request is not None:
-            self.starting_by_name.setdefault(name, {})[request.request_id] = self.need(request)
+            self.starting_by_name.setdefault(name, {})[request.request_id] = request.prompt_tokens
             self.cache.sent(name, request.blocks())
 
     def end(self, name, request=None):
@@ -143,16 +137,11 @@
 
     def observe_cache(self, name, events):
         self.cache.observe(name, events)
-        return self.cache.last_event_by_endpoint[name]
 
     def _started(self, name: str, request) -> None:
         if request is not None:
             self.starting_by_name.get(name, {}).pop(request.request_id, None)
 
-    def need(self, request) -> int:
-        """Memory ``request`` is expected to hold at its end."""
-        return request.prompt_tokens + self.lengths.remaining(request.kind(), 0, request.max_tokens)
-
     def has_room(self, name, request):
         occupancy = self.occupancy_by_name.get(name)
         if occupancy is None or not occupancy.capacity:
@@ -163,21 +152,22 @@
             return True
         if streams >= occupancy.slots:
             return False
-        expected = occupancy.peak + sum(starting.values()) + self.need(request)
+        # By the time memory peaks, the request has grown by its output or up to that time.
+        output = self.lengths.remaining(request.kind(), 0, request.max_tokens)
+        growth = min(output, occupancy.peak_in or 0)
+        expected = occupancy.peak + sum(starting.values()) + request.prompt_tokens + growth
         return expected <= occupancy.capacity * (1 - HEADROOM)
 
     def rank(self, name, request):
-        occupancy = self.occupancy_by_name.get(name)
-        starting = self.starting_by_name.get(name, {})
+        starting = sum(self.starting_by_name.get(name, {}).values())
+        cached = self.cache.cached_blocks(name, request.blocks()) * BLOCK_TOKENS
+        to_read = starting + request.prompt_tokens - cached
         memory = 0.0
+        occupancy = self.occupancy_by_name.get(name)
         if occupancy is not None and occupancy.capacity:
-            memory = (occupancy.peak + sum(starting.values())) / occupancy.capacity
-        cached = self.cache.cached_blocks(name, request.blocks()) * BLOCK_TOKENS
-        to_read = 1 - cached / max(1, request.prompt_tokens)
-        return (
-            memory + PREFILL_WEIGHT * to_read + STARTING_WEIGHT * len(starting),
-            self.in_flight_by_name.get(name, 0),
-        )
+            to_read += occupancy.to_read or 0
+            memory = occupancy.peak / occupancy.capacity
+        return to_read, memory, self.in_flight_by_name.get(name, 0)
 
 
 ROUTERS_BY_NAME = {
--- a/src/guavacleat/sidecar/occupancy.py
+++ b/src/guavacleat/sidecar/occupancy.py
@@ -10,25 +10,23 @@
 
 import itertools
 
-from guavacleat.lengths import LengthEstimator
+from guavacleat.lengths import HEADROOM, LengthEstimator
 from guavacleat.protocol.gen.sidecar.ttypes import Occupancy
 
-__all__ = ["EngineOccupancy", "HEADROOM", "RunningStream"]
-
-# Share of the engine's memory kept free for outputs longer than expected.
-HEADROOM = 0.1
+__all__ = ["EngineOccupancy", "RunningStream"]
 
 
 class RunningStream:
     """One stream's memory: ``held`` tokens now and ``kind`` to estimate its growth."""
 
-    __slots__ = ("kind", "prompt_tokens", "emitted", "max_tokens")
+    __slots__ = ("kind", "prompt_tokens", "emitted", "max_tokens", "reading")
 
     def __init__(self, kind: tuple, prompt_tokens: int, max_tokens: int, emitted: int = 0):
         self.kind = kind
         self.prompt_tokens = prompt_tokens
         self.max_tokens = max_tokens
         self.emitted = emitted
+        self.reading = True
 
     @property
     def held(self) -> int:
@@ -44,7 +42,7 @@
         self.streams_by_id: dict[str, RunningStream] = {}
         self.capacity = 0
         self.slots = 0
-        self._peak: int | None = 0
+        self._peak: tuple[int, int] | None = (0, 0)
 
     def resize(self, capacity: int, slots: int) -> None:
         """Take in the engine's sizes from its load report."""
@@ -57,7 +55,7 @@
             return True
         if len(self.streams_by_id) >= self.slots:
             return False
-        peak = self._peak_of([*self.streams_by_id.values(), stream])
+        peak, _ = self._peak_of([*self.streams_by_id.values(), stream])
         return peak <= self.capacity * (1 - self.headroom)
 
     def add(self, stream_id: str, stream: RunningStream) -> None:
@@ -69,6 +67,7 @@
         stream = self.streams_by_id.get(stream_id)
         if stream is not None and total > stream.emitted:
             stream.emitted = total
+            stream.reading = False
             self._peak = None
 
     def remove(self, stream_id: str, finished: bool = False) -> None:
@@ -87,12 +86,14 @@
             open_streams=len(self.streams_by_id),
             slots=self.slots,
             held=sum(stream.held for stream in self.streams_by_id.values()),
-            peak=self._peak,
+            peak=self._peak[0],
             capacity=self.capacity,
+            peak_in=self._peak[1],
+            to_read=sum(s.held for s in self.streams_by_id.values() if s.reading),
         )
 
-    def _peak_of(self, streams) -> int:
-        """The most memory the streams are expected to hold together from now on.
+    def _peak_of(self, streams) -> tuple[int, int]:
+        """The most memory the streams are expected to hold together, and in how many steps.
 
         All streams grow a token a step. When the stream with the least left ends, the others
         have each grown by that much; memory is highest at one of those ends.
@@ -104,8 +105,8 @@
         running = range(len(ends), 0, -1)
         return max(
             (
-                held_from[count] + count * remaining
+                (held_from[count] + count * remaining, remaining)
                 for count, (remaining, _) in zip(running, ends, strict=True)
             ),
-            default=0,
+            default=(0, 0),
         )
--- a/src/guavacleat/standin/engine.py
+++ b/src/guavacleat/standin/engine.py
@@ -17,6 +17,7 @@
 an order below the highest seen is refused, with ``fencing="ignore"`` it is applied anyway.
 """
 
+import bisect
 import hashlib
 import itertools
 import random
@@ -31,6 +32,7 @@
 WORDS = ("the", "caller", "listing", "number", "garage", "slot", "summary", "check", "route", "ok")
 PARETO_SHAPE = 1.2
 MIN_OUTPUT = 4
+MAX_EVENTS = 4096
 
 
 class EngineSettings:
@@ -90,6 +92,7 @@
 
     __slots__ = (
         "stream_id",
+        "request_id",
         "generation",
         "priority",
         "prompt_tokens",
@@ -106,9 +109,18 @@
     )
 
     def __init__(
-        self, stream_id, generation, priority, prompt_tokens, target_length, arrival, blocks
+        self,
+        stream_id,
+        request_id,
+        generation,
+        priority,
+        prompt_tokens,
+        target_length,
+        arrival,
+        blocks,
     ):
         self.stream_id = stream_id
+        self.request_id = request_id
         self.generation = generation
         self.priority = priority
         self.prompt_tokens = prompt_tokens
@@ -156,6 +168,7 @@
         stream_id = f"{self.settings.name}-{next(self._ids)}"
         sequence = Sequence(
             stream_id,
+            request_id,
             generation=f"{self.settings.name}/{request_id}/{stream_id}",
             priority=priority,
             prompt_tokens=max(1, len(prompt.split())),
@@ -306,13 +319,15 @@
         number = next(self._event_numbers)
         if number % self.settings.event_gap_every:
             self.events.append((self.clock.seconds(), number, kind, block))
+            if len(self.events) > 2 * MAX_EVENTS:
+                del self.events[:MAX_EVENTS]
 
     def cache_events(self, since: int) -> list[tuple[int, str, str]]:
         """Events numbered above ``since`` that are at least ``event_lag`` old; some are missing."""
         cutoff = self.clock.seconds() - self.settings.event_lag
-        return [
-            (n, kind, block) for at, n, kind, block in self.events if n > since and at <= cutoff
-        ]
+        first = bisect.bisect_right(self.events, since, key=lambda event: event[1])
+        late_enough = itertools.takewhile(lambda event: event[0] <= cutoff, self.events[first:])
+        return [(n, kind, block) for _, n, kind, block in late_enough]
 
     # Orders -----------------------------------------------------------------------------
     def order(self, kind: str, target: str, fencing: int) -> bool:
--- /dev/null
+++ b/tests/admission/test_dispatcher.py
@@ -0,0 +1,141 @@
+"""The dispatcher: late binding, refusals at once and true, with cases in a table."""
+
+import pytest
+
+from guavacleat.admission import Dispatcher
+from guavacleat.config.model import Limits
+from guavacleat.errors import NotRunError
+from guavacleat.membership import MembershipView
+from guavacleat.protocol.gen.sidecar.ttypes import Occupancy
+from guavacleat.routing import get_router_by_name
+from tests.conftest import endpoint_record, make_request, result_of
+
+LIMITS = Limits(queue_per_account=3, in_flight_per_endpoint=1, retry_after=1.5, max_wait=10.0)
+LIMITS_OPEN = Limits(queue_per_account=3, in_flight_per_endpoint=8, retry_after=1.5)
+
+
+@pytest.fixture
+def dispatcher(clock):
+    view = MembershipView(clock)
+    view.observe(endpoint_record("e1"))
+    return Dispatcher(clock, view, get_router_by_name("least-loaded", clock))
+
+
+def test_waiting_request_is_dispatched_when_room_comes(dispatcher):
+    first, second = make_request(), make_request()
+    assert result_of(dispatcher.acquire(first, LIMITS)).name == "e1"
+    waiting = dispatcher.acquire(second, LIMITS)
+    assert not waiting.called and dispatcher.depth() == {"svc": 1}
+    dispatcher.release("e1", first, tokens=10, finished=True)
+    assert result_of(waiting).name == "e1" and dispatcher.depth() == {"svc": 0}
+
+
+def test_wait_ends_in_a_refusal_when_its_time_is_up(dispatcher, clock):
+    """
+    Symptom: a caller on hold waits for an engine that never has room.
+    Sequence: the only endpoint stays full for longer than limits.max_wait.
+    Cause: without a bound the request would wait until its caller hangs up.
+    """
+    dispatcher.acquire(make_request(), LIMITS)
+    waiting = dispatcher.acquire(make_request(), LIMITS)
+    clock.advance(LIMITS.max_wait - 0.1)
+    assert not waiting.called
+    clock.advance(0.1)
+    with pytest.raises(NotRunError) as caught:
+        result_of(waiting)
+    assert caught.value.retry_after == LIMITS.retry_after
+
+
+def test_wait_that_would_be_too_long_is_refused_at_once(dispatcher, clock):
+    """
+    Symptom: a request is held for its whole patience and then refused.
+    Sequence: requests are dispatched one in 9 s; the account already has one waiting.
+    Cause: the refusal was certain when it came; the caller must hear it then, and when to
+    come back.
+    """
+    for _ in range(10):
+        running = make_request()
+        result_of(dispatcher.acquire(running, LIMITS))
+        clock.advance(9)
+        dispatcher.membership.observe(endpoint_record("e1"))
+        dispatcher.release("e1", running, tokens=5, finished=True)
+    dispatcher.acquire(make_request(), LIMITS)
+    waiting = dispatcher.acquire(make_request(), LIMITS)
+    assert not waiting.called
+    with pytest.raises(NotRunError) as caught:
+        result_of(dispatcher.acquire(make_request(), LIMITS))
+    assert caught.value.retry_after > LIMITS.retry_after
+
+
+def test_one_account_filling_its_queue_leaves_the_others_theirs(dispatcher):
+    """
+    Symptom: one client account's surge makes the gateway refuse every account.
+    Sequence: a has queue_per_account requests waiting and sends another; b sends its first.
+    Cause: one bound over all accounts would be used up by the busiest.
+    """
+    dispatcher.acquire(make_request(), LIMITS)
+    for _ in range(LIMITS.queue_per_account):
+        dispatcher.acquire(make_request(account="a"), LIMITS)
+    with pytest.raises(NotRunError):
+        result_of(dispatcher.acquire(make_request(account="a"), LIMITS))
+    assert not dispatcher.acquire(make_request(account="b"), LIMITS).called
+
+
+def test_last_endpoint_leaving_refuses_those_waiting(dispatcher, clock):
+    """
+    Symptom: requests wait for an endpoint that has left until their patience ends.
+    Sequence: a request waits for the only endpoint; it starts draining.
+    Cause: only room was waited for; nobody looked whether anybody was left.
+    """
+    dispatcher.acquire(make_request(), LIMITS)
+    waiting = dispatcher.acquire(make_request(), LIMITS)
+    dispatcher.membership.observe(endpoint_record("e1", draining=True))
+    dispatcher.pump_all()
+    with pytest.raises(NotRunError):
+        result_of(waiting)
+
+
+def test_abandoned_request_is_not_dispatched(dispatcher):
+    """
+    Symptom: engines work for callers who have hung up while they waited.
+    Sequence: a request waits; its caller leaves; room comes.
+    Cause: the queue did not know that the caller had gone.
+    """
+    running, left = make_request(), make_request()
+    dispatcher.acquire(running, LIMITS)
+    waiting = dispatcher.acquire(left, LIMITS)
+    left.abandoned = True
+    dispatcher.release("e1", running)
+    with pytest.raises(NotRunError):
+        result_of(waiting)
+    assert dispatcher.router.in_flight_by_name["e1"] == 0
+
+
+def test_resumed_stream_goes_before_those_waiting(dispatcher):
+    """
+    Symptom: an answer half read out stops for as long as new requests have to wait.
+    Sequence: one request waits; a stream whose endpoint failed needs another.
+    Cause: the stream queued behind requests whose callers have heard nothing yet.
+    """
+    running, new, broken = make_request(), make_request(), make_request()
+    dispatcher.acquire(running, LIMITS)
+    waiting = dispatcher.acquire(new, LIMITS)
+    resuming = dispatcher.acquire(broken, LIMITS, front=True)
+    dispatcher.release("e1", running)
+    assert resuming.called and not waiting.called
+
+
+def test_short_request_fills_a_gap_the_head_cannot_use(clock):
+    """
+    Symptom: intent tags wait seconds behind a long prompt although engines have room for them.
+    Sequence: the engine has 500 tokens left; the head needs 1,000; a tag needs 60.
+    Cause: only the head of the queue was ever offered the room.
+    """
+    view = MembershipView(clock)
+    view.observe(endpoint_record("e1"))
+    dispatcher = Dispatcher(clock, view, get_router_by_name("cache-load", clock))
+    dispatcher.router.observe("e1", Occupancy(2, 24, 0, 9_500, 10_000))
+    tag = make_request(account="b", prompt="w " * 50, max_tokens=10)
+    head = dispatcher.acquire(make_request(account="a", prompt="w " * 1000), LIMITS_OPEN)
+    filling = dispatcher.acquire(tag, LIMITS_OPEN)
+    assert filling.called and not head.called
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,17 @@
 """Shared fixtures: a paused clock, a stand-in store and an in-memory HTTP client for it."""
 
+import itertools
+
 import pytest
 from treq.testing import StubTreq
 from twisted.internet.task import Clock
 
+from guavacleat.membership import EndpointRecord
 from guavacleat.standin.store import StoreApp, StoreState
 from guavacleat.store import StoreClient
+from guavacleat.streams import CompletionRequest
+
+REQUEST_NUMBERS = itertools.count(1)
 
 
 @pytest.fixture
@@ -38,3 +44,27 @@
     if hasattr(outcome[0], "raiseException"):
         outcome[0].raiseException()
     return outcome[0]
+
+
+def make_request(
+    account="a", weight=1.0, priority=5, prompt="w", max_tokens=100, service="svc", **changes
+):
+    """A request of ``account``, with an id of its own."""
+    return CompletionRequest(
+        f"r{next(REQUEST_NUMBERS)}",
+        service,
+        account,
+        "standard",
+        priority,
+        prompt,
+        max_tokens,
+        None,
+        0.0,
+        weight=weight,
+        **changes,
+    )
+
+
+def endpoint_record(name, service="svc", **changes):
+    """An endpoint's record as a gateway hears it."""
+    return {**EndpointRecord(name, service, "dc", name).to_json(), **changes}
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,107 @@
+"""Routing: what is to be read, what is cached, what is full; and the cache map's faults."""
+
+import pytest
+
+from guavacleat.membership import EndpointRecord
+from guavacleat.protocol.gen.sidecar.ttypes import CacheEvent, Occupancy
+from guavacleat.routing import get_router_by_name
+from guavacleat.routing.cache_map import TTL_SECONDS, CacheMap
+from guavacleat.routing.prefix import BLOCK_TOKENS, prefix_blocks
+from tests.conftest import make_request
+
+RECORDS = [EndpointRecord(name, "svc", "dc", name) for name in ("a", "b")]
+LIMIT = 8
+PROMPT = " ".join(f"w{n}" for n in range(BLOCK_TOKENS * 4))
+
+
+@pytest.fixture
+def router(clock):
+    return get_router_by_name("cache-load", clock)
+
+
+def occupancy(peak=0, open_streams=1, to_read=0, slots=4):
+    return Occupancy(open_streams, slots, 0, peak, 1000, 10, to_read)
+
+
+CHOICES = [
+    # (what is known of a, what is known of b, chosen)
+    (occupancy(to_read=500), occupancy(), "b"),
+    (occupancy(peak=800), occupancy(peak=100), "b"),
+    (occupancy(peak=990), occupancy(to_read=500), "b"),
+    (occupancy(open_streams=4), occupancy(to_read=500), "b"),
+    (occupancy(peak=990), occupancy(peak=990), None),
+    (occupancy(peak=0, open_streams=0), occupancy(peak=990), "a"),
+]
+
+
+@pytest.mark.parametrize("of_a,of_b,chosen", CHOICES)
+def test_choice_by_reading_memory_and_slots(router, of_a, of_b, chosen):
+    router.observe("a", of_a)
+    router.observe("b", of_b)
+    found = router.choose(RECORDS, make_request(prompt=PROMPT), LIMIT)
+    assert (found.name if found else None) == chosen
+
+
+def test_prefix_read_before_draws_the_request(router):
+    earlier = make_request(prompt=PROMPT)
+    router.begin("b", earlier)
+    router.end("b", earlier)
+    assert router.choose(RECORDS, make_request(prompt=PROMPT + " more"), LIMIT).name == "b"
+
+
+def test_endpoint_that_refused_is_left_alone_for_its_time(router, clock):
+    router.avoid("a", 0.05)
+    assert router.choose(RECORDS[:1], make_request(), LIMIT) is None
+    clock.advance(0.05)
+    assert router.choose(RECORDS[:1], make_request(), LIMIT).name == "a"
+
+
+def test_requests_sent_since_the_last_report_count(router):
+    """
+    Symptom: a burst of requests all goes to the engine that was emptiest a moment ago.
+    Sequence: b's report shows it busier; several requests come before the next report.
+    Cause: reports lag; what this gateway has sent meanwhile was not added.
+    """
+    router.observe("a", occupancy())
+    router.observe("b", occupancy(to_read=10))
+    chosen = []
+    for number in range(4):
+        request = make_request(prompt=f"{number} " * 20)
+        chosen.append(router.choose(RECORDS, request, LIMIT).name)
+        router.begin(chosen[-1], request)
+    assert set(chosen) == {"a", "b"}
+
+
+def event(number, block, stored=True):
+    return CacheEvent(number=number, stored=stored, block=block)
+
+
+CACHE_FAULTS = [
+    # (events heard, seconds later, leading blocks still believed cached)
+    ([event(1, 0), event(2, 1)], 0, 2),
+    ([event(1, 0), event(3, 2)], 0, 1),
+    ([event(1, 0), event(2, 1), event(3, 0, stored=False)], 0, 0),
+    ([event(1, 0), event(2, 1), event(4, 1, stored=False)], 0, 1),
+    ([event(1, 0), event(2, 1)], TTL_SECONDS, 0),
+]
+
+
+@pytest.mark.parametrize("events,later,believed", CACHE_FAULTS)
+def test_cache_map_under_late_and_missing_events(clock, events, later, believed):
+    """
+    Symptom: requests keep going to an engine that evicted their prefix long ago.
+    Sequence: events are missing (here 2, or an eviction), or nothing is heard for long.
+    Cause: a map that only believed events would keep a block whose eviction event was lost.
+    """
+    blocks = prefix_blocks(PROMPT.split())
+    cache = CacheMap(clock)
+    cache.observe("a", [event(e.number, blocks[e.block], e.stored) for e in events])
+    clock.advance(later)
+    assert cache.cached_blocks("a", blocks) == believed
+
+
+def test_blocks_are_shared_by_exactly_the_common_prefix():
+    tokens = PROMPT.split()
+    other = tokens[: 2 * BLOCK_TOKENS] + ["x"] + tokens[2 * BLOCK_TOKENS + 1 :]
+    mine, theirs = prefix_blocks(tokens), prefix_blocks(other)
+    assert mine[:2] == theirs[:2] and not set(mine[2:]) & set(theirs[2:])
--- a/thrift/sidecar.thrift
+++ b/thrift/sidecar.thrift
@@ -18,13 +18,16 @@
 
 // What is running on an endpoint, as its sidecar counts it from every gateway's streams.
 // ``peak`` is the most key-value memory those streams are expected to hold together at any later
-// moment; ``held`` is what they hold now. Memory in tokens.
+// moment, ``peak_in`` decode steps from now; ``held`` is what they hold now; ``to_read`` counts
+// the prompts of streams without a token yet. All in tokens.
 struct Occupancy {
   1: required i32 open_streams,
   2: required i32 slots,
   3: required i64 held,
   4: required i64 peak,
   5: required i64 capacity,
+  6: optional i32 peak_in,
+  7: optional i64 to_read,
 }
 
 struct StartReply {
