--- a/src/guavacleat/commands/load.py
+++ b/src/guavacleat/commands/load.py
@@ -15,6 +15,7 @@
 from guavacleat.load.plots import save_plots
 from guavacleat.load.report import Report, dump, make_report, table
 from guavacleat.load.workloads import WORKLOADS_BY_NAME, arrivals
+from guavacleat.sidecar.occupancy import HEADROOM
 
 FLAGS = flags.FLAGS
 flags.DEFINE_enum("workload", "nile", sorted(WORKLOADS_BY_NAME), "Whose traffic to play.")
@@ -24,6 +25,12 @@
 flags.DEFINE_integer("seed", 1, "Seed of the traffic.")
 flags.DEFINE_integer("gateways", 3, "Gateways the callers are spread over.", lower_bound=1)
 flags.DEFINE_float("max_wait", 10.0, "Seconds a request may wait before it is refused.")
+flags.DEFINE_float(
+    "keep_free",
+    HEADROOM,
+    "Share of engine memory guavacleat's sidecars keep free.",
+    lower_bound=0.0,
+)
 flags.DEFINE_bool("accounts", False, "Print a row per client account as well.")
 flags.DEFINE_string("out", None, "Folder to save the figures (JSON) and plots (PNG) to.")
 
@@ -42,14 +49,18 @@
     reports = [_play(name, workload, requests) for name in FLAGS.policies]
     print("\n".join(table(reports, FLAGS.accounts)))
     print("\n".join(_ratios(reports)))
+    broken = [violation for report in reports for violation in report.violations]
+    print(f"promises broken: {broken or 'none'}")
     if FLAGS.out:
         _save(reports)
 
 
 def _play(name: str, workload, requests) -> Report:
+    policy = POLICIES_BY_NAME[name]
+    policy.headroom = FLAGS.keep_free
     with tqdm(total=round(FLAGS.seconds), desc=name, unit="s", leave=False) as bar:
         run = run_policy(
-            POLICIES_BY_NAME[name],
+            policy,
             workload,
             requests,
             FLAGS.seconds,
--- a/src/guavacleat/commands/sidecar.py
+++ b/src/guavacleat/commands/sidecar.py
@@ -8,6 +8,7 @@
 from guavacleat.commands.common import FLAGS
 from guavacleat.commands.daemon import parse_address, serve, start_logging
 from guavacleat.sidecar import SidecarService
+from guavacleat.sidecar.occupancy import HEADROOM
 
 flags.declare_key_flag("name")
 flags.declare_key_flag("listen")
@@ -15,6 +16,13 @@
 flags.DEFINE_string("service", None, "The service this endpoint belongs to.")
 flags.DEFINE_string("data_centre", "local", "The data centre this endpoint runs in.")
 flags.DEFINE_string("instance", "", "The platform's name for this instance, as in its list.")
+flags.DEFINE_float(
+    "headroom",
+    HEADROOM,
+    "Share of the engine's memory kept free for outputs longer than expected.",
+    lower_bound=0.0,
+    upper_bound=0.9,
+)
 flags.DEFINE_string("engine", "http://127.0.0.1:8000", "URL of the engine beside this sidecar.")
 
 
@@ -33,5 +41,6 @@
         FLAGS.store,
         instance=FLAGS.instance,
         on_superseded=reactor.stop,
+        headroom=FLAGS.headroom,
     )
     serve(sidecar, lambda: f"ready sidecar {sidecar.record.address}")
--- a/src/guavacleat/lengths.py
+++ b/src/guavacleat/lengths.py
@@ -8,14 +8,12 @@
 import bisect
 from collections import deque
 
-__all__ = ["HEADROOM", "LengthEstimator"]
+__all__ = ["LengthEstimator"]
 
 KEPT = 512
 REFRESH_EVERY = 16
 ENOUGH = 8
 FIRST_GUESS = 128
-# Share of an engine's memory kept free for outputs longer than expected.
-HEADROOM = 0.0
 # The estimate is this quantile of what generations had left.
 QUANTILE = 0.5
 
--- a/src/guavacleat/load/fleet.py
+++ b/src/guavacleat/load/fleet.py
@@ -18,6 +18,7 @@
 from guavacleat.routing.poll import DigestPoll
 from guavacleat.sidecar.engine_client import EngineBatch
 from guavacleat.sidecar.handler import SidecarHandler
+from guavacleat.sidecar.occupancy import HEADROOM
 from guavacleat.standin.engine import Engine
 from guavacleat.streams import Relay
 
@@ -32,16 +33,26 @@
     """One way of deciding: a router and a queue by name, and whether sidecars keep room.
 
     :param in_flight: streams a gateway keeps on one endpoint at most.
+    :param headroom: share of an engine's memory that its sidecar keeps free.
     """
 
-    __slots__ = ("name", "router", "queue", "keeps_room", "in_flight")
-
-    def __init__(self, name: str, router: str, queue: str, keeps_room: bool, in_flight: int = 64):
+    __slots__ = ("name", "router", "queue", "keeps_room", "in_flight", "headroom")
+
+    def __init__(
+        self,
+        name: str,
+        router: str,
+        queue: str,
+        keeps_room: bool,
+        in_flight: int = 64,
+        headroom: float = HEADROOM,
+    ):
         self.name = name
         self.router = router
         self.queue = queue
         self.keeps_room = keeps_room
         self.in_flight = in_flight
+        self.headroom = headroom
 
 
 class DirectEngine:
@@ -81,13 +92,14 @@
 class FleetEndpoint:
     """One endpoint: its engine, its sidecar's handler, and the state of the link to it."""
 
-    def __init__(self, clock, name: str, service: str, engine_settings, keeps_room: bool):
+    def __init__(self, clock, name: str, service: str, engine_settings, policy: Policy):
         self.clock = clock
         self.name = name
         self.service = service
         self.engine = Engine(clock, engine_settings)
-        self.handler = SidecarHandler(name, DirectEngine(self.engine), None, clock)
-        if keeps_room:
+        link = DirectEngine(self.engine)
+        self.handler = SidecarHandler(name, link, None, clock, policy.headroom)
+        if policy.keeps_room:
             self.handler.refresh()
         self.dead = False
         self.drained_at: float | None = None
@@ -198,7 +210,7 @@
     def __init__(self, clock, services_by_endpoint, engine_settings, gateways: int, policy: Policy):
         self.clock = clock
         self.endpoints_by_name = {
-            name: FleetEndpoint(clock, name, service, engine_settings(name), policy.keeps_room)
+            name: FleetEndpoint(clock, name, service, engine_settings(name), policy)
             for name, service in services_by_endpoint.items()
         }
         pool = DirectPool(clock, self.endpoints_by_name)
--- a/src/guavacleat/load/report.py
+++ b/src/guavacleat/load/report.py
@@ -4,6 +4,7 @@
 import json
 
 from guavacleat.admission.dispatcher import PROMPT_TOKEN_COST
+from guavacleat.checks.runs import check_run
 from guavacleat.load.experiment import Run
 from guavacleat.metrics import LatencyBook
 
@@ -58,11 +59,15 @@
 
 
 class Report:
-    """A policy's rows: one over everything, one per class, one per account, one per both."""
+    """A policy's rows: one over everything, one per class, one per account, one per both.
 
-    __slots__ = ("policy", "rows_by_key", "prompt_tokens_read")
+    :param violations: promises the run broke, see :mod:`guavacleat.checks.runs`.
+    """
+
+    __slots__ = ("policy", "rows_by_key", "prompt_tokens_read", "violations")
 
-    def __init__(self, policy: str, rows_by_key: dict[tuple[str, str], Row], prompt_tokens_read):
+    def __init__(self, policy: str, rows_by_key, prompt_tokens_read: int, violations):
+        self.violations = violations
         self.policy = policy
         self.rows_by_key = rows_by_key
         self.prompt_tokens_read = prompt_tokens_read
@@ -97,7 +102,8 @@
     _fill_percentiles(book, rows_by_key)
     for account, share in _shares(run).items():
         rows_by_key[account, ALL].share = share
-    return Report(run.policy.name, rows_by_key, run.fleet.prompt_tokens_read())
+    read = run.fleet.prompt_tokens_read()
+    return Report(run.policy.name, rows_by_key, read, check_run(run))
 
 
 def _keys(account: str, priority_class: str):
--- a/src/guavacleat/routing/router.py
+++ b/src/guavacleat/routing/router.py
@@ -10,7 +10,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from guavacleat.lengths import HEADROOM, LengthEstimator
+from guavacleat.lengths import LengthEstimator
 from guavacleat.membership.records import EndpointRecord
 from guavacleat.routing.cache_map import CacheMap
 from guavacleat.routing.prefix import BLOCK_TOKENS
@@ -156,7 +156,7 @@
         output = self.lengths.remaining(request.kind(), 0, request.max_tokens)
         growth = min(output, occupancy.peak_in or 0)
         expected = occupancy.peak + sum(starting.values()) + request.prompt_tokens + growth
-        return expected <= occupancy.capacity * (1 - HEADROOM)
+        return expected <= occupancy.capacity
 
     def rank(self, name, request):
         starting = sum(self.starting_by_name.get(name, {}).values())
--- a/src/guavacleat/sidecar/handler.py
+++ b/src/guavacleat/sidecar/handler.py
@@ -17,7 +17,7 @@
     UnknownStream,
 )
 from guavacleat.sidecar.engine_client import EngineClient
-from guavacleat.sidecar.occupancy import EngineOccupancy, RunningStream
+from guavacleat.sidecar.occupancy import HEADROOM, EngineOccupancy, RunningStream
 from guavacleat.sidecar.streams import OpenStreams
 from guavacleat.store import StoreUnavailableError
 
@@ -39,15 +39,16 @@
     :param engine: client of the engine beside this sidecar.
     :param store: client of the object API, for the fencing numbers of orders.
     :param clock: times the streams left unread.
+    :param headroom: share of the engine's memory kept free.
     """
 
-    def __init__(self, endpoint: str, engine: EngineClient, store, clock):
+    def __init__(self, endpoint: str, engine: EngineClient, store, clock, headroom=HEADROOM):
         self.endpoint = endpoint
         self.engine = engine
         self.store = store
         self.draining = False
         self.streams = OpenStreams(clock)
-        self.occupancy = EngineOccupancy()
+        self.occupancy = EngineOccupancy(headroom)
         self.order_lock = defer.DeferredLock()
 
     @defer.inlineCallbacks
--- a/src/guavacleat/sidecar/occupancy.py
+++ b/src/guavacleat/sidecar/occupancy.py
@@ -10,10 +10,14 @@
 
 import itertools
 
-from guavacleat.lengths import HEADROOM, LengthEstimator
+from guavacleat.lengths import LengthEstimator
 from guavacleat.protocol.gen.sidecar.ttypes import Occupancy
 
-__all__ = ["EngineOccupancy", "RunningStream"]
+__all__ = ["EngineOccupancy", "HEADROOM", "RunningStream"]
+
+# Share of the engine's memory kept free for outputs longer than expected, unless set otherwise
+# (docs/operators/tuning.md has the figures for other values).
+HEADROOM = 0.03
 
 
 class RunningStream:
@@ -34,7 +38,10 @@
 
 
 class EngineOccupancy:
-    """The streams on one engine by id; ``capacity`` 0 means not yet known (then all fits)."""
+    """The streams on one engine by id; ``capacity`` 0 means not yet known (then all fits).
+
+    ``capacity`` is the engine's memory less the headroom, and is reported so to gateways.
+    """
 
     def __init__(self, headroom: float = HEADROOM):
         self.headroom = headroom
@@ -46,7 +53,7 @@
 
     def resize(self, capacity: int, slots: int) -> None:
         """Take in the engine's sizes from its load report."""
-        self.capacity = capacity
+        self.capacity = int(capacity * (1 - self.headroom))
         self.slots = slots
 
     def fits(self, stream: RunningStream) -> bool:
@@ -56,7 +63,7 @@
         if len(self.streams_by_id) >= self.slots:
             return False
         peak, _ = self._peak_of([*self.streams_by_id.values(), stream])
-        return peak <= self.capacity * (1 - self.headroom)
+        return peak <= self.capacity
 
     def add(self, stream_id: str, stream: RunningStream) -> None:
         self.streams_by_id[stream_id] = stream
--- a/src/guavacleat/sidecar/service.py
+++ b/src/guavacleat/sidecar/service.py
@@ -12,6 +12,7 @@
 from guavacleat.protocol.gen.sidecar import Sidecar
 from guavacleat.sidecar.engine_client import EngineClient
 from guavacleat.sidecar.handler import SidecarHandler
+from guavacleat.sidecar.occupancy import HEADROOM
 from guavacleat.store import StoreClient
 
 __all__ = ["SidecarService", "DRAIN_GRACE_SECONDS"]
@@ -32,6 +33,7 @@
     :param engine_url: ``http://host:port`` of the engine beside it.
     :param store_url: ``http://host:port`` of the object API.
     :param instance: the platform's name for the instance this runs on, as its list gives it.
+    :param headroom: share of the engine's memory kept free for longer outputs.
     :param on_superseded: called once drained if another sidecar has taken this endpoint over.
     """
 
@@ -46,12 +48,13 @@
         store_url,
         instance: str = "",
         on_superseded=None,
+        headroom: float = HEADROOM,
     ):
         self.reactor = reactor
         self.name = name
         self.listen = listen
         self.store = StoreClient(store_url)
-        self.handler = SidecarHandler(name, EngineClient(engine_url), self.store, reactor)
+        self.handler = SidecarHandler(name, EngineClient(engine_url), self.store, reactor, headroom)
         self.record = EndpointRecord(
             name, service_name, data_centre, address="", instance=instance, session=uuid4().hex
         )
