--- a/src/guavacleat/commands/demo.py
+++ b/src/guavacleat/commands/demo.py
@@ -1,11 +1,11 @@
 """``guavacleat demo``: the main job on embedded defaults, all on loopback, then exits.
 
-Starts the object API stand-in, three stand-in engines with their sidecars and a gateway in one
-process; applies the Nile Directory Exchange example settings; streams generations for several
-client accounts and classes; retries one non-repeatable call to show it runs once; prints what
-each caller received and the gateway's latency summary.
+Starts the object API stand-in, two stand-in engines and a plain service with their sidecars, and
+a gateway in one process; applies the Nile Directory Exchange example settings; streams
+generations for several client accounts and classes; retries one non-repeatable call to show it
+runs once; prints what each caller received and the gateway's latency summary.
 
-The retried connection record gets the first attempt's kept answer replayed; the engine runs it
+The retried connection record gets the first attempt's kept answer replayed; the service runs it
 once.
 """
 
@@ -53,10 +53,10 @@
     body = _body("switchboard", "carrier-nile-net", "interactive", "connect 0223456789")
     first = yield stream_completion(reactor, url, body, idempotency_key="conn-0223456789-1")
     again = yield stream_completion(reactor, url, body, idempotency_key="conn-0223456789-1")
-    runs = len(system.engines_by_name["switchboard-1"].sequences_by_id)
+    runs = system.plain_by_name["switchboard-1"].runs_by_body["connect 0223456789"]
     print(
         f"connection record: first {first.status} ({len(first.texts)} tokens), retry"
-        f" {again.status}, same answer={again.texts == first.texts}, runs on the engine={runs}"
+        f" {again.status}, same answer={again.texts == first.texts}, runs on the service={runs}"
     )
     print("latency (seconds), per account and class:")
     for row in system.gateway.metrics.book.summary():
--- a/src/guavacleat/commands/sidecar.py
+++ b/src/guavacleat/commands/sidecar.py
@@ -9,6 +9,7 @@
 from guavacleat.commands.daemon import parse_address, serve, start_logging
 from guavacleat.sidecar import SidecarService
 from guavacleat.sidecar.occupancy import HEADROOM
+from guavacleat.sidecar.service import CLIENTS_BY_KIND
 
 flags.declare_key_flag("name")
 flags.declare_key_flag("listen")
@@ -23,7 +24,10 @@
     lower_bound=0.0,
     upper_bound=0.9,
 )
-flags.DEFINE_string("engine", "http://127.0.0.1:8000", "URL of the engine beside this sidecar.")
+flags.DEFINE_string(
+    "engine", "http://127.0.0.1:8000", "URL of the engine or plain service beside this sidecar."
+)
+flags.DEFINE_enum("kind", "engine", sorted(CLIENTS_BY_KIND), "What stands beside this sidecar.")
 
 
 def main(argv):
@@ -42,5 +46,6 @@
         instance=FLAGS.instance,
         on_superseded=reactor.stop,
         headroom=FLAGS.headroom,
+        kind=FLAGS.kind,
     )
     serve(sidecar, lambda: f"ready sidecar {sidecar.record.address}")
--- a/src/guavacleat/commands/standin.py
+++ b/src/guavacleat/commands/standin.py
@@ -1,4 +1,4 @@
-"""``guavacleat standin engine|store``: stand-ins for the platform, for tests and the demo."""
+"""``guavacleat standin engine|store|services``: stand-ins, for tests and the demo."""
 
 import sys
 
@@ -10,6 +10,7 @@
 from guavacleat.standin.engine import Engine, EngineSettings
 from guavacleat.standin.engine_http import EngineApp
 from guavacleat.standin.listener import HttpListener
+from guavacleat.standin.services import ServiceApp
 from guavacleat.standin.store import StoreApp, StoreState
 
 flags.declare_key_flag("listen")
@@ -20,13 +21,17 @@
 flags.DEFINE_enum("fencing", "refuse", ["refuse", "ignore"], "Engine: stale orders refused?")
 flags.DEFINE_integer("output_length", None, "Engine: fix every output's length (benchmarks).")
 
-KINDS = ("engine", "store")
+flags.DEFINE_float("work_ms", 20.0, "Services: milliseconds a call takes.")
+
+KINDS = ("engine", "store", "services")
 
 
 def build(kind: str, listen) -> HttpListener:
     """The HTTP service of stand-in ``kind``."""
     if kind == "store":
         return HttpListener(reactor, StoreApp(StoreState(reactor)).resource(), listen)
+    if kind == "services":
+        return HttpListener(reactor, ServiceApp(reactor, FLAGS.work_ms / 1000).resource(), listen)
     settings = EngineSettings(
         name=FLAGS.name or "engine",
         step_seconds=FLAGS.step_ms / 1000,
--- a/src/guavacleat/sidecar/service.py
+++ b/src/guavacleat/sidecar/service.py
@@ -13,9 +13,12 @@
 from guavacleat.sidecar.engine_client import EngineClient
 from guavacleat.sidecar.handler import SidecarHandler
 from guavacleat.sidecar.occupancy import HEADROOM
+from guavacleat.sidecar.plain_client import PlainClient
 from guavacleat.store import StoreClient
 
-__all__ = ["SidecarService", "DRAIN_GRACE_SECONDS"]
+__all__ = ["CLIENTS_BY_KIND", "SidecarService", "DRAIN_GRACE_SECONDS"]
+
+CLIENTS_BY_KIND = {"engine": EngineClient, "plain": PlainClient}
 
 DRAIN_GRACE_SECONDS = 30.0
 IDLE_SWEEP_SECONDS = 1.0
@@ -34,6 +37,7 @@
     :param store_url: ``http://host:port`` of the object API.
     :param instance: the platform's name for the instance this runs on, as its list gives it.
     :param headroom: share of the engine's memory kept free for longer outputs.
+    :param kind: what stands beside it, see ``CLIENTS_BY_KIND``.
     :param on_superseded: called once drained if another sidecar has taken this endpoint over.
     """
 
@@ -49,12 +53,14 @@
         instance: str = "",
         on_superseded=None,
         headroom: float = HEADROOM,
+        kind: str = "engine",
     ):
         self.reactor = reactor
         self.name = name
         self.listen = listen
         self.store = StoreClient(store_url)
-        self.handler = SidecarHandler(name, EngineClient(engine_url), self.store, reactor, headroom)
+        client = CLIENTS_BY_KIND[kind](engine_url)
+        self.handler = SidecarHandler(name, client, self.store, reactor, headroom)
         self.record = EndpointRecord(
             name, service_name, data_centre, address="", instance=instance, session=uuid4().hex
         )
--- a/src/guavacleat/standin/system.py
+++ b/src/guavacleat/standin/system.py
@@ -10,12 +10,14 @@
 from twisted.internet import defer, task
 
 import guavacleat
+from guavacleat.config import load_settings
 from guavacleat.ctl import apply_settings
 from guavacleat.gateway import GatewayService
 from guavacleat.sidecar import SidecarService
 from guavacleat.standin.engine import Engine, EngineSettings
 from guavacleat.standin.engine_http import EngineApp
 from guavacleat.standin.listener import HttpListener
+from guavacleat.standin.services import ServiceApp
 from guavacleat.standin.store import StoreApp, StoreState
 from guavacleat.store import StoreClient
 
@@ -37,6 +39,7 @@
         self.endpoints = endpoints
         self.engine_settings = engine_settings or {}
         self.engines_by_name: dict[str, Engine] = {}
+        self.plain_by_name: dict[str, ServiceApp] = {}
         self.store_state = StoreState(reactor)
         self.store_app = StoreApp(self.store_state)
         self.store = HttpListener(reactor, self.store_app.resource(), (LOOPBACK, 0))
@@ -47,25 +50,35 @@
         """Start everything, apply the settings, and fire once the gateway can route."""
         self.store.setServiceParent(self)
         self.startService()
+        kinds = load_settings(self.settings_path).services_by_name
         for name, service_name in self.endpoints.items():
-            engine = Engine(self.reactor, EngineSettings(name=name, **self.engine_settings))
-            self.engines_by_name[name] = engine
-            listener = HttpListener(self.reactor, EngineApp(engine).resource(), (LOOPBACK, 0))
-            listener.setServiceParent(self)
-            SidecarService(
-                self.reactor,
-                name,
-                service_name,
-                "local",
-                (LOOPBACK, 0),
-                listener.url(),
-                self.store.url(),
-            ).setServiceParent(self)
+            self._start_endpoint(name, service_name, kinds[service_name].kind)
         yield apply_settings(StoreClient(self.store.url()), self.settings_path)
         self.gateway = GatewayService(self.reactor, (LOOPBACK, 0), self.store.url())
         self.gateway.setServiceParent(self)
         yield self._until_routable()
 
+    def _start_endpoint(self, name: str, service_name: str, kind: str) -> None:
+        if kind == "plain":
+            standin = ServiceApp(self.reactor)
+            self.plain_by_name[name] = standin
+        else:
+            engine = Engine(self.reactor, EngineSettings(name=name, **self.engine_settings))
+            self.engines_by_name[name] = engine
+            standin = EngineApp(engine)
+        listener = HttpListener(self.reactor, standin.resource(), (LOOPBACK, 0))
+        listener.setServiceParent(self)
+        SidecarService(
+            self.reactor,
+            name,
+            service_name,
+            "local",
+            (LOOPBACK, 0),
+            listener.url(),
+            self.store.url(),
+            kind=kind,
+        ).setServiceParent(self)
+
     @defer.inlineCallbacks
     def _until_routable(self):
         services = set(self.endpoints.values())
