--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -24,7 +24,8 @@
 
 __all__ = ["GatewayService", "STOP_GRACE_SECONDS"]
 
-STOP_GRACE_SECONDS = 30.0
+# Long outputs take minutes; a planned stop waits for them unless the operator says otherwise.
+STOP_GRACE_SECONDS = 600.0
 STOP_POLL_SECONDS = 0.1
 ENDPOINT_WATCH_PAUSE = 0.2
 ROUTER = "cache-load"
@@ -37,11 +38,20 @@
     :param listen: ``(host, port)`` for callers' HTTP; port 0 picks a free one.
     :param store_url: ``http://host:port`` of the object API.
     :param deployment: the name of the deployment whose configuration this gateway follows.
+    :param stop_grace: seconds a planned stop waits for running streams at most.
     """
 
-    def __init__(self, reactor, listen, store_url, deployment: str | None = None):
+    def __init__(
+        self,
+        reactor,
+        listen,
+        store_url,
+        deployment: str | None = None,
+        stop_grace: float = STOP_GRACE_SECONDS,
+    ):
         self.reactor = reactor
         self.listen = listen
+        self.stop_grace = stop_grace
         self.store = StoreClient(store_url)
         self.config = ConfigHolder(deployment)
         self.membership = MembershipView(reactor, owner=uuid4().hex)
@@ -90,7 +100,7 @@
         """Graceful stop: refuse new requests as not run, let running streams finish."""
         self.stopping = True
         waited = 0.0
-        while self.in_flight and waited < STOP_GRACE_SECONDS:
+        while self.in_flight and waited < self.stop_grace:
             yield task.deferLater(self.reactor, STOP_POLL_SECONDS, lambda: None)
             waited += STOP_POLL_SECONDS
         for watch in self.watches:
