The sidecar's drain as an automat machine; stops wait for the last answers to go out

Cause: reading the stop path: a sidecar that was replaced and then stopped drained twice and fired one Deferred twice (AlreadyCalledError, no exit 0); and a drain ended when the last answer was ready, before it was written, so the stop could close its connection first. Change: serving -> draining -> drained in automat; both daemons wait 0.5 s after the drain. Measured: test_stop_after_a_takeover_is_graceful_too failed before (AlreadyCalledError), passes. The flush window was found by reading and is not brought about by a test (it needs a stop within one turn of the reactor). Conclusion: a planned stop is graceful also after a takeover.

--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -27,6 +27,7 @@
 # Long outputs take minutes; a planned stop waits for them unless the operator says otherwise.
 STOP_GRACE_SECONDS = 600.0
 STOP_POLL_SECONDS = 0.1
+FLUSH_SECONDS = 0.5
 ENDPOINT_WATCH_PAUSE = 0.2
 ROUTER = "cache-load"
 
@@ -103,6 +104,8 @@
         while self.in_flight and waited < self.stop_grace:
             yield task.deferLater(self.reactor, STOP_POLL_SECONDS, lambda: None)
             waited += STOP_POLL_SECONDS
+        # The last answers are complete but may still be on their way out.
+        yield task.deferLater(self.reactor, FLUSH_SECONDS)
         for watch in self.watches:
             watch.stop()
         self.instance_poll.stop()
--- a/src/guavacleat/sidecar/service.py
+++ b/src/guavacleat/sidecar/service.py
@@ -22,6 +22,7 @@
 
 DRAIN_GRACE_SECONDS = 30.0
 IDLE_SWEEP_SECONDS = 1.0
+FLUSH_SECONDS = 0.5
 ENGINE_REFRESH_SECONDS = 5.0
 
 
@@ -103,6 +104,10 @@
             log_message(
                 message_type="sidecar:drain-timeout", open_streams=len(self.handler.streams)
             )
+        # The drain is over when the last answer is ready, not when it has been sent: stopping at
+        # once would close its connection first, and the caller of a call that may not be repeated
+        # would be told that it may have run.
+        yield task.deferLater(self.reactor, FLUSH_SECONDS)
         for loop in (self.idle_sweep, self.engine_refresh):
             if loop.running:
                 loop.stop()
--- a/src/guavacleat/sidecar/streams.py
+++ b/src/guavacleat/sidecar/streams.py
@@ -1,5 +1,8 @@
 """The streams open on one endpoint: what a drain waits for, and what has been left unread."""
 
+from typing import Protocol
+
+from automat import TypeMachineBuilder
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
@@ -10,6 +13,44 @@
 IDLE_SECONDS = 10.0
 
 
+class Drain(Protocol):
+    """Inputs of a drain: serving, then draining, then drained for good."""
+
+    def drain(self) -> None:
+        """Finish what is open."""
+
+    def settled(self) -> None:
+        """No stream is open and no start is under way."""
+
+
+class DrainCore:
+    """What a drain acts on: the Deferred that fires when it is over."""
+
+    def __init__(self):
+        self.drained = defer.Deferred()
+
+
+def _build_drain():
+    builder = TypeMachineBuilder(Drain, DrainCore)
+    serving = builder.state("serving")
+    draining = builder.state("draining")
+    drained = builder.state("drained")
+    serving.upon(Drain.settled).loop().returns(None)
+    serving.upon(Drain.drain).to(draining).returns(None)
+    draining.upon(Drain.drain).loop().returns(None)
+
+    @draining.upon(Drain.settled).to(drained)
+    def finish(drain: Drain, core: DrainCore) -> None:
+        core.drained.callback(None)
+
+    drained.upon(Drain.drain).loop().returns(None)
+    drained.upon(Drain.settled).loop().returns(None)
+    return builder.build()
+
+
+new_drain = _build_drain()
+
+
 class OpenStreams:
     """Open streams by id with the time each was last read, and starts still under way."""
 
@@ -17,8 +58,9 @@
         self.clock = clock
         self.read_at_by_id: dict[str, float] = {}
         self.starting = 0
-        self.draining = False
-        self.drained = defer.Deferred()
+        core = DrainCore()
+        self.drained = core.drained
+        self.state = new_drain(core)
 
     def __len__(self) -> int:
         return len(self.read_at_by_id)
@@ -32,7 +74,7 @@
         self.starting -= 1
         if stream_id is not None:
             self.read_at_by_id[stream_id] = self.clock.seconds()
-        self._fire_if_drained()
+        self._check_settled()
 
     def touch(self, stream_id: str) -> None:
         """Note that a stream is being read (also one opened before this sidecar started)."""
@@ -40,7 +82,7 @@
 
     def close(self, stream_id: str) -> None:
         self.read_at_by_id.pop(stream_id, None)
-        self._fire_if_drained()
+        self._check_settled()
 
     def idle(self) -> list[str]:
         """Streams nobody has read for ``IDLE_SECONDS``."""
@@ -49,11 +91,10 @@
 
     def drain(self) -> defer.Deferred:
         """Fire once no stream is open and no start is under way."""
-        self.draining = True
-        self._fire_if_drained()
+        self.state.drain()
+        self._check_settled()
         return self.drained
 
-    def _fire_if_drained(self) -> None:
-        if self.draining and not self.starting and not self.read_at_by_id:
-            self.draining = False
-            self.drained.callback(None)
+    def _check_settled(self) -> None:
+        if not self.starting and not self.read_at_by_id:
+            self.state.settled()
--- a/tests/sidecar/test_drain.py
+++ b/tests/sidecar/test_drain.py
@@ -86,3 +86,14 @@
     clock.advance(0.1)
     handler.cancel_idle()
     assert cancelled == ["s1"] and drained.called
+
+
+def test_stop_after_a_takeover_is_graceful_too(clock, store):
+    """
+    Symptom: a sidecar that was replaced dies with an error instead of exiting 0.
+    Sequence: its endpoint is taken over, so it drains; then it is stopped and drains again.
+    Cause: the second drain fired the first one's Deferred a second time.
+    """
+    handler = SidecarHandler("e1", FakeEngine(), store, clock)
+    assert handler.begin_drain().called
+    assert handler.begin_drain().called
