--- a/src/guavacleat/streams/relay.py
+++ b/src/guavacleat/streams/relay.py
@@ -14,43 +14,19 @@
 reached the first.
 """
 
-import contextlib
-
-from thrift.Thrift import TApplicationException
 from twisted.internet import defer
 from twisted.internet.error import ConnectError
 
 from guavacleat.errors import NotRunError
-from guavacleat.protocol.gen.sidecar.ttypes import (
-    NotRun,
-    StartReply,
-    StartRequest,
-    UnknownStream,
-)
-from guavacleat.streams.messages import (
-    CompletionRequest,
-    ResumePoint,
-    StreamBrokenError,
-    StreamMixupError,
-)
+from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartReply
+from guavacleat.streams.messages import CompletionRequest, StreamBrokenError, StreamMixupError
+from guavacleat.streams.serving import Serving, bounded, start_on
 
-__all__ = [
-    "Relay",
-    "StreamProgress",
-    "PULL_WAIT_MS",
-    "PULL_TIMEOUT_MARGIN",
-    "START_ATTEMPTS",
-    "START_TIMEOUT",
-    "CALLER_LEFT",
-    "MAX_RESUMES",
-]
+__all__ = ["CALLER_LEFT", "MAX_RESUMES", "Relay", "START_ATTEMPTS", "StreamProgress"]
 
-PULL_WAIT_MS = 1000
-PULL_TIMEOUT_MARGIN = 2.0
 START_ATTEMPTS = 3
 UNREACHABLE_SECONDS = 1.0
 FINISHED = "stop"
-START_TIMEOUT = PULL_WAIT_MS / 1000 + PULL_TIMEOUT_MARGIN
 MAX_RESUMES = 3
 CALLER_LEFT = "caller_left"
 
@@ -118,7 +94,7 @@
             except StreamBrokenError as broken:
                 failure = broken
                 tried.add(serving.endpoint.name)
-                _cancel_quietly(serving)
+                serving.cancel_quietly()
             finally:
                 self._release(serving.endpoint, request, progress)
                 serving = None
@@ -134,7 +110,7 @@
     def _reattach(self, request: CompletionRequest, progress: StreamProgress):
         """Go on reading a reconnecting caller's stream where it runs, if it still does.
 
-        Fires with a :class:`_Serving`, or None if there is none: the request then starts
+        Fires with a :class:`Serving`, or None if there is none: the request then starts
         elsewhere with the tokens the caller has, like a stream whose endpoint died.
         """
         point = request.resume
@@ -146,17 +122,19 @@
             return None
         try:
             client = yield self.pool.client(record.address)
-            probe = yield self._call(client.pull, point.stream_id, len(progress.sent), 0)
+            cursor = len(progress.sent)
+            probe = yield bounded(self.clock, client.pull, point.stream_id, cursor, 0)
         except Exception:  # noqa: BLE001 - the stream cannot be read there any more
             return None
         if probe.generation != point.generation:
             return None
         self.router.begin(record.name)
-        return _Serving(record, client, StartReply(point.stream_id, point.generation))
+        reply = StartReply(point.stream_id, point.generation)
+        return Serving(self.clock, self.pool, record, client, reply)
 
     @defer.inlineCallbacks
     def _start(self, request, limits, tried: set[str], progress, before_start):
-        """Fire with a :class:`_Serving`, its endpoint counted in flight."""
+        """Fire with a :class:`Serving`, its endpoint counted in flight."""
         deadline = self.clock.seconds() + limits.max_wait
         front = bool(progress.sent)
         unknown = None
@@ -188,15 +166,14 @@
 
     @defer.inlineCallbacks
     def _start_on(self, endpoint, request, progress: StreamProgress, tried: set[str]):
-        """Fire with a :class:`_Serving`, or None if ``endpoint`` refused without running it.
+        """Fire with a :class:`Serving`, or None if ``endpoint`` refused without running it.
 
         Raises StreamBrokenError if the answer was lost: the endpoint may be running it. Starting
         it elsewhere would run a non-repeatable call twice; a repeatable one is safe, since nobody
         reads the first generation and its sidecar cancels streams left unread.
         """
         try:
-            client = yield self.pool.client(endpoint.address)
-            reply = yield self._call(client.start, _start_request(request, progress.sent))
+            serving = yield start_on(self.clock, self.pool, endpoint, request, progress.sent)
         except NotRun as refused:
             self.router.avoid(endpoint.name, refused.retry_after_ms / 1000)
             if not refused.full:
@@ -206,22 +183,18 @@
             self.router.avoid(endpoint.name, UNREACHABLE_SECONDS)
             tried.add(endpoint.name)
             return None
-        except Exception as exc:  # noqa: BLE001 - the start was sent and its answer lost
-            if not isinstance(exc, TApplicationException):
-                self.pool.discard(endpoint.address)
+        except StreamBrokenError:
             tried.add(endpoint.name)
-            raise StreamBrokenError(
-                endpoint.name, len(progress.sent), exc.__class__.__name__, request.repeatable
-            ) from exc
-        if reply.occupancy is not None:
-            self.router.observe(endpoint.name, reply.occupancy, request)
-        return _Serving(endpoint, client, reply)
+            raise
+        if serving.reply.occupancy is not None:
+            self.router.observe(endpoint.name, serving.reply.occupancy, request)
+        return serving
 
     @defer.inlineCallbacks
     def _pull_all(self, request, serving, sink, progress: StreamProgress):
         while True:
             cursor = len(progress.sent)
-            batch = yield self._pull(request, serving, cursor)
+            batch = yield serving.pull(request, cursor)
             expected = serving.reply.generation
             if batch.generation != expected or batch.first_index != cursor:
                 raise StreamMixupError(
@@ -242,40 +215,6 @@
                 progress.finish_reason = CALLER_LEFT
                 return
 
-    @defer.inlineCallbacks
-    def _pull(self, request, serving, cursor: int):
-        """Fire with the batch at ``cursor``; a failed pull is read once more over a new link."""
-        stream_id = serving.reply.stream_id
-        try:
-            batch = yield self._call(serving.client.pull, stream_id, cursor, PULL_WAIT_MS)
-            return batch
-        except (UnknownStream, TApplicationException) as exc:
-            # The link is well: the endpoint has lost the stream or its engine does not answer.
-            failed = exc
-        except defer.TimeoutError as exc:
-            failed = exc
-            self.pool.discard(serving.endpoint.address)
-        except Exception as exc:  # noqa: BLE001 - any failure of the link
-            failed = exc
-            self.pool.discard(serving.endpoint.address)
-            with contextlib.suppress(Exception):
-                serving.client = yield self.pool.client(serving.endpoint.address)
-                batch = yield self._call(serving.client.pull, stream_id, cursor, PULL_WAIT_MS)
-                return batch
-            self.pool.discard(serving.endpoint.address)
-        raise StreamBrokenError(
-            serving.endpoint.name, cursor, failed.__class__.__name__, request.repeatable
-        ) from failed
-
-    def _call(self, method, *args) -> defer.Deferred:
-        """Call a sidecar with a bound on the wait.
-
-        A stalled link or a frozen endpoint never answers; without a bound the caller would wait
-        forever. A pull answers within PULL_WAIT_MS when the endpoint is well.
-        """
-        calling = defer.maybeDeferred(method, *args)
-        return calling.addTimeout(START_TIMEOUT, self.clock)
-
     def _send(self, request: CompletionRequest, sink, progress: StreamProgress, text: str) -> None:
         now = self.clock.seconds()
         index = len(progress.sent)
@@ -287,37 +226,3 @@
         sink.token(index, text)
         progress.sent.append(text)
         progress.last_sent_at = now
-
-
-class _Serving:
-    """The endpoint now serving a stream, its link, and the answer to its start."""
-
-    __slots__ = ("endpoint", "client", "reply")
-
-    def __init__(self, endpoint, client, reply):
-        self.endpoint = endpoint
-        self.client = client
-        self.reply = reply
-
-    def handle(self) -> str:
-        """What a caller brings to reconnect to this stream."""
-        return ResumePoint(self.endpoint.name, self.reply.stream_id, self.reply.generation).handle()
-
-
-def _cancel_quietly(serving: _Serving) -> None:
-    # Best effort: the old endpoint may be gone; if it is alive, cancelling frees its memory.
-    # A dead link may also fail synchronously, hence the suppress.
-    with contextlib.suppress(Exception):
-        serving.client.cancel(serving.reply.stream_id).addErrback(lambda _: None)
-
-
-def _start_request(request: CompletionRequest, sent: list[str]) -> StartRequest:
-    return StartRequest(
-        request_id=request.request_id,
-        service_name=request.service,
-        account=request.account,
-        priority=request.priority,
-        prompt=request.prompt,
-        max_tokens=request.max_tokens,
-        resume_tokens=list(sent),
-    )
--- a/tests/streams/test_relay.py
+++ b/tests/streams/test_relay.py
@@ -12,7 +12,7 @@
 from guavacleat.routing import get_router_by_name
 from guavacleat.streams import CompletionRequest, Relay, StreamMixupError
 from guavacleat.streams.messages import ResumePoint, StreamBrokenError
-from guavacleat.streams.relay import START_TIMEOUT
+from guavacleat.streams.serving import START_TIMEOUT
 from tests.conftest import result_of
 
 LIMITS = Limits(queue_per_account=4, in_flight_per_endpoint=2, retry_after=1.5)
--- a/tests/streams/test_relay_machine.py
+++ b/tests/streams/test_relay_machine.py
@@ -22,7 +22,8 @@
 from guavacleat.protocol.gen.sidecar.ttypes import StartReply, TokenBatch
 from guavacleat.routing import get_router_by_name
 from guavacleat.streams import CompletionRequest, Relay
-from guavacleat.streams.relay import MAX_RESUMES, PULL_TIMEOUT_MARGIN, PULL_WAIT_MS
+from guavacleat.streams.relay import MAX_RESUMES
+from guavacleat.streams.serving import PULL_TIMEOUT_MARGIN, PULL_WAIT_MS
 
 LIMITS = Limits(queue_per_account=4, in_flight_per_endpoint=4, retry_after=1.0)
 LENGTH = 12
