Every prefix has a home that all gateways' hash names

Change: CacheLoadRouter counts the rendezvous-hashed home of the prefix's first 16 blocks as 1,000 tokens nearer. The new test failed on the router before (all prompts went to one endpoint). Conclusion: shared hashing carries affinity between gateways; events only refine it.

--- a/src/guavacleat/routing/router.py
+++ b/src/guavacleat/routing/router.py
@@ -25,6 +25,17 @@
 ]
 
 
+# Prompt tokens' worth of waiting that a request puts up with to go to its prefix's home.
+HOME_TOKENS = 1000
+HOME_BLOCK = 16
+
+
+def _prefix_key(request) -> str:
+    """What decides a prompt's home: its first ``HOME_BLOCK`` blocks, or all of a short one."""
+    blocks = request.blocks()
+    return blocks[min(HOME_BLOCK, len(blocks)) - 1] if blocks else request.prompt
+
+
 def _rendezvous(key: str, endpoint: str) -> int:
     digest = hashlib.blake2b(f"{key}|{endpoint}".encode(), digest_size=8).digest()
     return int.from_bytes(digest, "big")
@@ -109,18 +120,27 @@
     """The endpoint with the least to read before the first token, of those with memory to spare.
 
     What is to be read: the prompts there that have no token yet, and the request's own prompt
-    but for the blocks its engine has cached. Memory is the sidecar's last report plus what this
-    gateway has sent since, so several gateways see each other's streams without talking to each
-    other. The report lags by one reply; the sidecar's own check is what holds (see
+    but for the blocks its engine has cached. Each prefix has a home, the endpoint that every
+    gateway's hash of it names, so that gateways which hear little of each other's prompts still
+    send those that share a prefix to the same engine. Memory is the sidecar's last report plus
+    what this gateway has sent since, so several gateways see each other's streams without talking
+    to each other. The report lags by one reply; the sidecar's own check is what holds (see
     :mod:`guavacleat.sidecar.occupancy`).
     """
 
     def __init__(self, clock: IReactorTime):
         super().__init__(clock)
         self.cache = CacheMap(clock)
+        self.home: str | None = None
         self.occupancy_by_name: dict[str, object] = {}
         self.starting_by_name: dict[str, dict[str, int]] = {}
 
+    def choose(self, candidates, request, limit, excluded=()):
+        key = _prefix_key(request)
+        names = (record.name for record in candidates if record.name not in excluded)
+        self.home = max(names, key=lambda name: _rendezvous(key, name), default=None)
+        return super().choose(candidates, request, limit, excluded)
+
     def begin(self, name, request=None):
         super().begin(name, request)
         if request is not None:
@@ -162,6 +182,8 @@
         starting = sum(self.starting_by_name.get(name, {}).values())
         cached = self.cache.cached_blocks(name, request.blocks()) * BLOCK_TOKENS
         to_read = starting + request.prompt_tokens - cached
+        if name == self.home:
+            to_read -= HOME_TOKENS
         memory = 0.0
         occupancy = self.occupancy_by_name.get(name)
         if occupancy is not None and occupancy.capacity:
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -105,3 +105,25 @@
     other = tokens[: 2 * BLOCK_TOKENS] + ["x"] + tokens[2 * BLOCK_TOKENS + 1 :]
     mine, theirs = prefix_blocks(tokens), prefix_blocks(other)
     assert mine[:2] == theirs[:2] and not set(mine[2:]) & set(theirs[2:])
+
+
+def test_gateways_agree_on_a_prefix_without_talking(clock):
+    """
+    Symptom: every engine reads the same long prefix again and again.
+    Sequence: three gateways each get one request about the same subject, and have heard
+    nothing of each other's.
+    Cause: a gateway knew only the prefixes it had sent itself.
+    """
+    records = [EndpointRecord(f"e{n}", "svc", "dc", f"e{n}") for n in range(6)]
+    prompts = [" ".join(f"{subject}-{n}" for n in range(400)) for subject in range(20)]
+    homes = [
+        {
+            get_router_by_name("cache-load", clock)
+            .choose(records, make_request(prompt=f"{prompt} {gateway}"), LIMIT)
+            .name
+            for gateway in range(3)
+        }
+        for prompt in prompts
+    ]
+    assert all(len(home) == 1 for home in homes)
+    assert len(set.union(*homes)) >= 4, "homes are spread over the endpoints"
