--- a/src/guavacleat/gateway/app.py
+++ b/src/guavacleat/gateway/app.py
@@ -8,7 +8,8 @@
   header and ``{"error": {"type": "not_run", ...}}``. A retry of a non-repeatable call gets the
   kept answer replayed, or 409 with ``Retry-After`` while the first attempt still runs. A caller
   that lost its connection posts the same body to any gateway with ``"resume": {"stream": handle,
-  "received": [texts]}`` and gets the tokens after those.
+  "received": [texts]}`` and gets the tokens after those (429 ``not_resumed`` if nobody can go on
+  now).
 - ``GET /status``: configuration version, live endpoints, in-flight counts, latency summary.
 - ``GET /metrics``: Prometheus text.
 """
@@ -81,7 +82,7 @@
         except NotRunError as exc:
             call.not_run()
             gateway.metrics.outcome(account, klass, "not_run")
-            return _refuse(request, exc)
+            return _refuse(request, exc, kind=_refusal_kind(completion))
         except AlreadyAcceptedError as exc:
             gateway.metrics.outcome(account, klass, "duplicate")
             return _already_accepted(request, completion, exc)
@@ -131,7 +132,12 @@
     return b""
 
 
-def _refuse(request, exc: NotRunError, status: int = 429) -> bytes:
+def _refusal_kind(completion) -> str:
+    """A caller that reconnects has had part of its answer: to call that not run would be false."""
+    return "not_run" if completion.resume is None else "not_resumed"
+
+
+def _refuse(request, exc: NotRunError, status: int = 429, kind: str = "not_run") -> bytes:
     request.setHeader("retry-after", str(max(1, math.ceil(exc.retry_after))))
-    body = {"error": {"type": "not_run", "message": str(exc), "retry_after": exc.retry_after}}
+    body = {"error": {"type": kind, "message": str(exc), "retry_after": exc.retry_after}}
     return json_response(request, status, body)
--- /dev/null
+++ b/tests/gateway/test_app.py
@@ -0,0 +1,61 @@
+"""The gateway's HTTP answers to callers it cannot serve now."""
+
+import json
+from pathlib import Path
+
+import pytest
+from treq.testing import StubTreq
+from twisted.internet import defer
+
+import guavacleat
+from guavacleat.config import load_settings
+from guavacleat.errors import NotRunError
+from guavacleat.gateway.app import GatewayApp
+from guavacleat.metrics import StreamMetrics
+from guavacleat.streams.messages import ResumePoint
+from tests.conftest import result_of
+
+NILE = load_settings(Path(guavacleat.__file__).parent / "examples" / "nile.json5")
+BODY = {
+    "service": "enquiry-lm",
+    "account": "carrier-04",
+    "priority_class": "standard",
+    "prompt": "summary",
+}
+RESUME = {"stream": ResumePoint("e1", "s1", "g1").handle(), "received": ["half"]}
+
+
+class RefusingRelay:
+    def run(self, *args):
+        return defer.fail(NotRunError("no endpoint has room.", "retry after 2 s.", 2.0))
+
+
+class Gateway:
+    """As much of a ``GatewayService`` as the app needs."""
+
+    def __init__(self, clock):
+        self.reactor = clock
+        self.relay = RefusingRelay()
+        self.metrics = StreamMetrics()
+        self.config = self
+        self.deployment = NILE
+        self.calls = None
+        self.stopping = False
+        self.in_flight = 0
+
+
+@pytest.mark.parametrize(
+    "body,kind", [(BODY, "not_run"), (dict(BODY, resume=RESUME), "not_resumed")]
+)
+def test_refusal_is_called_what_it_is(clock, body, kind):
+    """
+    Symptom: half an answer is shown to an agent as a lookup that "did not run".
+    Sequence: a caller with tokens reconnects; no endpoint can go on now.
+    Cause: every refusal was called not run, also that of a stream already begun.
+    """
+    http = StubTreq(GatewayApp(Gateway(clock)).resource())
+    posting = http.post("http://gateway/v1/completions", data=json.dumps(body).encode())
+    response = result_of(posting, http.flush)
+    answer = result_of(response.json(), http.flush)
+    assert (response.code, answer["error"]["type"]) == (429, kind)
+    assert response.headers.getRawHeaders("retry-after") == ["2"]
