--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -86,8 +86,8 @@
         super().startService()
         for watch in self.watches:
             watch.start()
-        self.instance_poll.start()
-        self.digest_poll.start()
+        self.instance_poll.rounds.start()
+        self.digest_poll.rounds.start()
         host, port = self.listen
         site = Site(GatewayApp(self).resource())
         self.port = self.reactor.listenTCP(port, site, interface=host)
@@ -108,8 +108,8 @@
         yield task.deferLater(self.reactor, FLUSH_SECONDS)
         for watch in self.watches:
             watch.stop()
-        self.instance_poll.stop()
-        self.digest_poll.stop()
+        self.instance_poll.rounds.stop()
+        self.digest_poll.rounds.stop()
         yield self.port.stopListening()
         self.pool.close()
         log_message(message_type="gateway:stopped", unfinished=self.in_flight)
--- a/src/guavacleat/load/fleet.py
+++ b/src/guavacleat/load/fleet.py
@@ -14,6 +14,7 @@
 from guavacleat.membership import EndpointRecord, MembershipView
 from guavacleat.membership.lease import HEARTBEAT_SECONDS
 from guavacleat.metrics import StreamMetrics
+from guavacleat.periodic import Periodic
 from guavacleat.routing import get_router_by_name
 from guavacleat.routing.poll import DigestPoll
 from guavacleat.sidecar.engine_client import EngineBatch
@@ -215,21 +216,19 @@
         }
         pool = DirectPool(clock, self.endpoints_by_name)
         self.gateways = [FleetGateway(clock, f"gateway-{n}", pool, policy) for n in range(gateways)]
-        self._beat()
-        self._sweep()
+        Periodic(clock, HEARTBEAT_SECONDS, self._beat).start()
+        Periodic(clock, IDLE_SWEEP_SECONDS, self._sweep).start()
         for gateway in self.gateways:
-            gateway.poll.start()
+            gateway.poll.rounds.start()
 
     def _beat(self) -> None:
         living = [endpoint for endpoint in self.endpoints_by_name.values() if not endpoint.dead]
         for gateway, endpoint in itertools.product(self.gateways, living):
             gateway.membership.observe(endpoint.record())
-        self.clock.callLater(HEARTBEAT_SECONDS, self._beat)
 
     def _sweep(self) -> None:
         for endpoint in self.endpoints_by_name.values():
             endpoint.handler.cancel_idle()
-        self.clock.callLater(IDLE_SWEEP_SECONDS, self._sweep)
 
     def preemptions(self) -> int:
         return sum(endpoint.engine.preemptions for endpoint in self.endpoints_by_name.values())
--- a/src/guavacleat/membership/instances.py
+++ b/src/guavacleat/membership/instances.py
@@ -1,8 +1,9 @@
 """Polls the platform's lagging list of instances, for the leaving ones."""
 
-from twisted.internet import defer, task
+from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
+from guavacleat.periodic import Periodic
 from guavacleat.store import StoreClient, StoreUnavailableError
 
 __all__ = ["InstancePoll", "POLL_SECONDS", "LEAVING"]
@@ -17,15 +18,7 @@
     def __init__(self, clock: IReactorTime, store: StoreClient, on_leaving):
         self.store = store
         self.on_leaving = on_leaving
-        self._loop = task.LoopingCall(self.poll)
-        self._loop.clock = clock
-
-    def start(self) -> None:
-        self._loop.start(POLL_SECONDS)
-
-    def stop(self) -> None:
-        if self._loop.running:
-            self._loop.stop()
+        self.rounds = Periodic(clock, POLL_SECONDS, self.poll)
 
     @defer.inlineCallbacks
     def poll(self):
--- a/src/guavacleat/membership/lease.py
+++ b/src/guavacleat/membership/lease.py
@@ -1,10 +1,11 @@
 """The sidecar's side of membership: renew ``endpoints/<name>`` on a heartbeat."""
 
 from eliot import log_message
-from twisted.internet import defer, task
+from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
 from guavacleat.membership.records import ENDPOINT_KIND, EndpointRecord
+from guavacleat.periodic import Periodic
 from guavacleat.store import ConflictError, StoreClient, StoreUnavailableError
 
 __all__ = ["Lease", "HEARTBEAT_SECONDS", "LEASE_SECONDS"]
@@ -34,15 +35,7 @@
         self.displaced: str | None = None
         self.superseded = False
         self.failures = 0
-        self._loop = task.LoopingCall(self.renew)
-        self._loop.clock = clock
-
-    def start(self) -> None:
-        self._loop.start(HEARTBEAT_SECONDS, now=True)
-
-    def stop(self) -> None:
-        if self._loop.running:
-            self._loop.stop()
+        self.rounds = Periodic(clock, HEARTBEAT_SECONDS, self.renew)
 
     @defer.inlineCallbacks
     def renew(self):
@@ -90,7 +83,7 @@
 
     def _step_down(self) -> None:
         self.superseded = True
-        self.stop()
+        self.rounds.stop()
         log_message(message_type="lease:superseded", endpoint=self.record.name)
         self.on_superseded()
 
--- a/src/guavacleat/routing/poll.py
+++ b/src/guavacleat/routing/poll.py
@@ -3,9 +3,11 @@
 import contextlib
 import itertools
 
-from twisted.internet import defer, task
+from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
+from guavacleat.periodic import Periodic
+
 __all__ = ["DigestPoll", "POLL_SECONDS", "POLLS_AT_ONCE"]
 
 POLL_SECONDS = 0.5
@@ -31,15 +33,7 @@
         self.pool = pool
         self.next_index = 0
         self.last_event_by_name: dict[str, int] = {}
-        self._loop = task.LoopingCall(self.poll)
-        self._loop.clock = clock
-
-    def start(self) -> None:
-        self._loop.start(POLL_SECONDS)
-
-    def stop(self) -> None:
-        if self._loop.running:
-            self._loop.stop()
+        self.rounds = Periodic(clock, POLL_SECONDS, self.poll)
 
     def poll(self) -> None:
         """Ask the endpoints whose turn it is."""
--- a/src/guavacleat/sidecar/service.py
+++ b/src/guavacleat/sidecar/service.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer, task
 
 from guavacleat.membership import EndpointRecord, Lease
+from guavacleat.periodic import Periodic
 from guavacleat.protocol.gen.sidecar import Sidecar
 from guavacleat.sidecar.engine_client import EngineClient
 from guavacleat.sidecar.handler import SidecarHandler
@@ -67,10 +68,8 @@
         )
         self.on_superseded = on_superseded or (lambda: None)
         self.lease: Lease | None = None
-        self.idle_sweep = task.LoopingCall(self.handler.cancel_idle)
-        self.idle_sweep.clock = reactor
-        self.engine_refresh = task.LoopingCall(self.handler.refresh)
-        self.engine_refresh.clock = reactor
+        self.idle_sweep = Periodic(reactor, IDLE_SWEEP_SECONDS, self.handler.cancel_idle)
+        self.engine_refresh = Periodic(reactor, ENGINE_REFRESH_SECONDS, self.handler.refresh)
         self.port = None
 
     def startService(self):  # noqa: N802 - Twisted's name
@@ -81,9 +80,8 @@
         self.port = self.reactor.listenTCP(port, factory, interface=host)
         self.record.address = f"{host}:{self.port.getHost().port}"
         self.lease = Lease(self.reactor, self.store, self.record, on_superseded=self._superseded)
-        self.lease.start()
-        self.idle_sweep.start(IDLE_SWEEP_SECONDS)
-        self.engine_refresh.start(ENGINE_REFRESH_SECONDS)
+        for periodic in (self.lease.rounds, self.idle_sweep, self.engine_refresh):
+            periodic.start()
         log_message(message_type="sidecar:started", endpoint=self.name, address=self.record.address)
 
     def _superseded(self) -> None:
@@ -108,10 +106,8 @@
         # once would close its connection first, and the caller of a call that may not be repeated
         # would be told that it may have run.
         yield task.deferLater(self.reactor, FLUSH_SECONDS)
-        for loop in (self.idle_sweep, self.engine_refresh):
-            if loop.running:
-                loop.stop()
-        self.lease.stop()
+        for periodic in (self.lease.rounds, self.idle_sweep, self.engine_refresh):
+            periodic.stop()
         yield self.port.stopListening()
         log_message(message_type="sidecar:stopped", endpoint=self.name)
         yield super().stopService()
--- a/tests/sidecar/test_occupancy.py
+++ b/tests/sidecar/test_occupancy.py
@@ -66,8 +66,14 @@
     """
 
     class SlowEngine:
+        def __init__(self):
+            # Kept, as a connection would: a start whose answer nobody holds any more is collected
+            # as garbage, and with it its claim on the memory.
+            self.answers = []
+
         def generate(self, *args, **kwargs):
-            return defer.Deferred()
+            self.answers.append(defer.Deferred())
+            return self.answers[-1]
 
     handler = SidecarHandler("e1", SlowEngine(), store, clock)
     handler.occupancy = engine_of(400)
