--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -139,5 +139,6 @@
             "refused": self.dispatcher.refused,
             "resumes": self.relay.resumes,
             "store_calls": dict(self.store.calls_by_type),
+            "store_bytes": self.store.bytes,
             "latency": self.metrics.book.summary(),
         }
--- a/src/guavacleat/store/client.py
+++ b/src/guavacleat/store/client.py
@@ -26,12 +26,14 @@
 
 
 class StoreClient:
-    """Calls the object API at ``base_url`` (``http://host:port``) and counts calls by type."""
+    """Calls the object API at ``base_url`` (``http://host:port``); counts calls and bytes."""
 
     def __init__(self, base_url: str, http=treq):
         self.base_url = base_url.rstrip("/")
         self.http = http
         self.calls_by_type: dict[str, int] = {"read": 0, "write": 0, "watch": 0}
+        # Bodies sent and received, without headers.
+        self.bytes = 0
 
     @defer.inlineCallbacks
     def get(self, kind: str, name: str):
@@ -91,6 +93,7 @@
                 method, self.base_url + path, data=data, timeout=timeout
             )
             content = yield response.content()
+            self.bytes += len(data or b"") + len(content)
         except Exception as exc:  # noqa: BLE001 - every transport failure means "no answer"
             raise StoreUnavailableError(f"{method} {path}: {exc.__class__.__name__}") from exc
         if response.code not in EXPECTED_STATUSES:
