Memory kept free from growing outputs is open to the most urgent requests

Change: the headroom is kept free from all but priority 0 (URGENT_PRIORITY); occupancy reports it (kept_free), routers judge room the same way.

--- a/src/guavacleat/config/model.py
+++ b/src/guavacleat/config/model.py
@@ -1,6 +1,17 @@
 """Plain classes for one deployment's settings, as accepted after checking."""
 
-__all__ = ["ClientAccount", "Deployment", "Endpoint", "Limits", "PriorityClass", "Service"]
+__all__ = [
+    "ClientAccount",
+    "Deployment",
+    "Endpoint",
+    "Limits",
+    "PriorityClass",
+    "Service",
+    "URGENT_PRIORITY",
+]
+
+# The most urgent priority. Its requests may use the engine memory that is kept free from others.
+URGENT_PRIORITY = 0
 
 
 class PriorityClass:
--- a/src/guavacleat/protocol/gen/sidecar/ttypes.py
+++ b/src/guavacleat/protocol/gen/sidecar/ttypes.py
@@ -169,11 +169,12 @@
      - capacity
      - peak_in
      - to_read
+     - kept_free
 
     """
 
 
-    def __init__(self, open_streams=None, slots=None, held=None, peak=None, capacity=None, peak_in=None, to_read=None,):
+    def __init__(self, open_streams=None, slots=None, held=None, peak=None, capacity=None, peak_in=None, to_read=None, kept_free=None,):
         self.open_streams = open_streams
         self.slots = slots
         self.held = held
@@ -181,6 +182,7 @@
         self.capacity = capacity
         self.peak_in = peak_in
         self.to_read = to_read
+        self.kept_free = kept_free
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -226,6 +228,11 @@
                     self.to_read = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.kept_free = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -264,6 +271,10 @@
             oprot.writeFieldBegin('to_read', TType.I64, 7)
             oprot.writeI64(self.to_read)
             oprot.writeFieldEnd()
+        if self.kept_free is not None:
+            oprot.writeFieldBegin('kept_free', TType.I64, 8)
+            oprot.writeI64(self.kept_free)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1183,6 +1194,7 @@
     (5, TType.I64, 'capacity', None, None, ),  # 5
     (6, TType.I32, 'peak_in', None, None, ),  # 6
     (7, TType.I64, 'to_read', None, None, ),  # 7
+    (8, TType.I64, 'kept_free', None, None, ),  # 8
 )
 all_structs.append(StartReply)
 StartReply.thrift_spec = (
--- a/src/guavacleat/routing/router.py
+++ b/src/guavacleat/routing/router.py
@@ -10,6 +10,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from guavacleat.config.model import URGENT_PRIORITY
 from guavacleat.lengths import LengthEstimator
 from guavacleat.membership.records import EndpointRecord
 from guavacleat.routing.cache_map import CacheMap
@@ -176,7 +177,8 @@
         output = self.lengths.remaining(request.kind(), 0, request.max_tokens)
         growth = min(output, occupancy.peak_in or 0)
         expected = occupancy.peak + sum(starting.values()) + request.prompt_tokens + growth
-        return expected <= occupancy.capacity
+        urgent = request.priority == URGENT_PRIORITY
+        return expected <= occupancy.capacity - (0 if urgent else occupancy.kept_free or 0)
 
     def rank(self, name, request):
         starting = sum(self.starting_by_name.get(name, {}).values())
--- a/src/guavacleat/sidecar/occupancy.py
+++ b/src/guavacleat/sidecar/occupancy.py
@@ -10,6 +10,7 @@
 
 import itertools
 
+from guavacleat.config.model import URGENT_PRIORITY
 from guavacleat.lengths import LengthEstimator
 from guavacleat.protocol.gen.sidecar.ttypes import Occupancy
 
@@ -40,7 +41,8 @@
 class EngineOccupancy:
     """The streams on one engine by id; ``capacity`` 0 means not yet known (then all fits).
 
-    ``capacity`` is the engine's memory less the headroom, and is reported so to gateways.
+    The headroom is kept free from all but the most urgent requests: those are short-lived, and
+    otherwise wait for a summary to end whenever the engine is as full as it may be.
     """
 
     def __init__(self, headroom: float = HEADROOM):
@@ -53,7 +55,7 @@
 
     def resize(self, capacity: int, slots: int) -> None:
         """Take in the engine's sizes from its load report."""
-        self.capacity = int(capacity * (1 - self.headroom))
+        self.capacity = capacity
         self.slots = slots
 
     def fits(self, stream: RunningStream) -> bool:
@@ -63,7 +65,11 @@
         if len(self.streams_by_id) >= self.slots:
             return False
         peak, _ = self._peak_of([*self.streams_by_id.values(), stream])
-        return peak <= self.capacity
+        return peak <= self.capacity - self._kept_free(stream)
+
+    def _kept_free(self, stream: RunningStream) -> int:
+        _, priority = stream.kind
+        return 0 if priority == URGENT_PRIORITY else int(self.capacity * self.headroom)
 
     def add(self, stream_id: str, stream: RunningStream) -> None:
         self.streams_by_id[stream_id] = stream
@@ -96,6 +102,7 @@
             peak=self._peak[0],
             capacity=self.capacity,
             peak_in=self._peak[1],
+            kept_free=int(self.capacity * self.headroom),
             to_read=sum(s.held for s in self.streams_by_id.values() if s.reading),
         )
 
--- a/tests/sidecar/test_occupancy.py
+++ b/tests/sidecar/test_occupancy.py
@@ -93,3 +93,19 @@
     assert lengths.remaining(KIND, 20, 5000) == 980
     assert lengths.remaining(KIND, 2000, 5000) == 2000
     assert lengths.remaining(KIND, 4500, 5000) == 500
+
+
+def test_urgent_request_may_use_what_is_kept_free_from_others():
+    """
+    Symptom: intent tags wait seconds behind summaries that are already running.
+    Sequence: summaries fill the engine as far as they may; a summary and a tag come.
+    Cause: the room kept for growth was kept from short urgent requests as well.
+    """
+    occupancy = EngineOccupancy(headroom=0.2)
+    occupancy.resize(1000, 8)
+    for length in (100,) * 20:
+        occupancy.lengths.finished(KIND, length)
+    occupancy.add("1", RunningStream(KIND, 600, 100))
+    assert not occupancy.fits(RunningStream(KIND, 100, 100))
+    assert occupancy.fits(RunningStream(("svc", 0), 100, 100))
+    assert occupancy.report().kept_free == 200
--- a/thrift/sidecar.thrift
+++ b/thrift/sidecar.thrift
@@ -28,6 +28,8 @@
   5: required i64 capacity,
   6: optional i32 peak_in,
   7: optional i64 to_read,
+  // Part of ``capacity`` that only requests of the most urgent priority may use.
+  8: optional i64 kept_free,
 }
 
 struct StartReply {
