A dispatch that looks at the queue again gives no request out twice

A dispatch whose stream ended at once pumped the queue from within _fill_gaps, which then went on with entries already given out (AlreadyCalledError; the caller hung, its endpoint stayed counted busy). Ruled out: the urgent room itself, which only made gaps filled more often; the relay. Change: pump is not re-entered; an inner look is left to the outer one.

--- a/src/guavacleat/admission/dispatcher.py
+++ b/src/guavacleat/admission/dispatcher.py
@@ -61,6 +61,8 @@
         self.marks_by_service: dict[str, deque] = {}
         self.charged_by_request: dict[str, float] = {}
         self.refused = 0
+        self.looking: set[str] = set()
+        self.look_again: set[str] = set()
 
     def acquire(
         self, request, limits, tried=frozenset(), front: bool = False, deadline: float | None = None
@@ -99,8 +101,24 @@
         self.pump(request.service)
 
     def pump(self, service: str) -> None:
-        """Dispatch waiting requests while there is room for the next in turn."""
-        queue = self._queue(service)
+        """Dispatch waiting requests while there is room for the next in turn.
+
+        A dispatch may end at once and look at the queue again, while this look is still going
+        through it and would then give out an entry twice; an inner look is therefore left to
+        the outer one, which looks once more.
+        """
+        self.look_again.add(service)
+        if service in self.looking:
+            return
+        self.looking.add(service)
+        try:
+            while service in self.look_again:
+                self.look_again.discard(service)
+                self._look(self._queue(service))
+        finally:
+            self.looking.discard(service)
+
+    def _look(self, queue) -> None:
         entry = queue.head()
         while entry is not None:
             if not self._place(entry, queue):
--- a/tests/admission/test_dispatcher.py
+++ b/tests/admission/test_dispatcher.py
@@ -169,3 +169,25 @@
         result_of(refused_late)
     urgent = make_request(account="b", priority=0, max_tokens=10)
     assert not dispatcher.acquire(urgent, limits).called
+
+
+def test_dispatch_that_pumps_again_gives_no_request_out_twice(clock):
+    """
+    Symptom: a caller never gets any answer, and its endpoint stays counted busy.
+    Sequence: a head has no room; two tags wait; room for tags comes; the first one's dispatch
+    ends at once and looks at the queue again while the outer look is still under way.
+    Cause: the outer look went on with entries the inner one had given out (found by a fault run).
+    """
+    view = MembershipView(clock)
+    view.observe(endpoint_record("e1"))
+    dispatcher = Dispatcher(clock, view, get_router_by_name("cache-load", clock))
+    dispatcher.router.observe("e1", Occupancy(8, 8, 0, 9_500, 10_000))
+    dispatcher.acquire(make_request(account="a", prompt="w " * 1000), LIMITS_OPEN)
+    tags = [make_request(account=name, prompt="w " * 9, max_tokens=5) for name in ("b", "c")]
+    waiting = [dispatcher.acquire(tag, LIMITS_OPEN) for tag in tags]
+    for given in waiting:
+        given.addCallback(lambda _: dispatcher.pump("svc"))
+    dispatcher.router.observe("e1", Occupancy(2, 8, 0, 9_500, 10_000))
+    dispatcher.pump("svc")
+    assert all(given.called for given in waiting)
+    assert dispatcher.router.in_flight_by_name["e1"] == 2
