Remove CacheMap.forget, which nothing calls

Cause: reading the whole change again: the method was written for replaced engines and never wired. Change: removed; no behaviour change.

--- a/src/guavacleat/routing/cache_map.py
+++ b/src/guavacleat/routing/cache_map.py
@@ -46,11 +46,6 @@
                 self.heard_at_by_endpoint.get(endpoint, {}).pop(event.block, None)
         self.last_event_by_endpoint[endpoint] = last
 
-    def forget(self, endpoint: str) -> None:
-        """Drop what is known of an endpoint (its engine was replaced and its cache is empty)."""
-        self.heard_at_by_endpoint.pop(endpoint, None)
-        self.last_event_by_endpoint.pop(endpoint, None)
-
     def cached_blocks(self, endpoint: str, blocks: list[str]) -> int:
         """How many leading ``blocks`` the endpoint's engine probably holds."""
         heard_at = self.heard_at_by_endpoint.get(endpoint)
