The path on the users' platform: routes, forwarding over h11, endpoints that register themselves, moves

Cause: nothing of the product ran on the platform (no deploy file, own JSON interface only). Change: slices routes, http1, forwarding, placement, retries, migration, ingress; platform/ decodes settings, configuration, endpoint entries and headers; the store client takes a dialect.

--- a/src/guavacleat/cmdline.py
+++ b/src/guavacleat/cmdline.py
@@ -13,6 +13,7 @@
 
 COMMANDS_BY_NAME = {
     "gateway": ("guavacleat.commands.gateway", "entry daemon behind the platform's balancer"),
+    "ingress": ("guavacleat.commands.ingress", "gateway for HTTP routes, on the platform"),
     "sidecar": ("guavacleat.commands.sidecar", "the process beside one endpoint"),
     "ctl": (
         "guavacleat.commands.ctl",
--- /dev/null
+++ b/src/guavacleat/forwarding/parts.py
@@ -0,0 +1,27 @@
+"""The parts of a gateway that forwarding a request uses."""
+
+__all__ = ["ForwardingParts"]
+
+
+class ForwardingParts:
+    """Holds one of each; see the classes named.
+
+    :param clock: an ``IReactorTime``.
+    :param pool: :class:`~guavacleat.http1.pool.ConnectionPool`.
+    :param wire: :class:`~guavacleat.forwarding.wire.Wire`.
+    :param registry: :class:`~guavacleat.membership.registry.EndpointRegistry`.
+    :param load: :class:`~guavacleat.placement.LoadBook`.
+    :param placement: :class:`~guavacleat.placement.Placement`.
+    :param budget: :class:`~guavacleat.retries.RetryBudget`.
+    """
+
+    __slots__ = ("clock", "pool", "wire", "registry", "load", "placement", "budget")
+
+    def __init__(self, clock, pool, wire, registry, load, placement, budget):
+        self.clock = clock
+        self.pool = pool
+        self.wire = wire
+        self.registry = registry
+        self.load = load
+        self.placement = placement
+        self.budget = budget
--- /dev/null
+++ b/src/guavacleat/forwarding/plain.py
@@ -0,0 +1,168 @@
+"""Forwarding a plain request: one endpoint after the other as far as its kind allows.
+
+A request that is not idempotent is sent again only if the endpoint states that it did not run
+it, or if no connection came about. Idempotent ones are sent again after any failure, while the
+route's attempts, the deadline and the shared budget allow it.
+"""
+
+from eliot import log_message
+
+from guavacleat.forwarding.answer import AttemptEnd, CheckedAnswer, pass_head_on
+from guavacleat.forwarding.answers import Refusal, Verdict
+from guavacleat.forwarding.messages import EndpointOrder
+from guavacleat.forwarding.request import ForwardedRequest
+from guavacleat.placement import Run
+from guavacleat.routes import RequestKind
+
+__all__ = ["PlainForwarder"]
+
+# An idempotent request that has no answer after this many times its latency goal is abandoned
+# and sent elsewhere. Three goals is above the slowest in a hundred of a sound endpoint, which
+# takes about twice the goal, and leaves a second attempt most of the time-out.
+PATIENCE_GOALS = 3.0
+# Sends of one request at most, those included that an endpoint refused to run.
+MAX_SENDS = 4
+RETRY_AFTER_NO_ENDPOINT = 1.0
+RETRY_AFTER_NO_ROOM = 0.5
+SERVER_ERROR = 500
+NEVER_RUN = (AttemptEnd.NOT_RUN, AttemptEnd.WRONG_INCARNATION, AttemptEnd.UNREACHABLE)
+
+
+class PlainForwarder:
+    """Forwards plain requests; ``parts`` is the :class:`~.parts.ForwardingParts` in use."""
+
+    def __init__(self, parts):
+        self.parts = parts
+
+    async def forward(self, request: ForwardedRequest) -> None:
+        """Answer the caller, or raise :class:`Refusal`."""
+        runs, tried = 0, set()
+        for sends in range(MAX_SENDS):
+            if sends and not self._may_send_again(request, runs):
+                break
+            entry = self.parts.placement.for_call(request.service, tried)
+            if entry is None and runs == 0 and not tried:
+                raise Refusal(Verdict.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT)
+            if entry is None:
+                break
+            tried.add(entry.id)
+            if sends:
+                self.parts.budget.repeat(request.service)
+            last = self._is_last(request, runs)
+            end, answer = await self._attempt(request, entry, last)
+            if end in NEVER_RUN:
+                continue
+            runs += 1
+            if end is AttemptEnd.PASSED_ON or request.exchange.gone:
+                return
+            if end is AttemptEnd.ANSWERED and not self._repeat_failure(request, answer, runs):
+                self._deliver(request, answer)
+                return
+        self._give_up(request, runs)
+
+    def _may_send_again(self, request: ForwardedRequest, runs: int) -> bool:
+        if runs and request.route.kind is not RequestKind.IDEMPOTENT:
+            return False
+        return (
+            runs < request.route.max_attempts
+            and not request.exchange.gone
+            and self.parts.clock.seconds() < request.deadline
+            and self.parts.budget.may_repeat(request.service)
+        )
+
+    def _is_last(self, request: ForwardedRequest, runs: int) -> bool:
+        return (
+            request.route.kind is not RequestKind.IDEMPOTENT
+            or runs + 1 >= request.route.max_attempts
+        )
+
+    def _repeat_failure(self, request: ForwardedRequest, answer: CheckedAnswer, runs: int) -> bool:
+        """Whether an endpoint's own failure is worth another try elsewhere."""
+        if answer.head.status < SERVER_ERROR:
+            return False
+        others = self.parts.placement.for_call(request.service, set()) is not None
+        return others and self._may_send_again(request, runs)
+
+    async def _attempt(self, request, entry, last):
+        """Send to one endpoint; return its :class:`AttemptEnd` and the answer."""
+        parts = self.parts
+        began = parts.clock.seconds()
+        answer = CheckedAnswer(request.exchange, request.facts.id, parts.wire)
+        try:
+            connection = await parts.pool.connect(entry.address)
+        except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
+            parts.load.failed(entry.id)
+            self._log_attempt(request, entry, AttemptEnd.UNREACHABLE, repr(exc))
+            return AttemptEnd.UNREACHABLE, answer
+        time_left = request.deadline - parts.clock.seconds()
+        if time_left <= 0 or request.exchange.gone:
+            connection.abandon()
+            return AttemptEnd.UNREACHABLE, answer
+        patience = time_left
+        if not last:
+            patience = min(time_left, PATIENCE_GOALS * request.route.latency_goal)
+        end = await self._exchange(request, entry, connection, answer, time_left, patience)
+        latency = parts.clock.seconds() - began
+        self._note_health(entry, end, answer, latency)
+        self._log_attempt(request, entry, end, None)
+        return end, answer
+
+    async def _exchange(self, request, entry, connection, answer, time_left, patience):
+        parts = self.parts
+        order = EndpointOrder(entry.id, time_left, request.account_name)
+        answer.connection = connection
+        timed_out = []
+
+        def time_up():
+            timed_out.append(True)
+            connection.abandon()
+
+        request.exchange.on_gone = connection.abandon
+        timer = parts.clock.callLater(patience, time_up)
+        parts.load.begin(entry.id, Run(request.facts.id))
+        try:
+            head = request.exchange.head
+            headers = parts.wire.endpoint_headers(request.headers, order)
+            connection.send(head.method, head.target, headers, request.exchange.body, answer)
+            end = await answer.done
+        finally:
+            parts.load.end(entry.id, request.facts.id)
+            request.exchange.on_gone = None
+            if timer.active():
+                timer.cancel()
+        return AttemptEnd.TIMED_OUT if timed_out and end is AttemptEnd.BROKEN else end
+
+    def _note_health(self, entry, end, answer, latency) -> None:
+        if end is AttemptEnd.WRONG_INCARNATION:
+            self.parts.registry.suspect_gone(entry.id)
+        elif end is AttemptEnd.ANSWERED and answer.head.status < SERVER_ERROR:
+            self.parts.load.succeeded(entry.id, latency)
+        elif end is not AttemptEnd.PASSED_ON:
+            self.parts.load.failed(entry.id)
+
+    def _deliver(self, request: ForwardedRequest, answer: CheckedAnswer) -> None:
+        if request.exchange.gone:
+            return
+        pass_head_on(request.exchange, answer.head)
+        if answer.body:
+            request.exchange.write(answer.body)
+        request.exchange.end()
+
+    def _give_up(self, request: ForwardedRequest, runs: int) -> None:
+        if runs == 0:
+            raise Refusal(Verdict.NO_ROOM, RETRY_AFTER_NO_ROOM)
+        if self.parts.clock.seconds() >= request.deadline:
+            raise Refusal(Verdict.EXPIRED)
+        raise Refusal(Verdict.BROKEN)
+
+    def _log_attempt(self, request, entry, end: AttemptEnd, detail) -> None:
+        if end is AttemptEnd.ANSWERED:
+            return
+        log_message(
+            message_type="request:attempt",
+            request=request.facts.id,
+            endpoint=entry.id,
+            end=end.value,
+            detail=detail,
+            left=round(request.deadline - self.parts.clock.seconds(), 3),
+        )
--- /dev/null
+++ b/src/guavacleat/http1/calls.py
@@ -0,0 +1,93 @@
+"""Whole calls over pooled connections: for the store's client and for calls to engines."""
+
+from urllib.parse import urlsplit
+
+from twisted.internet import defer
+
+from guavacleat.addresses import format_address
+from guavacleat.http1.client import AnswerListener, BreakReason
+from guavacleat.http1.messages import ResponseHead
+from guavacleat.http1.pool import ConnectionPool
+
+__all__ = ["CallBrokenError", "PooledHttp", "WholeAnswer", "call"]
+
+
+class CallBrokenError(Exception):
+    """A call got no whole answer; it may have taken effect."""
+
+
+class WholeAnswer:
+    """An answer with its body; has treq's ``code`` and ``content()``."""
+
+    __slots__ = ("head", "body")
+
+    def __init__(self, head: ResponseHead, body: bytes):
+        self.head = head
+        self.body = body
+
+    @property
+    def code(self) -> int:
+        return self.head.status
+
+    def content(self) -> defer.Deferred:
+        return defer.succeed(self.body)
+
+
+class _Collector(AnswerListener):
+    def __init__(self):
+        self.done = defer.Deferred()
+        self.head = None
+        self.pieces: list[bytes] = []
+
+    def answer_began(self, head):
+        self.head = head
+
+    def answer_body(self, data):
+        self.pieces.append(data)
+
+    def answer_ended(self):
+        self.done.callback(WholeAnswer(self.head, b"".join(self.pieces)))
+
+    def answer_broken(self, reason: BreakReason):
+        self.done.errback(CallBrokenError(reason.value))
+
+
+async def call(reactor, pool: ConnectionPool, address, method, target, headers, body, timeout):
+    """Return the :class:`WholeAnswer`; raise CallBrokenError if none came in ``timeout`` s."""
+    try:
+        connection = await pool.connect(address)
+    except Exception as exc:  # noqa: BLE001 - refused, timed out, unreachable: no connection
+        raise CallBrokenError(repr(exc)) from exc
+    collector = _Collector()
+    all_headers = [(b"host", format_address(address).encode()), *headers]
+    connection.send(method, target, all_headers, body, collector)
+    timer = reactor.callLater(timeout, connection.abandon)
+    try:
+        return await collector.done
+    finally:
+        if timer.active():
+            timer.cancel()
+
+
+class PooledHttp:
+    """What the store's client needs of treq, over this process's own connections."""
+
+    def __init__(self, reactor, pool: ConnectionPool):
+        self.reactor = reactor
+        self.pool = pool
+
+    def request(self, method: str, url: str, data: bytes | None, timeout: float):
+        parts = urlsplit(url)
+        target = parts.path + (f"?{parts.query}" if parts.query else "")
+        headers = [(b"content-type", b"application/json")] if data is not None else []
+        coroutine = call(
+            self.reactor,
+            self.pool,
+            (parts.hostname, parts.port),
+            method.encode(),
+            target.encode(),
+            headers,
+            data or b"",
+            timeout,
+        )
+        return defer.Deferred.fromCoroutine(coroutine)
--- /dev/null
+++ b/src/guavacleat/http1/client.py
@@ -0,0 +1,154 @@
+"""One connection to an endpoint: one request at a time, its answer told piece by piece.
+
+The answer goes to a listener with the methods of :class:`AnswerListener`. What cannot belong to
+the request under way (bytes while none waits, a second answer, an answer with another request's
+id) ends the connection: such bytes belong to no request and must never reach a caller.
+"""
+
+import enum
+
+import h11
+from twisted.internet import protocol
+from twisted.internet.error import ConnectionDone
+
+from guavacleat.http1.messages import ResponseHead
+from guavacleat.http1.sockets import notice_silence
+
+__all__ = ["AnswerListener", "BreakReason", "EndpointConnection"]
+
+MAX_ANSWER_HEAD_BYTES = 32768
+
+
+class BreakReason(enum.Enum):
+    """Why an exchange ended without a whole answer."""
+
+    CLOSED = "connection closed"
+    RESET = "connection reset"
+    GARBLED = "not HTTP"
+    ABANDONED = "abandoned by this gateway"
+
+
+class AnswerListener:
+    """Hears one answer. Exactly one of ``answer_ended`` and ``answer_broken`` comes last."""
+
+    def answer_began(self, head: ResponseHead) -> None: ...
+
+    def answer_body(self, data: bytes) -> None: ...
+
+    def answer_ended(self) -> None: ...
+
+    def answer_broken(self, reason: BreakReason) -> None: ...
+
+
+class EndpointConnection(protocol.Protocol):
+    """A connection to one address; ``on_idle(connection)`` hears when it may be used again.
+
+    :param requests: requests sent on it so far.
+    """
+
+    def __init__(self, on_idle, on_closed):
+        self.on_idle = on_idle
+        self.on_closed = on_closed
+        self.parser = None
+        self.listener: AnswerListener | None = None
+        self.requests = 0
+        self.open = False
+        self.keep_alive_seconds: float | None = None
+
+    def connectionMade(self):  # noqa: N802 - Twisted's name
+        self.open = True
+        notice_silence(self.transport)
+
+    def send(self, method, target, headers, body: bytes, listener: AnswerListener) -> None:
+        """Send one request; ``headers`` hold neither framing nor hop-by-hop headers."""
+        self.listener = listener
+        self.requests += 1
+        self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES)
+        framed = [(name, value) for name, value in headers if name != b"content-length"]
+        if body or method not in (b"GET", b"HEAD", b"DELETE"):
+            framed.append((b"content-length", b"%d" % len(body)))
+        out = self.parser.send(h11.Request(method=method, target=target, headers=framed))
+        if body:
+            out += self.parser.send(h11.Data(data=body))
+        out += self.parser.send(h11.EndOfMessage())
+        self.transport.write(out)
+
+    def abandon(self) -> None:
+        """Close at once, so that the endpoint stops working on what was asked."""
+        if self.open:
+            self.open = False
+            self.transport.abortConnection()
+        self._broken(BreakReason.ABANDONED)
+
+    def dataReceived(self, data):  # noqa: N802 - Twisted's name
+        if self.listener is None:
+            self.abandon()
+            return
+        self._feed(data)
+
+    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802 - Twisted's name
+        self.open = False
+        if self.listener is not None and reason.check(ConnectionDone):
+            # Only a clean close can end an answer that has no length.
+            self._feed(b"")
+            self._broken(BreakReason.CLOSED)
+        self._broken(BreakReason.RESET)
+        self.on_closed(self)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self.parser.receive_data(data)
+            while self.listener is not None and self._handle(self.parser.next_event()):
+                pass
+        except h11.RemoteProtocolError:
+            self._garbled()
+
+    def _handle(self, event) -> bool:
+        """Pass one event on; return whether more may follow."""
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return False
+        if isinstance(event, h11.Response):
+            self._note_keep_alive(event)
+            head = ResponseHead(event.status_code, event.reason, list(event.headers))
+            self.listener.answer_began(head)
+        elif isinstance(event, h11.Data):
+            self.listener.answer_body(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._ended()
+            return False
+        elif isinstance(event, h11.ConnectionClosed):
+            return False
+        return True
+
+    def _ended(self) -> None:
+        reusable = (
+            self.open
+            and self.parser.our_state is h11.DONE
+            and self.parser.their_state is h11.DONE
+            and not self.parser.trailing_data[0]
+        )
+        listener, self.listener = self.listener, None
+        if reusable:
+            self.on_idle(self)
+        elif self.open:
+            self.open = False
+            self.transport.abortConnection()
+        listener.answer_ended()
+
+    def _note_keep_alive(self, response: h11.Response) -> None:
+        values = [value for name, value in response.headers if name == b"keep-alive"]
+        for part in b",".join(values).split(b","):
+            name, _, seconds = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and seconds.isdigit():
+                self.keep_alive_seconds = float(seconds)
+
+    def _garbled(self) -> None:
+        if self.open:
+            self.open = False
+            self.transport.abortConnection()
+        self._broken(BreakReason.GARBLED)
+
+    def _broken(self, reason: BreakReason) -> None:
+        listener, self.listener = self.listener, None
+        if listener is not None:
+            listener.answer_broken(reason)
--- /dev/null
+++ b/src/guavacleat/ingress/dispatch.py
@@ -0,0 +1,138 @@
+"""From a caller's request to its route, account and forwarder, and the gateway's own answers."""
+
+import random
+
+from eliot import log_message
+from twisted.internet import defer
+
+from guavacleat.forwarding.answers import Refusal, Verdict
+from guavacleat.forwarding.plain import PlainForwarder
+from guavacleat.forwarding.request import ForwardedRequest
+from guavacleat.forwarding.session import StreamSession
+from guavacleat.http1.messages import end_to_end_headers
+from guavacleat.http1.server import CallerExchange
+from guavacleat.routes import Account, RequestKind, Route, RouteTable, ServiceTraits
+
+__all__ = ["Dispatch"]
+
+RETRY_AFTER_NO_CONFIGURATION = 0.5
+RETRY_AFTER_NO_MEMORY = 0.5
+# Connections to a service whose traits are not known, at most.
+UNKNOWN_SERVICE_CONNECTIONS = 16
+
+
+class Dispatch:
+    """Handles each caller's request.
+
+    :param holder: the :class:`~guavacleat.routes.holder.RouteHolder`.
+    :param parts: the :class:`~guavacleat.forwarding.parts.ForwardingParts`.
+    :param held_bytes_bound: bytes of request bodies that may be held at a time.
+    """
+
+    def __init__(self, holder, parts, metrics, held_bytes_bound: int, seed=None):
+        self.holder = holder
+        self.parts = parts
+        self.metrics = metrics
+        self.held_bytes_bound = held_bytes_bound
+        self.held_bytes = 0
+        self.in_flight = 0
+        self.sessions: set[StreamSession] = set()
+        self.plain = PlainForwarder(parts)
+        self.random = random.Random(seed)
+
+    def handle(self, exchange: CallerExchange) -> None:
+        """Take a request; it is answered later."""
+        defer.Deferred.fromCoroutine(self._handle(exchange)).addErrback(self._unforeseen, exchange)
+
+    async def _handle(self, exchange: CallerExchange) -> None:
+        arrived = self.parts.clock.seconds()
+        size = len(exchange.body)
+        self.held_bytes += size
+        self.in_flight += 1
+        request = None
+        try:
+            request = self._match(exchange, arrived)
+            await self._forward(request)
+            self._log_end(request, exchange, arrived, None)
+        except Refusal as refusal:
+            self._refuse(exchange, refusal)
+            self._log_end(request, exchange, arrived, refusal)
+        finally:
+            self.held_bytes -= size
+            self.in_flight -= 1
+
+    async def _forward(self, request: ForwardedRequest) -> None:
+        self.parts.budget.request(request.service)
+        if request.route.kind is RequestKind.STREAM:
+            await StreamSession(request, self.parts, self.sessions).run()
+        else:
+            await self.plain.forward(request)
+
+    def _match(self, exchange: CallerExchange, arrived: float) -> ForwardedRequest:
+        """Find the route and the account, or raise :class:`Refusal`."""
+        table = self.holder.table
+        if table is None:
+            raise Refusal(Verdict.NO_CONFIGURATION, RETRY_AFTER_NO_CONFIGURATION)
+        if self.held_bytes > self.held_bytes_bound:
+            raise Refusal(Verdict.NO_MEMORY, RETRY_AFTER_NO_MEMORY)
+        route = table.match(_host_name(exchange.head.host), exchange.head.path)
+        if route is None:
+            raise Refusal(Verdict.UNKNOWN_ROUTE)
+        headers = end_to_end_headers(exchange.head.headers)
+        facts = self.parts.wire.caller_facts(headers)
+        account = _account(table, route, facts.key)
+        service = route.pick_service(self.random)
+        traits = table.services_by_name.get(service)
+        if traits is None:
+            traits = ServiceTraits(service, UNKNOWN_SERVICE_CONNECTIONS)
+        return ForwardedRequest(
+            exchange, facts, route, account, service, traits, table.version, arrived, headers
+        )
+
+    def _refuse(self, exchange: CallerExchange, refusal: Refusal) -> None:
+        if exchange.gone or exchange.began:
+            return
+        request_id = self.parts.wire.caller_facts(exchange.head.headers).id
+        headers = self.parts.wire.refusal_headers(request_id, refusal.retry_after)
+        exchange.answer(refusal.verdict.status, headers, b"")
+
+    def _unforeseen(self, failure, exchange: CallerExchange) -> None:
+        """An error of our own: the request may have run, so its answer must promise nothing."""
+        log_message(message_type="request:error", error=failure.getTraceback())
+        if exchange.ended or exchange.gone:
+            return
+        if exchange.began:
+            exchange.cut()
+        else:
+            exchange.answer(Verdict.BROKEN.status, [], b"")
+
+    def _log_end(self, request, exchange, arrived: float, refusal: Refusal | None) -> None:
+        seconds = self.parts.clock.seconds() - arrived
+        outcome = refusal.verdict.name if refusal else "GONE" if exchange.gone else "ANSWERED"
+        self.metrics.ended(request, outcome, seconds)
+        log_message(
+            message_type="request:end",
+            request=request.facts.id if request else None,
+            route=request.route.name if request else exchange.head.target.decode("latin-1"),
+            account=request.account_name if request else None,
+            config=self.holder.table.version if self.holder.table else None,
+            outcome=outcome,
+            retry_after=refusal.retry_after if refusal else None,
+            detail=refusal.detail if refusal else None,
+            seconds=round(seconds, 3),
+        )
+
+
+def _host_name(host: str) -> str:
+    """The host header without a port."""
+    name, colon, port = host.rpartition(":")
+    return name if colon and port.isdigit() else host
+
+
+def _account(table: RouteTable, route: Route, key: str) -> Account | None:
+    if route.public or not table.keyed:
+        return None
+    account = table.accounts_by_key.get(key)
+    if account is None:
+        raise Refusal(Verdict.UNKNOWN_KEY)
+    return account
--- /dev/null
+++ b/src/guavacleat/membership/registry.py
@@ -0,0 +1,148 @@
+"""Endpoints that register themselves in the object API, as one gateway knows them.
+
+An entry that disappears usually means that its endpoint is leaving. While the store is away,
+though, entries lapse although their endpoints live; those come back within ``RETURN_SECONDS`` of
+the store's return. Entries removed in that time are kept until it has passed: dropping them at
+once would leave a gateway without any endpoint just after an outage.
+"""
+
+import enum
+
+from eliot import log_message
+from twisted.internet.interfaces import IReactorTime
+
+from guavacleat.addresses import format_address
+
+__all__ = ["EndpointEntry", "EndpointRegistry", "EndpointState", "RETURN_SECONDS"]
+
+# Time that live endpoints need to register again after an outage of the store: two seconds by
+# the platform's word, and a margin for the watch that brings the news.
+RETURN_SECONDS = 2.3
+
+
+class EndpointState(enum.Enum):
+    """Whether an endpoint takes new work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class EndpointEntry:
+    """One incarnation of an endpoint.
+
+    :param id: the incarnation's id; a restart has another.
+    :param address: ``(ip, port)`` of its HTTP listener; may later belong to another service.
+    :param slots: requests it processes at a time.
+    :param cold_seconds: how much longer it is slow after its start, when the entry was written.
+    """
+
+    __slots__ = ("id", "service", "address", "data_centre", "slots", "state", "cold_seconds")
+
+    def __init__(self, id, service, address, data_centre, slots, state, cold_seconds=0.0):
+        self.id = id
+        self.service = service
+        self.address = address
+        self.data_centre = data_centre
+        self.slots = slots
+        self.state = state
+        self.cold_seconds = cold_seconds
+
+
+class EndpointRegistry:
+    """Entries by id; tells ``on_leaving(entry)`` once about each endpoint that will go."""
+
+    def __init__(self, clock: IReactorTime, on_leaving=None):
+        self.clock = clock
+        self.on_leaving = on_leaving or (lambda entry: None)
+        self.entries_by_id: dict[str, EndpointEntry] = {}
+        self.left_ids: dict[str, float] = {}
+        self.lapsed_ids: set[str] = set()
+        self.store_lost_at: float | None = None
+        self.store_back_at: float | None = None
+
+    def observe(self, entry: EndpointEntry) -> None:
+        """Take in an entry as the store holds it now."""
+        self.lapsed_ids.discard(entry.id)
+        previous = self.entries_by_id.get(entry.id)
+        self.entries_by_id[entry.id] = entry
+        if previous is None or previous.state is not entry.state:
+            self._log(entry, entry.state.value)
+        if entry.state is EndpointState.DRAINING:
+            self._leaving(entry)
+        else:
+            self.left_ids.pop(entry.id, None)
+
+    def remove(self, id: str) -> None:
+        """Take in that the store holds no entry of this id any more."""
+        entry = self.entries_by_id.get(id)
+        if entry is None or id in self.lapsed_ids:
+            return
+        if entry.state is EndpointState.READY and self._may_have_lapsed():
+            self.lapsed_ids.add(id)
+            self._log(entry, "lapsed")
+            self.clock.callLater(self._return_time_left(), self._drop_if_lapsed, id)
+            return
+        self._drop(id)
+
+    def listed(self, ids: set[str]) -> None:
+        """Take in a whole listing: every entry not in it is gone."""
+        for id in set(self.entries_by_id) - ids:
+            self.remove(id)
+
+    def store_health(self, healthy: bool) -> None:
+        """Hear whether the store answered the last call of the watch."""
+        now = self.clock.seconds()
+        if not healthy and self.store_lost_at is None:
+            self.store_lost_at = now
+            log_message(message_type="store:lost")
+        elif healthy and self.store_lost_at is not None:
+            log_message(message_type="store:back", outage=round(now - self.store_lost_at, 3))
+            self.store_lost_at = None
+            self.store_back_at = now
+
+    def suspect_gone(self, id: str) -> None:
+        """Another incarnation answered at this endpoint's address: the entry is out of date."""
+        if id in self.entries_by_id:
+            self._drop(id)
+
+    def ready(self, service: str) -> list[EndpointEntry]:
+        """Endpoints of ``service`` that take new work."""
+        return [
+            entry
+            for entry in self.entries_by_id.values()
+            if entry.service == service and entry.state is EndpointState.READY
+        ]
+
+    def _may_have_lapsed(self) -> bool:
+        return self.store_lost_at is not None or self._return_time_left() > 0
+
+    def _return_time_left(self) -> float:
+        if self.store_back_at is None:
+            return 0.0
+        return max(0.0, self.store_back_at + RETURN_SECONDS - self.clock.seconds())
+
+    def _drop_if_lapsed(self, id: str) -> None:
+        if id in self.lapsed_ids:
+            self._drop(id)
+
+    def _drop(self, id: str) -> None:
+        self.lapsed_ids.discard(id)
+        entry = self.entries_by_id.pop(id)
+        self._log(entry, "gone")
+        self._leaving(entry)
+        self.left_ids.pop(id, None)
+
+    def _leaving(self, entry: EndpointEntry) -> None:
+        if entry.id not in self.left_ids:
+            self.left_ids[entry.id] = self.clock.seconds()
+            self.on_leaving(entry)
+
+    def _log(self, entry: EndpointEntry, state: str) -> None:
+        log_message(
+            message_type="endpoint:changed",
+            endpoint=entry.id,
+            service=entry.service,
+            address=format_address(entry.address),
+            data_centre=entry.data_centre,
+            state=state,
+        )
--- /dev/null
+++ b/src/guavacleat/platform/adapter.py
@@ -0,0 +1,22 @@
+"""Everything the ingress needs of the platform, in one place."""
+
+from guavacleat.platform.decode import decode_configuration, decode_endpoint
+from guavacleat.platform.objects import CONFIG_KIND, CONFIG_NAME, ENDPOINT_KIND, PlatformDialect
+from guavacleat.platform.wire import PlatformWire
+
+__all__ = ["PlatformAdapter"]
+
+
+class PlatformAdapter:
+    """See :class:`~guavacleat.ingress.service.IngressService` for each part."""
+
+    config_kind = CONFIG_KIND
+    config_name = CONFIG_NAME
+    endpoint_kind = ENDPOINT_KIND
+    readiness_path = "/-/readyz"
+    decode_configuration = staticmethod(decode_configuration)
+    decode_endpoint = staticmethod(decode_endpoint)
+
+    def __init__(self):
+        self.wire = PlatformWire()
+        self.dialect = PlatformDialect()
--- /dev/null
+++ b/src/guavacleat/platform/wire.py
@@ -0,0 +1,18 @@
+"""The platform's names behind the interface that the forwarding uses."""
+
+from guavacleat.forwarding.wire import Wire
+from guavacleat.platform import engines, headers
+
+__all__ = ["PlatformWire"]
+
+
+class PlatformWire(Wire):
+    """See :class:`~guavacleat.forwarding.wire.Wire` for each method."""
+
+    caller_facts = staticmethod(headers.caller_facts)
+    endpoint_headers = staticmethod(headers.endpoint_headers)
+    answer_facts = staticmethod(headers.answer_facts)
+    refusal_headers = staticmethod(headers.refusal_headers)
+    encode_move = staticmethod(engines.encode_move)
+    decode_move = staticmethod(engines.decode_move)
+    free_copy_target = staticmethod(engines.free_copy_target)
--- /dev/null
+++ b/src/guavacleat/routes/model.py
@@ -0,0 +1,210 @@
+"""The routing configuration in force, as plain classes; times are in seconds throughout."""
+
+import enum
+import itertools
+import random
+
+__all__ = [
+    "Account",
+    "Backend",
+    "CallerLimits",
+    "EngineTraits",
+    "RequestKind",
+    "Route",
+    "RouteTable",
+    "ServiceTraits",
+]
+
+
+class RequestKind(enum.Enum):
+    """What may be repeated: only an idempotent request may run more than once."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+class Backend:
+    """A service that takes ``weight`` parts of a route's requests."""
+
+    __slots__ = ("service", "weight")
+
+    def __init__(self, service: str, weight: float):
+        self.service = service
+        self.weight = weight
+
+
+class Route:
+    """Requests to ``host`` whose path begins with ``path_prefix``.
+
+    :param timeout: longest time a caller may be kept waiting.
+    :param latency_goal: time to the answer (streams: to the first event) that is on time.
+    :param gap_goal: longest pause between a stream's events that is on time; None off streams.
+    :param max_attempts: endpoints that one request may run on.
+    :param priority: rank, 0 is the most urgent.
+    :param public: true if callers need no key.
+    """
+
+    __slots__ = (
+        "name",
+        "host",
+        "path_prefix",
+        "backends",
+        "kind",
+        "timeout",
+        "latency_goal",
+        "gap_goal",
+        "max_attempts",
+        "priority",
+        "public",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        path_prefix: str,
+        backends: tuple[Backend, ...],
+        kind: RequestKind,
+        timeout: float,
+        latency_goal: float,
+        gap_goal: float | None = None,
+        max_attempts: int = 1,
+        priority: int = 5,
+        public: bool = False,
+    ):
+        self.name = name
+        self.host = host
+        self.path_prefix = path_prefix
+        self.backends = backends
+        self.kind = kind
+        self.timeout = timeout
+        self.latency_goal = latency_goal
+        self.gap_goal = gap_goal
+        self.max_attempts = max_attempts
+        self.priority = priority
+        self.public = public
+
+    def pick_service(self, draw: random.Random) -> str:
+        """One of the route's services, drawn by weight."""
+        if len(self.backends) == 1:
+            return self.backends[0].service
+        weights = [backend.weight for backend in self.backends]
+        return draw.choices(self.backends, weights)[0].service
+
+
+class EngineTraits:
+    """What the model engines of a service have in common.
+
+    :param slots: generations in one batch.
+    :param memory_tokens: tokens that fit an engine's memory.
+    :param token_bytes: bytes of engine memory per token.
+    :param link_mbps: megabits per second between engines.
+    :param tokens_per_event: tokens in one event of a stream.
+    :param moves: whether a running generation can be moved to another engine.
+    :param backups: whether a running generation can be copied to another engine as it grows.
+    """
+
+    __slots__ = (
+        "slots",
+        "memory_tokens",
+        "token_bytes",
+        "link_mbps",
+        "tokens_per_event",
+        "moves",
+        "backups",
+    )
+
+    def __init__(
+        self, slots, memory_tokens, token_bytes, link_mbps, tokens_per_event, moves, backups
+    ):
+        self.slots = slots
+        self.memory_tokens = memory_tokens
+        self.token_bytes = token_bytes
+        self.link_mbps = link_mbps
+        self.tokens_per_event = tokens_per_event
+        self.moves = moves
+        self.backups = backups
+
+
+class ServiceTraits:
+    """A service; ``engine`` is None for a plain one."""
+
+    __slots__ = ("name", "max_connections", "engine")
+
+    def __init__(self, name: str, max_connections: int, engine: EngineTraits | None = None):
+        self.name = name
+        self.max_connections = max_connections
+        self.engine = engine
+
+
+class Account:
+    """A client account; ``priority`` replaces a route's where it is not None."""
+
+    __slots__ = ("name", "priority")
+
+    def __init__(self, name: str, priority: int | None = None):
+        self.name = name
+        self.priority = priority
+
+
+class CallerLimits:
+    """Bounds on what one caller may send (bytes), and how long it may take or stay idle."""
+
+    __slots__ = ("max_header_bytes", "max_body_bytes", "header_timeout", "idle_timeout")
+
+    def __init__(
+        self,
+        max_header_bytes: int = 16384,
+        max_body_bytes: int = 4 << 20,
+        header_timeout: float = 3.0,
+        idle_timeout: float = 15.0,
+    ):
+        self.max_header_bytes = max_header_bytes
+        self.max_body_bytes = max_body_bytes
+        self.header_timeout = header_timeout
+        self.idle_timeout = idle_timeout
+
+
+class RouteTable:
+    """One version of the routing configuration; looked up by host, path and key.
+
+    :param keyed: true if callers of routes that are not public must show a known key.
+    """
+
+    __slots__ = (
+        "version",
+        "routes_by_host",
+        "services_by_name",
+        "accounts_by_key",
+        "limits",
+        "keyed",
+    )
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        services_by_name: dict[str, ServiceTraits],
+        accounts_by_key: dict[str, Account],
+        limits: CallerLimits,
+        keyed: bool,
+    ):
+        self.version = version
+        by_host = sorted(routes, key=lambda route: (route.host, -len(route.path_prefix)))
+        self.routes_by_host = {
+            host: list(group)
+            for host, group in itertools.groupby(by_host, key=lambda route: route.host)
+        }
+        self.services_by_name = services_by_name
+        self.accounts_by_key = accounts_by_key
+        self.limits = limits
+        self.keyed = keyed
+
+    def match(self, host: str, path: str) -> Route | None:
+        """The route of ``host`` with the longest prefix that begins ``path``."""
+        routes = self.routes_by_host.get(host, ())
+        return next((route for route in routes if path.startswith(route.path_prefix)), None)
+
+    def route_count(self) -> int:
+        return sum(map(len, self.routes_by_host.values()))
--- /dev/null
+++ b/src/guavacleat/settings.py
@@ -0,0 +1,98 @@
+"""What one gateway process is told about itself: addresses, resources and time bounds."""
+
+__all__ = ["Bounds", "ProcessSettings", "ResourceLimits"]
+
+
+class ResourceLimits:
+    """``memory_bytes`` and ``descriptors`` that the process may use."""
+
+    __slots__ = ("memory_bytes", "descriptors")
+
+    def __init__(self, memory_bytes: int, descriptors: int):
+        self.memory_bytes = memory_bytes
+        self.descriptors = descriptors
+
+
+class Bounds:
+    """Time and volume bounds that the operators set; seconds.
+
+    :param drain: until when a leaving endpoint may still get new requests.
+    :param stop_grace: from SIGTERM until the process is killed.
+    :param config_apply: until when a stored configuration must be in force.
+    :param retry_ratio: repeats allowed per request, over all gateways.
+    :param retry_extra: repeats allowed in ``retry_window`` besides.
+    :param retry_window: length of the sliding window in which repeats count.
+    :param prefix_reuse: how long a shared prompt part is worth reading only once.
+    """
+
+    __slots__ = (
+        "drain",
+        "stop_grace",
+        "config_apply",
+        "retry_ratio",
+        "retry_extra",
+        "retry_window",
+        "prefix_reuse",
+    )
+
+    def __init__(
+        self,
+        drain=2.0,
+        stop_grace=8.0,
+        config_apply=2.0,
+        retry_ratio=0.2,
+        retry_extra=0.0,
+        retry_window=10.0,
+        prefix_reuse=4.0,
+    ):
+        self.drain = drain
+        self.stop_grace = stop_grace
+        self.config_apply = config_apply
+        self.retry_ratio = retry_ratio
+        self.retry_extra = retry_extra
+        self.retry_window = retry_window
+        self.prefix_reuse = prefix_reuse
+
+
+class ProcessSettings:
+    """Settings of one gateway process; addresses are ``(ip, port)``.
+
+    :param instance: the name of the instance it runs on, unique in the deployment.
+    :param caller_address: where callers' connections arrive.
+    :param readiness_address: where the balancer asks whether to send more.
+    :param peer_ports: ports open between the system's own processes.
+    """
+
+    __slots__ = (
+        "instance",
+        "ip",
+        "data_centre",
+        "caller_address",
+        "readiness_address",
+        "peer_ports",
+        "store_address",
+        "limits",
+        "bounds",
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        ip: str,
+        data_centre: str,
+        caller_address: tuple[str, int],
+        readiness_address: tuple[str, int],
+        peer_ports: range,
+        store_address: tuple[str, int],
+        limits: ResourceLimits,
+        bounds: Bounds,
+    ):
+        self.instance = instance
+        self.ip = ip
+        self.data_centre = data_centre
+        self.caller_address = caller_address
+        self.readiness_address = readiness_address
+        self.peer_ports = peer_ports
+        self.store_address = store_address
+        self.limits = limits
+        self.bounds = bounds
--- a/src/guavacleat/store/client.py
+++ b/src/guavacleat/store/client.py
@@ -1,4 +1,7 @@
-"""HTTP client for the object API, on treq.
+"""HTTP client for the object API.
+
+One client serves both forms of the API: what a call looks like on the wire is a *dialect* (see
+``store.dialect`` for the product's own and ``platform.objects`` for the users' platform).
 
 Every call has a timeout. A write whose answer is lost raises :class:`StoreUnavailableError` even
 though it may have taken effect; callers that must not repeat it read back before retrying.
@@ -6,31 +9,32 @@
 
 import json
 
-import treq
 from twisted.internet import defer
 
-from guavacleat.store.messages import (
-    ConflictError,
-    HistoryLostError,
-    StoredObject,
-    StoreUnavailableError,
-    WatchBatch,
-)
+from guavacleat.store.dialect import NativeDialect
+from guavacleat.store.messages import ConflictError, HistoryLostError, StoreUnavailableError
 
-__all__ = ["StoreClient"]
+__all__ = ["StoreClient", "WATCH_WAIT"]
 
 CALL_TIMEOUT = 5.0
 WATCH_WAIT = 10.0
 HISTORY_LOST = 410
-EXPECTED_STATUSES = (200, 404, 409, HISTORY_LOST)
+EXPECTED_STATUSES = (200, 201, 404, 409, HISTORY_LOST)
 
 
 class StoreClient:
-    """Calls the object API at ``base_url`` (``http://host:port``); counts calls and bytes."""
+    """Calls the object API at ``base_url`` (``http://host:port``); counts calls and bytes.
+
+    :param http: anything with treq's ``request``; treq itself if None.
+    :param dialect: what calls and answers look like.
+    :param call_timeout: seconds an answer may take, beyond a watch's wait.
+    """
 
-    def __init__(self, base_url: str, http=treq):
+    def __init__(self, base_url: str, http=None, dialect=None, call_timeout: float = CALL_TIMEOUT):
         self.base_url = base_url.rstrip("/")
-        self.http = http
+        self.http = http or _treq()
+        self.dialect = dialect or NativeDialect()
+        self.call_timeout = call_timeout
         self.calls_by_type: dict[str, int] = {"read": 0, "write": 0, "watch": 0}
         # Bodies sent and received, without headers.
         self.bytes = 0
@@ -39,10 +43,10 @@
     def get(self, kind: str, name: str):
         """Fire with the :class:`StoredObject`, or None if it does not exist."""
         self.calls_by_type["read"] += 1
-        status, body = yield self._call("GET", f"/v1/objects/{kind}/{name}")
+        status, body = yield self._call("GET", self.dialect.object_path(kind, name))
         if status == 404:
             return None
-        return StoredObject.from_json(body)
+        return self.dialect.decode_object(kind, body)
 
     @defer.inlineCallbacks
     def put(self, kind: str, name: str, value, expected_version: int):
@@ -52,18 +56,31 @@
         came.
         """
         self.calls_by_type["write"] += 1
-        body = {"value": value, "expected_version": expected_version}
-        status, answer = yield self._call("PUT", f"/v1/objects/{kind}/{name}", body)
+        method, path, body = self.dialect.encode_put(kind, name, value, expected_version)
+        status, answer = yield self._call(method, path, body)
         if status == 409:
-            raise ConflictError(kind, name, expected_version, answer["current_version"])
-        return StoredObject.from_json(answer)
+            raise ConflictError(
+                kind, name, expected_version, self.dialect.conflicting_version(answer)
+            )
+        return self.dialect.decode_object(kind, answer)
 
     @defer.inlineCallbacks
     def list_objects(self, kind: str):
         """Fire with a :class:`WatchBatch` of every object of ``kind``."""
-        self.calls_by_type["read"] += 1
-        _, body = yield self._call("GET", f"/v1/objects/{kind}")
-        return _batch(body)
+        objects, after = [], None
+        revision = None
+        while True:
+            self.calls_by_type["read"] += 1
+            status, body = yield self._call("GET", self.dialect.list_path(kind, after))
+            _require_found(status, f"listing {kind}")
+            batch, after = self.dialect.decode_listing(kind, body)
+            objects += batch.objects
+            # The first page's revision: what changes while the later ones are read is then
+            # watched for, where the last page's would skip it.
+            revision = batch.revision if revision is None else revision
+            if after is None:
+                batch.objects, batch.revision = objects, revision
+                return batch
 
     @defer.inlineCallbacks
     def instances(self):
@@ -79,18 +96,19 @@
         Raises :class:`HistoryLostError` if the store no longer knows the writes after ``since``.
         """
         self.calls_by_type["watch"] += 1
-        path = f"/v1/watch/{kind}?since={since}&wait={wait}"
-        status, body = yield self._call("GET", path, timeout=wait + CALL_TIMEOUT)
+        path = self.dialect.watch_path(kind, since, wait)
+        status, body = yield self._call("GET", path, timeout=wait + self.call_timeout)
         if status == HISTORY_LOST:
             raise HistoryLostError(kind, since)
-        return _batch(body)
+        _require_found(status, f"watching {kind}")
+        return self.dialect.decode_changes(kind, body)
 
     @defer.inlineCallbacks
-    def _call(self, method: str, path: str, body=None, timeout: float = CALL_TIMEOUT):
+    def _call(self, method: str, path: str, body=None, timeout: float | None = None):
         data = None if body is None else json.dumps(body).encode()
         try:
             response = yield self.http.request(
-                method, self.base_url + path, data=data, timeout=timeout
+                method, self.base_url + path, data=data, timeout=timeout or self.call_timeout
             )
             content = yield response.content()
             self.bytes += len(data or b"") + len(content)
@@ -106,5 +124,13 @@
             raise StoreUnavailableError(f"{method} {path}: the answer is not JSON") from exc
 
 
-def _batch(body: dict) -> WatchBatch:
-    return WatchBatch(body["revision"], [StoredObject.from_json(obj) for obj in body["objects"]])
+def _require_found(status: int, what: str) -> None:
+    if status != 200:
+        raise StoreUnavailableError(f"{what}: status {status}")
+
+
+def _treq():
+    """Import treq only where it is used: it takes some 9 MB of a process's memory."""
+    import treq
+
+    return treq
--- a/src/guavacleat/store/messages.py
+++ b/src/guavacleat/store/messages.py
@@ -20,11 +20,15 @@
     :param version: per-object version, 1 on creation, +1 on each update.
     :param revision: store-wide sequence number of the write that made this version.
     :param value: a JSON value, at most a megabyte encoded.
+    :param deleted: true in a watch's answer if the object is no more.
     """
 
-    __slots__ = ("kind", "name", "version", "revision", "value")
+    __slots__ = ("kind", "name", "version", "revision", "value", "deleted")
 
-    def __init__(self, kind: str, name: str, version: int, revision: int, value):
+    def __init__(
+        self, kind: str, name: str, version: int, revision: int, value, deleted: bool = False
+    ):
+        self.deleted = deleted
         self.kind = kind
         self.name = name
         self.version = version
@@ -36,7 +40,7 @@
 
     @classmethod
     def from_json(cls, body: dict) -> "StoredObject":
-        return cls(*(body[slot] for slot in cls.__slots__))
+        return cls(**{slot: body[slot] for slot in cls.__slots__ if slot in body})
 
 
 class WatchBatch:
--- a/src/guavacleat/store/watch.py
+++ b/src/guavacleat/store/watch.py
@@ -24,7 +24,8 @@
 
     ``on_health(bool)`` hears after every attempt whether the store answered. ``pause`` seconds
     pass between an answer and the next watch, which bounds the reads a busy kind costs: without
-    it every write to the kind wakes every watcher.
+    it every write to the kind wakes every watcher. ``on_listed(names)`` hears the names of each
+    whole listing, so that objects deleted unseen can be dropped.
     """
 
     def __init__(
@@ -36,6 +37,8 @@
         wait=None,
         on_health=None,
         pause: float = 0.0,
+        on_listed=None,
+        backoff_max: float = BACKOFF_MAX,
     ):
         self.clock = clock
         self.store = store
@@ -44,6 +47,8 @@
         self.wait = WATCH_WAIT if wait is None else wait
         self.on_health = on_health or (lambda healthy: None)
         self.pause = pause
+        self.on_listed = on_listed or (lambda names: None)
+        self.backoff_max = backoff_max
         self.refused = 0
         self.revision: int | None = None
         self.failures = 0
@@ -58,12 +63,24 @@
 
     def _next(self, delay: float) -> None:
         if self.running:
-            task.deferLater(self.clock, delay, self._once).addErrback(lambda _: None)
+            task.deferLater(self.clock, delay, self._once).addErrback(self._unforeseen)
+
+    def _unforeseen(self, failure) -> None:
+        # Left to end the loop, an answer of an unknown shape would make the daemon deaf to every
+        # later change; it is treated like no answer instead.
+        log_message(message_type="watch:error", kind=self.kind, error=repr(failure.value))
+        self._failed()
+
+    def _failed(self) -> None:
+        self.failures += 1
+        self.on_health(False)
+        self._next(min(self.backoff_max, BACKOFF_FIRST * 2 ** min(self.failures, 8)))
 
     @defer.inlineCallbacks
     def _once(self):
         try:
-            if self.revision is None:
+            listing = self.revision is None
+            if listing:
                 batch = yield self.store.list_objects(self.kind)
             else:
                 batch = yield self.store.watch(self.kind, self.revision, self.wait)
@@ -73,14 +90,14 @@
             self._next(0)
             return
         except StoreUnavailableError:
-            self.failures += 1
-            self.on_health(False)
-            self._next(min(BACKOFF_MAX, BACKOFF_FIRST * 2 ** min(self.failures, 8)))
+            self._failed()
             return
         self.failures = 0
         self.on_health(True)
         for stored in batch.objects:
             self._offer(stored)
+        if listing:
+            self.on_listed({stored.name for stored in batch.objects})
         self.revision = max([batch.revision, self.revision or 0])
         self._next(self.pause)
 
