Streams off leaving engines: copies in turn, backups where memory is free, peers' load by datagram

Cause: all moves off an engine queued on its link, so a stopped run paused 0.34 to 1.6 s and late ones were cut; gateways placed generations blind to each other (first events up to 2.9 s late). Change: gateways report their load to each other (thrift datagrams, found through the store once); placement counts peers' memory and unread prompts; copies are made one by one in a common order and runs stopped only when no copy queues; a growing backup is kept where memory stays under 0.75.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,4 @@
 thrift:
 	rm -rf src/guavacleat/protocol/gen && mkdir -p src/guavacleat/protocol/gen
 	thrift --gen py:twisted -out src/guavacleat/protocol/gen thrift/sidecar.thrift && rm -f src/guavacleat/protocol/gen/sidecar/Sidecar-remote
+	thrift --gen py:slots -out src/guavacleat/protocol/gen thrift/peers.thrift
--- a/src/guavacleat/forwarding/answers.py
+++ b/src/guavacleat/forwarding/answers.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ["Refusal", "Verdict"]
+__all__ = ["RefusalError", "Verdict"]
 
 
 class Verdict(enum.Enum):
@@ -25,7 +25,7 @@
         return self.value[0] if isinstance(self.value, tuple) else self.value
 
 
-class Refusal(Exception):
+class RefusalError(Exception):
     """Ends a request with an answer of the gateway's own.
 
     :param retry_after: seconds after which a request that has not run may come back.
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -8,7 +8,7 @@
 from eliot import log_message
 
 from guavacleat.forwarding.answer import AttemptEnd, CheckedAnswer, pass_head_on
-from guavacleat.forwarding.answers import Refusal, Verdict
+from guavacleat.forwarding.answers import RefusalError, Verdict
 from guavacleat.forwarding.messages import EndpointOrder
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.placement import Run
@@ -35,14 +35,14 @@
         self.parts = parts
 
     async def forward(self, request: ForwardedRequest) -> None:
-        """Answer the caller, or raise :class:`Refusal`."""
+        """Answer the caller, or raise :class:`RefusalError`."""
         runs, tried = 0, set()
         for sends in range(MAX_SENDS):
             if sends and not self._may_send_again(request, runs):
                 break
             entry = self.parts.placement.for_call(request.service, tried)
             if entry is None and runs == 0 and not tried:
-                raise Refusal(Verdict.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT)
+                raise RefusalError(Verdict.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT)
             if entry is None:
                 break
             tried.add(entry.id)
@@ -119,14 +119,15 @@
 
         request.exchange.on_gone = connection.abandon
         timer = parts.clock.callLater(patience, time_up)
-        parts.load.begin(entry.id, Run(request.facts.id))
+        run = Run(request.facts.id)
+        parts.load.begin(entry.id, run)
         try:
             head = request.exchange.head
             headers = parts.wire.endpoint_headers(request.headers, order)
             connection.send(head.method, head.target, headers, request.exchange.body, answer)
             end = await answer.done
         finally:
-            parts.load.end(entry.id, request.facts.id)
+            parts.load.end(entry.id, run)
             request.exchange.on_gone = None
             if timer.active():
                 timer.cancel()
@@ -150,10 +151,10 @@
 
     def _give_up(self, request: ForwardedRequest, runs: int) -> None:
         if runs == 0:
-            raise Refusal(Verdict.NO_ROOM, RETRY_AFTER_NO_ROOM)
+            raise RefusalError(Verdict.NO_ROOM, RETRY_AFTER_NO_ROOM)
         if self.parts.clock.seconds() >= request.deadline:
-            raise Refusal(Verdict.EXPIRED)
-        raise Refusal(Verdict.BROKEN)
+            raise RefusalError(Verdict.EXPIRED)
+        raise RefusalError(Verdict.BROKEN)
 
     def _log_attempt(self, request, entry, end: AttemptEnd, detail) -> None:
         if end is AttemptEnd.ANSWERED:
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from guavacleat.forwarding.answer import pass_head_on
-from guavacleat.forwarding.answers import Refusal, Verdict
+from guavacleat.forwarding.answers import RefusalError, Verdict
 from guavacleat.forwarding.leg import Leg, LegEnd
 from guavacleat.forwarding.messages import EndpointOrder, ResumePoint
 from guavacleat.forwarding.request import ForwardedRequest
@@ -20,6 +20,9 @@
 
 # Sends of a stream that no endpoint began to run, at most.
 MAX_SENDS = 4
+# Events that come within some second: a run with fewer left ends by itself before its engine is
+# gone.
+SHORT_RUN_EVENTS = 20
 RETRY_AFTER_NO_ENDPOINT = 1.0
 RETRY_AFTER_NO_ROOM = 1.0
 NEVER_RUN = (LegEnd.NOT_RUN, LegEnd.WRONG_INCARNATION)
@@ -53,11 +56,15 @@
 
 
 class HeldCopy:
-    """A copy of the run's memory on ``entry``, named by ``handle`` at its ``source``."""
+    """A copy of the run's memory on ``entry``, named by ``handle`` at its ``source``.
 
-    __slots__ = ("entry", "source", "handle")
+    :param backup: whether the engine keeps it up to date by itself while the run goes on.
+    """
+
+    __slots__ = ("entry", "source", "handle", "backup")
 
-    def __init__(self, entry: EndpointEntry, source: EndpointEntry, handle: str):
+    def __init__(self, entry: EndpointEntry, source: EndpointEntry, handle: str, backup=False):
+        self.backup = backup
         self.entry = entry
         self.source = source
         self.handle = handle
@@ -74,6 +81,10 @@
         self.parts = parts
         self.sessions = sessions
         self.leg: Leg | None = None
+        # The run as the load book counts it where it runs now.
+        self.placed: Run | None = None
+        # The copy as the load book counts it where it is held.
+        self.copy_run: Run | None = None
         self.last_event: int | None = None
         self.events = 0
         self.moves = 0
@@ -88,6 +99,11 @@
     def finished(self) -> bool:
         return self.request.exchange.ended or self.cancelled
 
+    @property
+    def backed_up(self) -> bool:
+        """Whether another engine keeps a copy of the run that grows with it."""
+        return self.copy is not None and self.copy.backup
+
     @property
     def tokens(self) -> int:
         """Memory that the run holds now."""
@@ -96,7 +112,7 @@
         return self.request.prompt_tokens + self.events * per_event
 
     async def run(self) -> None:
-        """Answer the caller, or raise :class:`Refusal` if nothing was sent to it yet."""
+        """Answer the caller, or raise :class:`RefusalError` if nothing was sent to it yet."""
         try:
             await self._run_until_deadline()
         finally:
@@ -111,6 +127,7 @@
         try:
             await self._run()
         finally:
+            self.drop_copy()
             self.sessions.discard(self)
             exchange.on_gone = None
             exchange.source = None
@@ -152,48 +169,84 @@
             if self.cancelled or self._time_left() <= 0:
                 break
         if not tried:
-            raise Refusal(Verdict.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT)
-        raise Refusal(Verdict.NO_ROOM, RETRY_AFTER_NO_ROOM)
+            raise RefusalError(Verdict.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT)
+        raise RefusalError(Verdict.NO_ROOM, RETRY_AFTER_NO_ROOM)
 
     def _place(self, tried: set[str]) -> EndpointEntry | None:
         request = self.request
         if request.traits.engine is None:
             return self.parts.placement.for_call(request.service, tried)
-        memory = request.traits.engine.memory_tokens
         return self.parts.placement.for_run(
-            request.service, request.expected_tokens(), memory, tried
+            request.service, request.expected_tokens(), request.traits.engine, tried
         )
 
     async def _send(self, entry: EndpointEntry, resume: ResumePoint | None) -> bool:
         """Send the request to ``entry``; return False if no connection came about."""
         request, parts = self.request, self.parts
-        run = Run(request.facts.id, request.expected_tokens())
+        unread = request.prompt_tokens if resume is None else 0
+        run = Run(request.facts.id, request.expected_tokens(), unread)
         parts.load.begin(entry.id, run)
         try:
             connection = await parts.pool.connect(entry.address)
         except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
-            parts.load.end(entry.id, run.id)
+            parts.load.end(entry.id, run)
             parts.load.failed(entry.id)
             self._log("stream:unreachable", endpoint=entry.id, error=repr(exc))
             return False
         if self.finished or self._time_left() <= 0:
-            parts.load.end(entry.id, run.id)
+            parts.load.end(entry.id, run)
             connection.abandon()
             return False
+        backup = self._place_backup(entry)
         order = EndpointOrder(
-            entry.id, self._time_left(), request.account_name, request.priority, resume
+            entry.id,
+            self._time_left(),
+            request.account_name,
+            request.priority,
+            resume,
+            backup.entry.address if backup else None,
         )
         leg = Leg(entry, request.facts.id, parts.wire, self._head, self._event)
         leg.connection = connection
         leg.done.addBoth(lambda end: self._leg_over(entry, run, end))
+        self.keep_copy(backup)
         self.leg = leg
+        self.placed = run
         head = request.exchange.head
         headers = parts.wire.endpoint_headers(request.headers, order)
         connection.send(head.method, head.target, headers, request.exchange.body, leg)
         return True
 
+    def _place_backup(self, entry: EndpointEntry) -> HeldCopy | None:
+        """Where a growing copy of the run shall be kept: None if no engine has memory to spare."""
+        request = self.request
+        engine = request.traits.engine
+        if engine is None or not engine.backups or not self.worth_moving():
+            return None
+        expected = request.expected_tokens()
+        keeper = self.parts.placement.for_backup(entry, expected, engine)
+        if keeper is None:
+            return None
+        return HeldCopy(keeper, keeper, request.facts.id, backup=True)
+
+    def keep_copy(self, copy: HeldCopy | None) -> None:
+        """Count the copy where it is held, and the former one no more."""
+        self.drop_copy()
+        self.copy = copy
+        if copy is not None:
+            self.copy_run = Run(f"copy:{self.request.facts.id}", self.request.expected_tokens())
+            self.parts.load.begin(copy.entry.id, self.copy_run)
+        if self.placed is not None:
+            self.placed.movable = False
+
+    def drop_copy(self) -> None:
+        """Forget the copy: it was used, or the engine that holds it is leaving."""
+        if self.copy is not None:
+            self.parts.load.end(self.copy.entry.id, self.copy_run)
+            self.copy = None
+
     def _leg_over(self, entry, run, end):
-        self.parts.load.end(entry.id, run.id)
+        self.parts.load.end(entry.id, run)
         return end
 
     async def _leg_end(self) -> LegEnd:
@@ -216,14 +269,36 @@
                 return
             self.last_event = event.id
             self.events += 1
+            self._note_progress()
         self.times.event(self.parts.clock.seconds(), event.id)
         self.request.exchange.write(event.data)
 
+    def _note_progress(self) -> None:
+        run = self.placed
+        run.held = self.tokens
+        run.movable = self.copy is None and self.worth_moving()
+        if run.unread:
+            run.unread = 0
+            self.parts.load.changed(run)
+
+    def worth_moving(self) -> bool:
+        """Whether the run will outlive the notice that a leaving engine gives."""
+        traits = self.request.traits.engine
+        if traits is None or not traits.moves:
+            return False
+        short = SHORT_RUN_EVENTS * traits.tokens_per_event
+        return self.expected_left() > short or self.events > SHORT_RUN_EVENTS
+
+    def expected_left(self) -> int:
+        """Tokens still to come, if the caller's estimate holds."""
+        return self.request.expected_tokens() - self.tokens
+
     async def _go_on(self) -> bool:
         """After a leg broke: send to where the run can go on; False if there is nowhere."""
         if self.stopping is not None:
             await self.stopping
-        copy, self.copy = self.copy, None
+        copy = self.copy
+        self.drop_copy()
         if copy is None or self.last_event is None or self.finished:
             return False
         self.parts.budget.repeat(self.request.service)
@@ -249,7 +324,7 @@
         if self.finished:
             return
         if not self.request.exchange.began:
-            raise Refusal(Verdict.BROKEN)
+            raise RefusalError(Verdict.BROKEN)
         self.request.exchange.cut()
 
     def _time_up(self) -> None:
@@ -292,7 +367,6 @@
             moves=self.moves,
             expected=self.request.expected_tokens(),
             tokens=self.tokens,
-            load=self.parts.load.total(self.leg.entry.id) if self.leg else None,
         )
 
     def _time_left(self) -> float:
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -34,16 +34,21 @@
         self.on_gone = None
         # Who to tell when the caller reads too slowly: anything with pause() and resume().
         self.source = None
-        self.began = False
+        self.status: int | None = None
         self.ended = False
 
+    @property
+    def began(self) -> bool:
+        """Whether the head of an answer was sent."""
+        return self.status is not None
+
     @property
     def gone(self) -> bool:
         return not self.connection.open
 
     def begin(self, status: int, reason: bytes, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head; without a content-length header the body goes in chunks."""
-        self.began = True
+        self.status = status
         self.connection.send_head(status, reason, headers)
 
     def write(self, data: bytes) -> None:
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -5,7 +5,7 @@
 from eliot import log_message
 from twisted.internet import defer
 
-from guavacleat.forwarding.answers import Refusal, Verdict
+from guavacleat.forwarding.answers import RefusalError, Verdict
 from guavacleat.forwarding.plain import PlainForwarder
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.session import StreamSession
@@ -54,7 +54,7 @@
             request = self._match(exchange, arrived)
             await self._forward(request)
             self._log_end(request, exchange, arrived, None)
-        except Refusal as refusal:
+        except RefusalError as refusal:
             self._refuse(exchange, refusal)
             self._log_end(request, exchange, arrived, refusal)
         finally:
@@ -69,15 +69,15 @@
             await self.plain.forward(request)
 
     def _match(self, exchange: CallerExchange, arrived: float) -> ForwardedRequest:
-        """Find the route and the account, or raise :class:`Refusal`."""
+        """Find the route and the account, or raise :class:`RefusalError`."""
         table = self.holder.table
         if table is None:
-            raise Refusal(Verdict.NO_CONFIGURATION, RETRY_AFTER_NO_CONFIGURATION)
+            raise RefusalError(Verdict.NO_CONFIGURATION, RETRY_AFTER_NO_CONFIGURATION)
         if self.held_bytes > self.held_bytes_bound:
-            raise Refusal(Verdict.NO_MEMORY, RETRY_AFTER_NO_MEMORY)
+            raise RefusalError(Verdict.NO_MEMORY, RETRY_AFTER_NO_MEMORY)
         route = table.match(_host_name(exchange.head.host), exchange.head.path)
         if route is None:
-            raise Refusal(Verdict.UNKNOWN_ROUTE)
+            raise RefusalError(Verdict.UNKNOWN_ROUTE)
         headers = end_to_end_headers(exchange.head.headers)
         facts = self.parts.wire.caller_facts(headers)
         account = _account(table, route, facts.key)
@@ -89,7 +89,7 @@
             exchange, facts, route, account, service, traits, table.version, arrived, headers
         )
 
-    def _refuse(self, exchange: CallerExchange, refusal: Refusal) -> None:
+    def _refuse(self, exchange: CallerExchange, refusal: RefusalError) -> None:
         if exchange.gone or exchange.began:
             return
         request_id = self.parts.wire.caller_facts(exchange.head.headers).id
@@ -106,7 +106,7 @@
         else:
             exchange.answer(Verdict.BROKEN.status, [], b"")
 
-    def _log_end(self, request, exchange, arrived: float, refusal: Refusal | None) -> None:
+    def _log_end(self, request, exchange, arrived: float, refusal: RefusalError | None) -> None:
         seconds = self.parts.clock.seconds() - arrived
         outcome = refusal.verdict.name if refusal else "GONE" if exchange.gone else "ANSWERED"
         self.metrics.ended(request, outcome, seconds)
@@ -117,6 +117,7 @@
             account=request.account_name if request else None,
             config=self.holder.table.version if self.holder.table else None,
             outcome=outcome,
+            status=exchange.status,
             retry_after=refusal.retry_after if refusal else None,
             detail=refusal.detail if refusal else None,
             seconds=round(seconds, 3),
@@ -134,5 +135,5 @@
         return None
     account = table.accounts_by_key.get(key)
     if account is None:
-        raise Refusal(Verdict.UNKNOWN_KEY)
+        raise RefusalError(Verdict.UNKNOWN_KEY)
     return account
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -13,6 +13,7 @@
 from guavacleat.ingress.metrics import IngressMetrics
 from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.migration import Evacuator
+from guavacleat.peers import PeerBook, PeerExchange
 from guavacleat.placement import LoadBook, Placement
 from guavacleat.retries import RetryBudget
 from guavacleat.routes import CallerLimits
@@ -66,6 +67,8 @@
         self.pool = ConnectionPool(reactor)
         self.registry = EndpointRegistry(reactor, self._endpoint_leaving)
         self.load = LoadBook(reactor)
+        self.peers = PeerBook(reactor)
+        self.load.peers = self.peers
         self.metrics = IngressMetrics()
         parts = ForwardingParts(
             clock=reactor,
@@ -79,10 +82,13 @@
         self.parts = parts
         bodies = int(settings.limits.memory_bytes * BODIES_SHARE)
         self.dispatch = Dispatch(self.holder, parts, self.metrics, bodies)
-        self.evacuator = Evacuator(parts, self.dispatch.sessions)
+        self.evacuator = Evacuator(parts, self.dispatch.sessions, self.peers, settings.instance)
         self.callers = CallerListener(reactor, self.dispatch.handle, self._caller_limits)
         self.questions = CallerListener(reactor, self._answer_question, CallerLimits)
         self.watches = self._watches()
+        self.exchange = PeerExchange(
+            reactor, self.store, self.peers, self.load, settings.instance, self._peer_address()
+        )
         self.ports = []
 
     def _watches(self) -> list[WatchLoop]:
@@ -114,6 +120,9 @@
             ),
         ]
 
+    def _peer_address(self) -> tuple[str, int]:
+        return self.settings.ip, self.settings.peer_ports[0]
+
     def _configuration_changed(self, stored) -> None:
         if stored.name == self.adapter.config_name and not stored.deleted:
             self.holder.offer(self.adapter.decode_configuration(stored.value))
@@ -130,7 +139,7 @@
         self.evacuator.leaving(entry)
 
     def _gateway_count(self) -> int:
-        return 8
+        return max(1, self.exchange.gateway_count())
 
     def _caller_limits(self) -> CallerLimits:
         table = self.holder.table
@@ -151,6 +160,8 @@
             watch.start()
         self._listen(self.settings.caller_address, self.callers)
         self._listen(self.settings.readiness_address, self.questions)
+        host, port = self._peer_address()
+        self.ports.append(self.reactor.listenUDP(port, self.exchange, interface=host))
         if self.metrics_port is not None:
             self._listen((self.settings.ip, self.metrics_port), self.questions)
         log_message(
@@ -198,6 +209,7 @@
                 break
             yield task.deferLater(self.reactor, STOP_POLL_SECONDS)
         self.callers.close_idle()
+        self.exchange.stop()
         for watch in self.watches:
             watch.stop()
         for port in self.ports:
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -3,8 +3,16 @@
 An engine that is taken away leaves a second or two after its notice, and long streams would be
 cut. Each is copied to another engine while it runs; then the run is stopped, the little that is
 new is copied, and the stream goes on at the other engine from the event that its caller has.
+
+All copies off an engine go over its one link. A run that was stopped while other copies queue
+there pauses until they are through, up to 1.6 s when all are started at once. So runs are copied
+one by one, the gateways take turns (in an order that all of them compute alike, each waits until
+those before it report that nothing is left to copy), and runs are stopped only once no copy queues
+any more.
 """
 
+import hashlib
+
 from eliot import log_message
 from twisted.internet import defer, task
 
@@ -22,93 +30,178 @@
 LAST_EVENTS_SECONDS = 0.1
 # A request that the engine has not begun to run cannot be moved yet.
 RETRY_SECONDS = 0.1
+TURN_POLL_SECONDS = 0.01
 # How long after its notice an engine's streams are still worth moving.
 EVACUATION_SECONDS = 6.0
+# Runs that seemed short at the notice are moved too if they still run after this long: the
+# shortest notice seen is 1.5 s, and a copy takes up to 0.4 s.
+SHORT_RUNS_SECONDS = 0.8
+# Time beyond its copy that a move takes: three calls and the way between data centres.
+MOVE_OVERHEAD_SECONDS = 0.05
+# Copies between data centres take twice as long.
+AWAY_FACTOR = 2.0
+# How much longer than computed a gateway waits for those before it.
+TURN_PATIENCE = 1.5
 NO_SUCH_RUN = 404
 
 
 class Evacuator:
-    """Moves streams; ``sessions`` is the set of those running in this gateway."""
+    """Moves streams; ``sessions`` is the set of those running in this gateway.
 
-    def __init__(self, parts, sessions: set[StreamSession]):
+    :param peers: the :class:`~guavacleat.peers.PeerBook`.
+    :param instance: this gateway's name among its peers.
+    """
+
+    def __init__(self, parts, sessions: set[StreamSession], peers, instance: str):
         self.parts = parts
         self.sessions = sessions
-        self.moved = 0
-        self.failed = 0
+        self.peers = peers
+        self.instance = instance
 
     def leaving(self, entry: EndpointEntry) -> None:
         """Hear that an endpoint will soon be gone."""
-        until = self.parts.clock.seconds() + EVACUATION_SECONDS
-        for session in self._order(entry):
-            moving = defer.Deferred.fromCoroutine(self._evacuate(session, entry, until))
-            moving.addErrback(self._note_error)
-
-    def _order(self, entry: EndpointEntry) -> list[StreamSession]:
-        """The entry's streams, those first that would lose most."""
-        running = [
-            session
-            for session in self.sessions
-            if session.leg is not None and session.leg.entry.id == entry.id
-        ]
-        return sorted(running, key=lambda session: -session.events)
+        for session in self.sessions:
+            if session.copy is not None and session.copy.entry.id == entry.id:
+                session.drop_copy()
+        if self._on(entry):
+            evacuating = defer.Deferred.fromCoroutine(self._evacuate(entry))
+            evacuating.addErrback(self._note_error)
+
+    def _on(self, entry: EndpointEntry) -> list[StreamSession]:
+        return [session for session in self.sessions if self._still_there(session, entry)]
+
+    def _unprotected(self, entry: EndpointEntry) -> list[StreamSession]:
+        """Streams on ``entry`` that would be lost with it."""
+        return [session for session in self._on(entry) if session.copy is None]
 
     def _note_error(self, failure) -> None:
         log_message(message_type="move:error", error=failure.getTraceback())
 
-    async def _evacuate(self, session: StreamSession, entry: EndpointEntry, until: float) -> None:
-        """Move one stream, trying other targets and waiting for it to begin if need be."""
-        tried: set[str] = set()
-        while self._still_there(session, entry) and self.parts.clock.seconds() < until:
-            engine = session.request.traits.engine
-            if engine is None or not engine.moves:
-                return
-            tokens = session.request.expected_tokens()
-            target = self.parts.placement.for_move(entry, tokens, engine.memory_tokens, tried)
-            if target is None:
-                if not tried:
-                    return
-                tried = set()
-                await task.deferLater(self.parts.clock, RETRY_SECONDS)
+    async def _evacuate(self, entry: EndpointEntry) -> None:
+        """Copy this gateway's streams off ``entry`` in its turn, then let them go on elsewhere."""
+        began = self.parts.clock.seconds()
+        waited = await self._await_turn(entry, began)
+        log_message(
+            message_type="move:turn",
+            endpoint=entry.id,
+            streams=len(self._on(entry)),
+            unprotected=len(self._unprotected(entry)),
+            waited=round(waited, 3),
+        )
+        failed: set[StreamSession] = set()
+        while self.parts.clock.seconds() - began < EVACUATION_SECONDS and self._on(entry):
+            session = self._next(entry, began, failed)
+            if session is not None:
+                if not await self._copy_somewhere(session, entry):
+                    failed.add(session)
                 continue
-            status = await self._move(session, entry, target)
-            if status == NO_SUCH_RUN:
-                await task.deferLater(self.parts.clock, RETRY_SECONDS)
-            else:
-                tried.add(target.id)
+            failed.clear()
+            await self._switch_copied(entry)
+            await task.deferLater(self.parts.clock, RETRY_SECONDS)
+
+    def _next(self, entry: EndpointEntry, began: float, failed: set) -> StreamSession | None:
+        """The stream to copy next: of those that will run on, the one with most left."""
+        late = self.parts.clock.seconds() - began >= SHORT_RUNS_SECONDS
+        waiting = [
+            session
+            for session in self._unprotected(entry)
+            if session not in failed
+            and session.last_event is not None
+            and (late or session.worth_moving())
+        ]
+        return max(waiting, key=lambda session: session.expected_left(), default=None)
+
+    async def _switch_copied(self, entry: EndpointEntry) -> None:
+        """Let copied streams go on at their targets, unless peers still need the link.
+
+        A stream that is left where it is loses nothing: when its engine is gone it goes on from
+        the copy, which then has a little more to read.
+        """
+        for session in self._on(entry):
+            if self.peers.movable_by_instance(entry.id):
+                return
+            if session.copy is not None and not session.backed_up:
+                await self._switch(session, entry)
+
+    async def _await_turn(self, entry: EndpointEntry, began: float) -> float:
+        """Wait until the gateways before this one are done; return the seconds waited."""
+        while True:
+            waited = self.parts.clock.seconds() - began
+            before = [
+                load
+                for instance, load in self.peers.movable_by_instance(entry.id).items()
+                if _rank(instance, entry) < _rank(self.instance, entry)
+            ]
+            patience = TURN_PATIENCE * sum(self._move_seconds(entry, load) for load in before)
+            if waited >= patience:
+                return waited
+            await task.deferLater(self.parts.clock, TURN_POLL_SECONDS)
+
+    def _move_seconds(self, entry: EndpointEntry, load) -> float:
+        """How long it takes to move a peer's runs off ``entry``."""
+        engine = self._engine(entry)
+        if engine is None:
+            return 0.0
+        near = any(
+            other.data_centre == entry.data_centre
+            for other in self.parts.registry.ready(entry.service)
+        )
+        bits = load.movable_tokens * engine.token_bytes * 8
+        copying = bits / (engine.link_mbps * 1e6) * (1.0 if near else AWAY_FACTOR)
+        return copying + load.movable_runs * MOVE_OVERHEAD_SECONDS
+
+    def _engine(self, entry: EndpointEntry):
+        sessions = self._on(entry)
+        return sessions[0].request.traits.engine if sessions else None
 
     def _still_there(self, session: StreamSession, entry: EndpointEntry) -> bool:
         leg = session.leg
-        return not session.finished and not leg.ended and leg.entry.id == entry.id
+        return (
+            leg is not None and not session.finished and not leg.ended and leg.entry.id == entry.id
+        )
 
-    async def _move(self, session, source: EndpointEntry, target: EndpointEntry) -> int:
-        """Copy, stop, copy the rest; return the status of the last call made."""
+    async def _copy_somewhere(self, session: StreamSession, entry: EndpointEntry) -> bool:
+        """Copy one stream, trying two targets; return whether there is a copy now."""
+        tried: set[str] = set()
+        for _ in range(2):
+            engine = session.request.traits.engine
+            expected = session.request.expected_tokens()
+            target = self.parts.placement.for_move(entry, expected, engine, tried)
+            if target is None or not self._still_there(session, entry):
+                return False
+            tried.add(target.id)
+            began = self.parts.clock.seconds()
+            answer = await self._copy(session, entry, target, last=False)
+            self._log("move:copied", session, entry, target, answer.status, began)
+            if answer.copied and self._still_there(session, entry):
+                session.keep_copy(HeldCopy(target, entry, answer.handle))
+                return True
+            if answer.copied:
+                await self._free(entry, answer.handle)
+            if answer.status == NO_SUCH_RUN:
+                return False
+        return False
+
+    async def _switch(self, session: StreamSession, source: EndpointEntry) -> None:
+        """Stop the run, copy what is new and let the stream go on from the copy."""
         began = self.parts.clock.seconds()
-        first = await self._copy(session, source, target, last=False)
-        copied = self.parts.clock.seconds()
-        if not first.copied:
-            self._log(session, source, target, "not copied", first.status, began)
-            return first.status
-        if not self._still_there(session, source):
-            await self._free(source, first.handle)
-            return first.status
-        session.copy = HeldCopy(target, source, first.handle)
+        target = session.copy.entry
         session.stopping = defer.Deferred()
         try:
-            last = await self._copy(session, source, target, last=True)
-            await self._settle(session, source, target, last)
+            answer = await self._copy(session, source, target, last=True)
+            await self._settle(session, source, target, answer)
         finally:
             stopping, session.stopping = session.stopping, None
             stopping.callback(None)
-        self._log(session, source, target, "moved", last.status, began, round(copied - began, 3))
-        return last.status
+        self._log("move:switched", session, source, target, answer.status, began)
 
     async def _settle(self, session, source, target, last: MoveAnswer) -> None:
         """After the call that stops the run: let the old leg end, and say where to go on."""
         if last.copied:
-            session.copy = HeldCopy(target, source, last.handle)
+            session.keep_copy(HeldCopy(target, source, last.handle))
         elif last.handle is not None:
             # The run was stopped, but the rest found no way: the source still has all of it.
-            session.copy = HeldCopy(source, source, last.handle)
+            session.keep_copy(HeldCopy(source, source, last.handle))
         leg = session.leg
         if not leg.ended:
             await defer.DeferredList(
@@ -141,20 +234,23 @@
         except CallBrokenError as exc:
             log_message(message_type="move:not-freed", endpoint=source.id, error=repr(exc))
 
-    def _log(self, session, source, target, outcome, status, began, copying=None) -> None:
+    def _log(self, message_type, session, source, target, status, began) -> None:
         log_message(
-            message_type="move:done",
+            message_type=message_type,
             request=session.request.facts.id,
             source=source.id,
             target=target.id,
-            outcome=outcome,
             status=status,
             tokens=session.tokens,
-            copying=copying,
             seconds=round(self.parts.clock.seconds() - began, 3),
         )
 
 
+def _rank(instance: str, entry: EndpointEntry) -> bytes:
+    """A gateway's place in the order of turns; another order for each endpoint."""
+    return hashlib.blake2b(f"{entry.id}|{instance}".encode(), digest_size=8).digest()
+
+
 def _ended(leg) -> defer.Deferred:
     """Fire when the leg has ended; safe beside its other waiters."""
     waiter = defer.Deferred()
--- /dev/null
+++ b/src/guavacleat/peers/book.py
@@ -0,0 +1,60 @@
+"""The newest report of each peer, for as long as it counts."""
+
+from eliot import log_message
+from twisted.internet.interfaces import IReactorTime
+
+from guavacleat.peers.report import LoadReport
+from guavacleat.placement import EndpointLoad, sum_loads
+
+__all__ = ["PeerBook", "SILENCE_SECONDS"]
+
+# A peer not heard for so long counts as gone, and its runs with it: three reports in a row were
+# lost, which on a link that loses three in a hundred happens once in 37,000.
+SILENCE_SECONDS = 1.6
+
+
+class _Peer:
+    __slots__ = ("report", "heard_at")
+
+    def __init__(self, report: LoadReport, heard_at: float):
+        self.report = report
+        self.heard_at = heard_at
+
+
+class PeerBook:
+    """Reports by instance; those of silent peers are left out."""
+
+    def __init__(self, clock: IReactorTime):
+        self.clock = clock
+        self.peers_by_instance: dict[str, _Peer] = {}
+
+    def observe(self, report: LoadReport) -> None:
+        """Take in a report unless a newer one of the same incarnation is known."""
+        known = self.peers_by_instance.get(report.instance)
+        if known is not None and known.report.incarnation == report.incarnation:
+            if report.sequence <= known.report.sequence:
+                return
+        else:
+            log_message(
+                message_type="peer:heard",
+                peer=report.instance,
+                incarnation=report.incarnation,
+            )
+        self.peers_by_instance[report.instance] = _Peer(report, self.clock.seconds())
+
+    def alive(self) -> list[LoadReport]:
+        """Reports of the peers that were heard of lately."""
+        oldest = self.clock.seconds() - SILENCE_SECONDS
+        return [peer.report for peer in self.peers_by_instance.values() if peer.heard_at >= oldest]
+
+    def total(self, endpoint_id: str) -> EndpointLoad:
+        """All peers' runs on the endpoint."""
+        loads = (report.loads_by_endpoint.get(endpoint_id) for report in self.alive())
+        return sum_loads(load for load in loads if load is not None)
+
+    def movable_by_instance(self, endpoint_id: str) -> dict[str, EndpointLoad]:
+        """Peers that have runs to move off the endpoint, by instance."""
+        loads = (
+            (report.instance, report.loads_by_endpoint.get(endpoint_id)) for report in self.alive()
+        )
+        return {instance: load for instance, load in loads if load and load.movable_runs}
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -4,6 +4,7 @@
 
 from guavacleat.membership.registry import EndpointEntry, EndpointRegistry
 from guavacleat.placement.load import LoadBook
+from guavacleat.routes import EngineTraits
 
 __all__ = ["Placement"]
 
@@ -15,6 +16,22 @@
 FAILURE_MEMORY_SECONDS = 5.0
 # Load difference below which the own data centre is preferred: bytes between them are paid for.
 LOCAL_BIAS = 0.1
+# Prompt tokens that an engine reads in a second while it also decodes: about half of the 14 a
+# millisecond that it reads when it does nothing else.
+READ_TOKENS_PER_SECOND = 7000.0
+# Seconds that a full memory weighs. Beyond it a run would wait for another's end, several
+# seconds, or be preempted.
+FULL_SECONDS = 6.0
+# What a batch slot in use weighs: each running generation slows the step by some 2 %.
+SLOT_SECONDS = 0.02
+# Weight of the share of memory in use, so that memory fills evenly: what an engine holds when it
+# is taken away must be moved within a second or two.
+SPREAD_SECONDS = 0.5
+# Memory above this share counts as full: outputs grow past what was expected of them.
+USABLE_MEMORY = 0.92
+# Backups go only where memory stays below this share with them: the rest is for generations that
+# come, and for those of an engine that is taken away.
+BACKUP_MEMORY = 0.75
 
 
 class Placement:
@@ -28,51 +45,83 @@
 
     def for_call(self, service: str, exclude: set[str]) -> EndpointEntry | None:
         """The endpoint for a plain request: fewest requests per slot, least failing."""
-        ready = [entry for entry in self.registry.ready(service) if entry.id not in exclude]
+        ready = self._ready(service, exclude)
         return min(ready, key=self._call_cost, default=None)
 
     def for_run(
-        self, service: str, tokens: int, memory_tokens: int, exclude: set[str]
+        self, service: str, expected: int, engine: EngineTraits, exclude: set[str]
     ) -> EndpointEntry | None:
-        """The engine for a generation that will hold ``tokens``: the one with most room left."""
-        ready = [entry for entry in self.registry.ready(service) if entry.id not in exclude]
-        return min(ready, key=lambda entry: self._run_cost(entry, memory_tokens), default=None)
+        """The engine that will begin a generation soonest without running out of memory.
+
+        :param expected: tokens that the generation will hold at its end.
+        """
+        ready = self._ready(service, exclude)
+        return min(ready, key=lambda entry: self._run_cost(entry, expected, engine), default=None)
 
     def for_move(
-        self, source: EndpointEntry, tokens: int, memory_tokens: int, exclude: set[str]
+        self, source: EndpointEntry, expected: int, engine: EngineTraits, exclude: set[str]
     ) -> EndpointEntry | None:
         """The engine to move a run to; one in the source's data centre if it has room.
 
         A copy across data centres takes twice as long, and the time until the source is gone is
         short.
         """
-        ready = [
-            entry
-            for entry in self.registry.ready(source.service)
-            if entry.id not in exclude and entry.id != source.id
-        ]
+        ready = self._ready(source.service, exclude | {source.id})
         near = [
             entry
             for entry in ready
             if entry.data_centre == source.data_centre
-            and self.load.total(entry.id)[1] + tokens <= memory_tokens
+            and self.memory_share(entry, expected, engine) <= USABLE_MEMORY
         ]
         return min(
-            near or ready, key=lambda entry: self._run_cost(entry, memory_tokens), default=None
+            near or ready,
+            key=lambda entry: self._run_cost(entry, expected, engine),
+            default=None,
         )
 
+    def for_backup(
+        self, source: EndpointEntry, expected: int, engine: EngineTraits
+    ) -> EndpointEntry | None:
+        """The engine to keep a backup of a run on ``source``; None if all need their memory.
+
+        A backup never makes the generations on its engine short of memory: that would preempt
+        them, which costs every one of them more than a crash costs one.
+        """
+        spare = [
+            entry
+            for entry in self._ready(source.service, {source.id})
+            if self.memory_share(entry, expected, engine) <= BACKUP_MEMORY
+        ]
+        return min(
+            spare, key=lambda entry: self.memory_share(entry, expected, engine), default=None
+        )
+
+    def memory_share(self, entry: EndpointEntry, expected: int, engine: EngineTraits) -> float:
+        """Share of the engine's memory in use once ``expected`` more tokens are there."""
+        return (self.load.total(entry.id).expected + expected) / max(1, engine.memory_tokens)
+
+    def _ready(self, service: str, exclude: set[str]) -> list[EndpointEntry]:
+        return [entry for entry in self.registry.ready(service) if entry.id not in exclude]
+
     def _call_cost(self, entry: EndpointEntry) -> tuple[float, float]:
-        count, _ = self.load.total(entry.id)
-        return self._bias(entry) + count / max(1, entry.slots), self.random.random()
+        load = self.load.total(entry.id)
+        away = 0.0 if entry.data_centre == self.data_centre else LOCAL_BIAS
+        return self._failing(entry) + away + load.runs / max(1, entry.slots), self.random.random()
 
-    def _run_cost(self, entry: EndpointEntry, memory_tokens: int) -> tuple[float, float]:
-        count, tokens = self.load.total(entry.id)
-        full = max(tokens / max(1, memory_tokens), count / max(1, entry.slots))
-        return self._bias(entry) * 0.5 + full, self.random.random()
+    def _run_cost(self, entry: EndpointEntry, expected: int, engine: EngineTraits):
+        """Expected seconds of waiting, and a draw among equals."""
+        load = self.load.total(entry.id)
+        share = (load.expected + expected) / max(1, engine.memory_tokens)
+        seconds = (
+            load.unread / READ_TOKENS_PER_SECOND
+            + FULL_SECONDS * max(0.0, share - USABLE_MEMORY)
+            + SLOT_SECONDS * load.runs
+            + SPREAD_SECONDS * share
+            + self._failing(entry)
+        )
+        return seconds, self.random.random()
 
-    def _bias(self, entry: EndpointEntry) -> float:
+    def _failing(self, entry: EndpointEntry) -> float:
         health = self.load.health(entry.id)
         recent = self.load.clock.seconds() - health.failed_at < FAILURE_MEMORY_SECONDS
-        failing = FAILURE_WEIGHT * health.failures if recent else 0.0
-        away = 0.0 if entry.data_centre == self.data_centre else LOCAL_BIAS
-        return failing + away
+        return FAILURE_WEIGHT * health.failures if recent else 0.0
--- a/src/guavacleat/placement/load.py
+++ b/src/guavacleat/placement/load.py
@@ -1,19 +1,49 @@
-"""What runs on each endpoint, as far as this gateway knows."""
+"""What runs on each endpoint, of this gateway's requests and as its peers tell of theirs."""
 
-__all__ = ["EndpointHealth", "LoadBook", "Run"]
+from twisted.internet.interfaces import IReactorTime
+
+__all__ = ["EndpointHealth", "EndpointLoad", "LoadBook", "Run", "sum_loads"]
 
 # Weight of the newest observation in the moving averages of failures and latency.
 SMOOTHING = 0.2
 
 
 class Run:
-    """A request on an endpoint; ``tokens`` is the memory it holds or will hold, 0 if none."""
+    """A request on an endpoint, in tokens of engine memory (0 for plain requests).
+
+    :param expected: what it is expected to hold at its end.
+    :param unread: its prompt while it has produced nothing; 0 from its first event on.
+    :param held: what it holds now.
+    :param movable: whether it would have to be moved if the endpoint left.
+    """
 
-    __slots__ = ("id", "tokens")
+    __slots__ = ("id", "expected", "unread", "held", "movable")
 
-    def __init__(self, id: str, tokens: int = 0):
+    def __init__(self, id: str, expected: int = 0, unread: int = 0):
         self.id = id
-        self.tokens = tokens
+        self.expected = expected
+        self.unread = unread
+        self.held = 0
+        self.movable = False
+
+
+class EndpointLoad:
+    """Runs on one endpoint added up; the fields are sums of :class:`Run`'s."""
+
+    __slots__ = ("runs", "expected", "unread", "movable_tokens", "movable_runs")
+
+    def __init__(self, runs=0, expected=0, unread=0, movable_tokens=0, movable_runs=0):
+        self.runs = runs
+        self.expected = expected
+        self.unread = unread
+        self.movable_tokens = movable_tokens
+        self.movable_runs = movable_runs
+
+    def add(self, other: "EndpointLoad") -> "EndpointLoad":
+        """Add ``other`` to this one and return it."""
+        for slot in self.__slots__:
+            setattr(self, slot, getattr(self, slot) + getattr(other, slot))
+        return self
 
 
 class EndpointHealth:
@@ -28,41 +58,68 @@
 
 
 class LoadBook:
-    """Runs by endpoint id, of this gateway and (as told) of its peers."""
+    """Runs by endpoint id and request id.
 
-    def __init__(self, clock):
+    :param on_change: called when a generation begins, produces its first event or ends.
+    """
+
+    def __init__(self, clock: IReactorTime, on_change=None):
         self.clock = clock
+        self.on_change = on_change or (lambda: None)
         self.runs_by_endpoint: dict[str, dict[str, Run]] = {}
         self.health_by_endpoint: dict[str, EndpointHealth] = {}
+        # Anything with ``total(endpoint_id)``: the peers' runs.
         self.peers = None
 
     def begin(self, endpoint_id: str, run: Run) -> None:
         self.runs_by_endpoint.setdefault(endpoint_id, {})[run.id] = run
+        self.changed(run)
 
-    def end(self, endpoint_id: str, run_id: str) -> None:
-        runs = self.runs_by_endpoint.get(endpoint_id)
-        if runs is not None:
-            runs.pop(run_id, None)
-            if not runs:
-                del self.runs_by_endpoint[endpoint_id]
+    def end(self, endpoint_id: str, run: Run) -> None:
+        """Take the run off; nothing happens if another of its id took its place."""
+        runs = self.runs_by_endpoint.get(endpoint_id, {})
+        if runs.get(run.id) is not run:
+            return
+        del runs[run.id]
+        if not runs:
+            del self.runs_by_endpoint[endpoint_id]
+        self.changed(run)
+
+    def changed(self, run: Run) -> None:
+        """What peers know of this run is out of date."""
+        if run.expected:
+            self.on_change()
+
+    def own(self, endpoint_id: str) -> EndpointLoad:
+        """This gateway's own runs on the endpoint."""
+        runs = self.runs_by_endpoint.get(endpoint_id, {}).values()
+        movable = [run for run in runs if run.movable]
+        return EndpointLoad(
+            len(runs),
+            sum(run.expected for run in runs),
+            sum(run.unread for run in runs),
+            sum(run.held for run in movable),
+            len(movable),
+        )
+
+    def total(self, endpoint_id: str) -> EndpointLoad:
+        """All known runs on the endpoint."""
+        load = self.own(endpoint_id)
+        return load if self.peers is None else load.add(self.peers.total(endpoint_id))
+
+    def generations(self) -> dict[str, EndpointLoad]:
+        """This gateway's load by endpoint id, for endpoints that run its generations."""
+        with_runs = (
+            id
+            for id, runs in self.runs_by_endpoint.items()
+            if any(run.expected for run in runs.values())
+        )
+        return {id: self.own(id) for id in with_runs}
 
     def forget(self, endpoint_id: str) -> None:
         """Drop what is remembered of an endpoint that is gone."""
         self.health_by_endpoint.pop(endpoint_id, None)
 
-    def own(self, endpoint_id: str) -> tuple[int, int]:
-        """This gateway's own runs on the endpoint, and their tokens."""
-        runs = self.runs_by_endpoint.get(endpoint_id, {})
-        return len(runs), sum(run.tokens for run in runs.values())
-
-    def total(self, endpoint_id: str) -> tuple[int, int]:
-        """Runs on the endpoint and their tokens, peers' included."""
-        count, tokens = self.own(endpoint_id)
-        if self.peers is not None:
-            peer_count, peer_tokens = self.peers.total(endpoint_id)
-            return count + peer_count, tokens + peer_tokens
-        return count, tokens
-
     def health(self, endpoint_id: str) -> EndpointHealth:
         return self.health_by_endpoint.setdefault(endpoint_id, EndpointHealth())
 
@@ -75,3 +132,11 @@
         health = self.health(endpoint_id)
         health.failures += SMOOTHING * (1 - health.failures)
         health.failed_at = self.clock.seconds()
+
+
+def sum_loads(loads) -> EndpointLoad:
+    """Add up several loads."""
+    total = EndpointLoad()
+    for load in loads:
+        total.add(load)
+    return total
--- /dev/null
+++ b/src/guavacleat/protocol/gen/peers/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/thrift/peers.thrift
@@ -0,0 +1,25 @@
+// What gateways tell each other, one datagram at a time: what each has running where.
+// A report replaces the sender's earlier ones; a lost one is made up for by the next.
+
+namespace py peers
+
+// One gateway's generations on one engine; tokens of engine memory.
+struct EndpointLoad {
+  1: required string endpoint,
+  2: required i32 runs,
+  // Memory that the runs are expected to hold at their ends, copies included.
+  3: required i64 expected_tokens,
+  // Prompts of runs that have produced nothing yet.
+  4: required i64 unread_tokens,
+  // Memory held now by runs that would have to be moved if the engine left.
+  5: required i64 movable_tokens,
+  6: required i32 movable_runs,
+}
+
+// ``incarnation`` is drawn at each start of the sender; ``sequence`` grows by one a report.
+struct PeerReport {
+  1: required string instance,
+  2: required i64 incarnation,
+  3: required i64 sequence,
+  4: required list<EndpointLoad> loads,
+}
