--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -176,9 +176,8 @@
         request = self.request
         if request.traits.engine is None:
             return self.parts.placement.for_call(request.service, tried)
-        return self.parts.placement.for_run(
-            request.service, request.expected_tokens(), request.traits.engine, tried
-        )
+        engine, expected = request.traits.engine, request.expected_tokens()
+        return self.parts.placement.for_run(request.service, expected, engine, tried)
 
     async def _send(self, entry: EndpointEntry, resume: ResumePoint | None) -> bool:
         """Send the request to ``entry``; return False if no connection came about."""
--- a/src/guavacleat/http1/client.py
+++ b/src/guavacleat/http1/client.py
@@ -89,12 +89,19 @@
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802 - Twisted's name
         self.open = False
         if self.listener is not None and reason.check(ConnectionDone):
-            # Only a clean close can end an answer that has no length.
-            self._feed(b"")
-            self._broken(BreakReason.CLOSED)
+            self._closed()
         self._broken(BreakReason.RESET)
         self.on_closed(self)
 
+    def _closed(self) -> None:
+        """A clean close: it ends an answer that has no length, and breaks off any other."""
+        try:
+            self.parser.receive_data(b"")
+            self._handle(self.parser.next_event())
+        except h11.RemoteProtocolError:
+            pass  # Not enough bytes for a whole answer, as is told next.
+        self._broken(BreakReason.CLOSED)
+
     def _feed(self, data: bytes) -> None:
         try:
             self.parser.receive_data(data)
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -19,6 +19,9 @@
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+# Bytes around a header's name and value: colon, space, carriage return and line feed.
+HEADER_OVERHEAD_BYTES = 4
 
 
 class CallerExchange:
@@ -143,6 +146,10 @@
             self.close()
 
     def _begin_request(self, event: h11.Request) -> None:
+        # h11 bounds only heads that are not yet whole: one that came at once may be larger.
+        if _head_bytes(event) > self.listener.limits().max_header_bytes:
+            self._refuse(HEADERS_TOO_LARGE)
+            return
         names = [name for name, _ in event.headers]
         # h11 lets chunks win over a length; one of the two readers on the way may not.
         if b"transfer-encoding" in names and b"content-length" in names:
@@ -249,6 +256,11 @@
         """The connection is lost; ``connectionLost`` follows."""
 
 
+def _head_bytes(event: h11.Request) -> int:
+    headers = sum(len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in event.headers)
+    return len(event.method) + len(event.target) + headers
+
+
 class CallerListener(protocol.Factory):
     """Accepts callers' connections.
 
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -5,14 +5,10 @@
 new is copied, and the stream goes on at the other engine from the event that its caller has.
 
 All copies off an engine go over its one link. A run that was stopped while other copies queue
-there pauses until they are through, up to 1.6 s when all are started at once. So runs are copied
-one by one, the gateways take turns (in an order that all of them compute alike, each waits until
-those before it report that nothing is left to copy), and runs are stopped only once no copy queues
-any more.
+there pauses until they are through, up to 1.6 s when all are started at once. So each gateway has
+one copy under way at a time, and runs are stopped only once no gateway reports one left to copy.
 """
 
-import hashlib
-
 from eliot import log_message
 from twisted.internet import defer, task
 
@@ -30,18 +26,11 @@
 LAST_EVENTS_SECONDS = 0.1
 # A request that the engine has not begun to run cannot be moved yet.
 RETRY_SECONDS = 0.1
-TURN_POLL_SECONDS = 0.01
 # How long after its notice an engine's streams are still worth moving.
 EVACUATION_SECONDS = 6.0
 # Runs that seemed short at the notice are moved too if they still run after this long: the
 # shortest notice seen is 1.5 s, and a copy takes up to 0.4 s.
 SHORT_RUNS_SECONDS = 0.8
-# Time beyond its copy that a move takes: three calls and the way between data centres.
-MOVE_OVERHEAD_SECONDS = 0.05
-# Copies between data centres take twice as long.
-AWAY_FACTOR = 2.0
-# How much longer than computed a gateway waits for those before it.
-TURN_PATIENCE = 1.5
 NO_SUCH_RUN = 404
 
 
@@ -49,14 +38,12 @@
     """Moves streams; ``sessions`` is the set of those running in this gateway.
 
     :param peers: the :class:`~guavacleat.peers.PeerBook`.
-    :param instance: this gateway's name among its peers.
     """
 
-    def __init__(self, parts, sessions: set[StreamSession], peers, instance: str):
+    def __init__(self, parts, sessions: set[StreamSession], peers):
         self.parts = parts
         self.sessions = sessions
         self.peers = peers
-        self.instance = instance
 
     def leaving(self, entry: EndpointEntry) -> None:
         """Hear that an endpoint will soon be gone."""
@@ -78,15 +65,13 @@
         log_message(message_type="move:error", error=failure.getTraceback())
 
     async def _evacuate(self, entry: EndpointEntry) -> None:
-        """Copy this gateway's streams off ``entry`` in its turn, then let them go on elsewhere."""
+        """Copy this gateway's streams off ``entry``, then let them go on elsewhere."""
         began = self.parts.clock.seconds()
-        waited = await self._await_turn(entry, began)
         log_message(
-            message_type="move:turn",
+            message_type="move:began",
             endpoint=entry.id,
             streams=len(self._on(entry)),
             unprotected=len(self._unprotected(entry)),
-            waited=round(waited, 3),
         )
         failed: set[StreamSession] = set()
         while self.parts.clock.seconds() - began < EVACUATION_SECONDS and self._on(entry):
@@ -123,37 +108,6 @@
             if session.copy is not None and not session.backed_up:
                 await self._switch(session, entry)
 
-    async def _await_turn(self, entry: EndpointEntry, began: float) -> float:
-        """Wait until the gateways before this one are done; return the seconds waited."""
-        while True:
-            waited = self.parts.clock.seconds() - began
-            before = [
-                load
-                for instance, load in self.peers.movable_by_instance(entry.id).items()
-                if _rank(instance, entry) < _rank(self.instance, entry)
-            ]
-            patience = TURN_PATIENCE * sum(self._move_seconds(entry, load) for load in before)
-            if waited >= patience:
-                return waited
-            await task.deferLater(self.parts.clock, TURN_POLL_SECONDS)
-
-    def _move_seconds(self, entry: EndpointEntry, load) -> float:
-        """How long it takes to move a peer's runs off ``entry``."""
-        engine = self._engine(entry)
-        if engine is None:
-            return 0.0
-        near = any(
-            other.data_centre == entry.data_centre
-            for other in self.parts.registry.ready(entry.service)
-        )
-        bits = load.movable_tokens * engine.token_bytes * 8
-        copying = bits / (engine.link_mbps * 1e6) * (1.0 if near else AWAY_FACTOR)
-        return copying + load.movable_runs * MOVE_OVERHEAD_SECONDS
-
-    def _engine(self, entry: EndpointEntry):
-        sessions = self._on(entry)
-        return sessions[0].request.traits.engine if sessions else None
-
     def _still_there(self, session: StreamSession, entry: EndpointEntry) -> bool:
         leg = session.leg
         return (
@@ -246,11 +200,6 @@
         )
 
 
-def _rank(instance: str, entry: EndpointEntry) -> bytes:
-    """A gateway's place in the order of turns; another order for each endpoint."""
-    return hashlib.blake2b(f"{entry.id}|{instance}".encode(), digest_size=8).digest()
-
-
 def _ended(leg) -> defer.Deferred:
     """Fire when the leg has ended; safe beside its other waiters."""
     waiter = defer.Deferred()
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -19,8 +19,8 @@
 # Prompt tokens that an engine reads in a second while it also decodes: about half of the 14 a
 # millisecond that it reads when it does nothing else.
 READ_TOKENS_PER_SECOND = 7000.0
-# Seconds that a full memory weighs. Beyond it a run would wait for another's end, several
-# seconds, or be preempted.
+# Seconds that a full memory weighs, growing from nothing at ``USABLE_MEMORY``. Beyond it a run
+# would wait for another's end, several seconds, or be preempted.
 FULL_SECONDS = 6.0
 # What a batch slot in use weighs: each running generation slows the step by some 2 %.
 SLOT_SECONDS = 0.02
@@ -114,7 +114,7 @@
         share = (load.expected + expected) / max(1, engine.memory_tokens)
         seconds = (
             load.unread / READ_TOKENS_PER_SECOND
-            + FULL_SECONDS * max(0.0, share - USABLE_MEMORY)
+            + FULL_SECONDS * max(0.0, share - USABLE_MEMORY) / (1 - USABLE_MEMORY)
             + SLOT_SECONDS * load.runs
             + SPREAD_SECONDS * share
             + self._failing(entry)
--- /dev/null
+++ b/tests/forwarding/harness.py
@@ -0,0 +1,193 @@
+"""A gateway's forwarding without a network: endpoints are driven by the test, time by a Clock."""
+
+from twisted.internet import defer
+
+from guavacleat.forwarding.messages import AnswerFacts, CallerFacts, MoveAnswer
+from guavacleat.forwarding.parts import ForwardingParts
+from guavacleat.forwarding.request import ForwardedRequest
+from guavacleat.forwarding.wire import Wire
+from guavacleat.http1.client import BreakReason
+from guavacleat.http1.messages import RequestHead, ResponseHead
+from guavacleat.http1.server import CallerExchange
+from guavacleat.membership.registry import EndpointEntry, EndpointRegistry, EndpointState
+from guavacleat.placement import LoadBook, Placement
+from guavacleat.retries import RetryBudget
+from guavacleat.routes import Backend, EngineTraits, RequestKind, Route, ServiceTraits
+from guavacleat.settings import Bounds
+
+ENGINE = EngineTraits(24, 30000, 163840, 24000.0, 4, moves=True, backups=False)
+
+
+class PlainWire(Wire):
+    """Header names of the tests' own: ``id``, ``sealed``, ``not-run``, ``resume``."""
+
+    def caller_facts(self, headers):
+        values = dict(headers)
+        return CallerFacts(values.get(b"id", b"").decode(), patience=None)
+
+    def endpoint_headers(self, headers, order):
+        kept = list(headers)
+        kept.append((b"incarnation", order.incarnation.encode()))
+        kept.append((b"time-left", b"%.3f" % order.time_left))
+        if order.resume is not None:
+            kept.append(
+                (b"resume", b"%s %d" % (order.resume.handle.encode(), order.resume.last_event))
+            )
+        if order.copy_to is not None:
+            kept.append((b"copy-to", order.copy_to[0].encode()))
+        return kept
+
+    def answer_facts(self, headers):
+        values = dict(headers)
+        id = values.get(b"id")
+        return AnswerFacts(
+            None if id is None else id.decode(), b"sealed" in values, b"not-run" in values, False
+        )
+
+    def refusal_headers(self, request_id, retry_after):
+        return [] if retry_after is None else [(b"retry-after", b"%.1f" % retry_after)]
+
+    def encode_move(self, request_id, target, last):
+        return b"POST", b"/last" if last else b"/copy", [], f"{request_id} {target[0]}".encode()
+
+    def decode_move(self, status, body):
+        return MoveAnswer(status, body.decode() or None)
+
+    def free_copy_target(self, handle):
+        return f"/free/{handle}".encode()
+
+
+class EndpointSide:
+    """A connection as the gateway's side uses it, and the endpoint's end as the test plays it."""
+
+    def __init__(self, address):
+        self.address = address
+        self.open = True
+        self.listener = None
+        self.target = None
+        self.headers = {}
+        self.abandoned = False
+        self.transport = self
+
+    def send(self, method, target, headers, body, listener):
+        self.method, self.target, self.body = method, target, body
+        self.headers = dict(headers)
+        self.listener = listener
+
+    def abandon(self):
+        self.open, self.abandoned = False, True
+        self.break_off(BreakReason.ABANDONED)
+
+    def begin(self, status=200, id=b"r1", sealed=True, not_run=False):
+        headers = [(b"id", id)] if id is not None else []
+        headers += [(b"sealed", b"1")] if sealed else []
+        headers += [(b"not-run", b"1")] if not_run else []
+        self.listener.answer_began(ResponseHead(status, b"", headers))
+
+    def body_bytes(self, data):
+        if self.listener is not None:
+            self.listener.answer_body(data)
+
+    def end(self):
+        listener, self.listener = self.listener, None
+        if listener is not None:
+            listener.answer_ended()
+
+    def break_off(self, reason=BreakReason.RESET):
+        listener, self.listener = self.listener, None
+        if listener is not None:
+            listener.answer_broken(reason)
+
+    def answer(self, status=200, body=b"", **changes):
+        self.begin(status, **changes)
+        if body:
+            self.body_bytes(body)
+        self.end()
+
+
+class TestPool:
+    """Hands out :class:`EndpointSide` connections; addresses in ``refused`` refuse."""
+
+    __test__ = False
+
+    def __init__(self):
+        self.connections: list[EndpointSide] = []
+        self.refused: set = set()
+
+    def connect(self, address):
+        if address in self.refused:
+            return defer.fail(ConnectionRefusedError(str(address)))
+        self.connections.append(EndpointSide(address))
+        return defer.succeed(self.connections[-1])
+
+    def to(self, name) -> list[EndpointSide]:
+        """Connections to the endpoint of this name, oldest first."""
+        return [side for side in self.connections if side.address[0] == name]
+
+
+class CallerSide:
+    """What a caller sees: stands in for its connection."""
+
+    def __init__(self):
+        self.open = True
+        self.head = None
+        self.data = b""
+        self.complete = False
+        self.was_cut = False
+
+    def send_head(self, status, reason, headers):
+        self.head = (status, dict(headers))
+
+    def send_body(self, data):
+        self.data += data
+
+    def send_end(self):
+        self.complete = True
+
+    def cut(self):
+        self.open, self.was_cut = False, True
+
+
+class World:
+    """One gateway's forwarding with ready endpoints named ``names`` of service ``svc``."""
+
+    def __init__(self, clock, names=("e1", "e2", "e3"), engine=ENGINE, bounds=None):
+        self.clock = clock
+        self.engine = engine
+        self.registry = EndpointRegistry(clock)
+        self.load = LoadBook(clock)
+        self.pool = TestPool()
+        placement = Placement(self.registry, self.load, "dc", seed=1)
+        bounds = bounds or Bounds(retry_extra=100)
+        budget = RetryBudget(clock, bounds, lambda: 1)
+        self.parts = ForwardingParts(
+            clock, self.pool, PlainWire(), self.registry, self.load, placement, budget
+        )
+        for name in names:
+            self.ready(name)
+
+    def ready(self, name, data_centre="dc", state=EndpointState.READY):
+        self.registry.observe(entry(name, data_centre, state))
+
+    def request(self, kind=RequestKind.IDEMPOTENT, attempts=2, timeout=2.0, body=b"", **facts):
+        """A request ``r1`` and the caller who waits for its answer."""
+        route = Route(
+            "r", "h", "/", (Backend("svc", 1),), kind, timeout, 0.1, 0.2, max_attempts=attempts
+        )
+        caller = CallerSide()
+        head = RequestHead(b"POST", b"/x", [(b"host", b"h"), (b"id", b"r1")])
+        exchange = CallerExchange(caller, head, body)
+        facts = CallerFacts("r1", **{"prompt_tokens": 1000, **facts})
+        traits = ServiceTraits("svc", 100, self.engine)
+        request = ForwardedRequest(
+            exchange, facts, route, None, "svc", traits, 1, self.clock.seconds(), head.headers
+        )
+        return request, caller
+
+
+def entry(name, data_centre="dc", state=EndpointState.READY, service="svc"):
+    return EndpointEntry(name, service, (name, 80), data_centre, 6, state)
+
+
+def event(id, text="x"):
+    return f"id: {id}\ndata: {text}\n\n".encode()
--- /dev/null
+++ b/tests/forwarding/test_session.py
@@ -0,0 +1,206 @@
+"""Streams: each event once, in order, from one generation, on whatever endpoints it runs."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet import defer
+from twisted.internet.task import Clock
+
+from guavacleat.forwarding.answers import Verdict
+from guavacleat.forwarding.events import EventSplitter
+from guavacleat.forwarding.session import HeldCopy, StreamSession
+from guavacleat.routes import RequestKind
+from tests.forwarding.harness import World, entry, event
+
+
+@pytest.fixture
+def world(clock):
+    return World(clock)
+
+
+def start(world, **facts):
+    """Begin a stream; return its session, its caller and what it was refused with."""
+    request, caller = world.request(kind=RequestKind.STREAM, timeout=39.0, **facts)
+    refusals = []
+    session = StreamSession(request, world.parts, set())
+    done = defer.Deferred.fromCoroutine(session.run())
+    done.addErrback(lambda failure: refusals.append(failure.value))
+    return session, caller, refusals
+
+
+def running(world, events=3):
+    """A stream with some events out, and its endpoint's side."""
+    session, caller, refusals = start(world)
+    side = world.pool.connections[0]
+    side.begin()
+    side.body_bytes(b"".join(event(id) for id in range(1, events + 1)))
+    return session, caller, side
+
+
+def test_events_pass_as_they_come_and_the_end_is_told(world):
+    _, caller, side = running(world)
+    assert caller.data == event(1) + event(2) + event(3)
+    assert not caller.complete
+    side.end()
+    assert caller.complete
+
+
+def test_a_stream_goes_on_from_a_copy_without_gap_or_repeat(world):
+    """
+    Symptom: an agent reads a sentence twice, or misses one.
+    Sequence: the engine dies inside an event; a copy of the run is held elsewhere; the engine
+    there repeats an event that the caller already has.
+    Cause: only whole events are passed on, and each id once.
+    """
+    session, caller, side = running(world)
+    session.keep_copy(HeldCopy(entry("e2"), entry("e2"), "h1"))
+    side.body_bytes(event(4)[:7])
+    side.break_off()
+    second = world.pool.connections[1]
+    assert second.headers[b"resume"] == b"h1 3"
+    second.begin()
+    second.body_bytes(event(3) + event(4) + event(5))
+    second.end()
+    assert caller.data == b"".join(map(event, range(1, 6)))
+    assert caller.complete
+
+
+def test_a_missing_event_ends_the_stream(world):
+    """
+    Symptom: pieces of an answer are missing although it ended as complete.
+    Sequence: after a takeover the engine goes on later than asked.
+    Cause: an id that skips one must stop the stream, not pass.
+    """
+    _, caller, side = running(world)
+    side.body_bytes(event(5))
+    assert caller.was_cut and not caller.complete
+    assert event(5) not in caller.data
+
+
+def test_a_stream_without_copy_is_cut_when_its_engine_dies(world):
+    _, caller, side = running(world)
+    side.break_off()
+    assert caller.was_cut and not caller.complete
+    assert len(world.pool.connections) == 1
+
+
+def test_half_an_event_at_the_end_is_not_complete(world):
+    _, caller, side = running(world)
+    side.body_bytes(b"id: 4\ndata: half")
+    side.end()
+    assert caller.was_cut and not caller.complete
+
+
+def test_a_stream_that_no_engine_began_goes_to_another(world):
+    _, caller, _ = start(world)
+    world.pool.connections[0].answer(503, sealed=False, not_run=True, id=None)
+    second = world.pool.connections[1]
+    second.begin()
+    second.body_bytes(event(1))
+    second.end()
+    assert caller.data == event(1) and caller.complete
+
+
+def test_a_stream_may_run_once_only_even_before_its_first_event(world):
+    """
+    Symptom: an engine generates an answer that another engine generates too.
+    Sequence: the engine takes the request; its connection breaks before the first event.
+    Cause: it may have begun to run; without a copy there is nothing to go on from.
+    """
+    _, _, refusals = start(world)
+    world.pool.connections[0].break_off()
+    assert len(world.pool.connections) == 1
+    assert refusals[0].verdict is Verdict.BROKEN
+
+
+def test_refused_everywhere_is_not_run_and_says_when_to_come_back(world):
+    _, _, refusals = start(world)
+    for index in range(3):
+        world.pool.connections[index].answer(503, sealed=False, not_run=True, id=None)
+    assert refusals[0].verdict is Verdict.NO_ROOM
+    assert refusals[0].retry_after > 0
+
+
+def test_an_engines_own_failure_is_passed_on_unchanged(world):
+    _, caller, _ = start(world)
+    world.pool.connections[0].answer(500, body=b"sorry")
+    assert (caller.head[0], caller.data, caller.complete) == (500, b"sorry", True)
+
+
+def test_the_engine_stops_when_the_caller_leaves(world):
+    session, caller, side = running(world)
+    caller.open = False
+    session.cancel()
+    assert side.abandoned
+    assert world.load.runs_by_endpoint == {}
+
+
+def test_a_stream_past_its_time_is_cut(world):
+    _, caller, side = running(world)
+    world.clock.advance(39.0)
+    assert side.abandoned and caller.was_cut
+
+
+def test_before_its_first_event_an_expired_stream_gets_a_final_answer(world):
+    _, caller, _ = start(world)
+    world.clock.advance(39.0)
+    assert caller.head[0] == 504 and caller.complete
+
+
+def test_a_copy_that_the_engine_no_longer_has_ends_the_stream(world):
+    session, caller, side = running(world)
+    session.keep_copy(HeldCopy(entry("e2"), entry("e2"), "h1"))
+    side.break_off()
+    world.pool.connections[1].answer(503, sealed=False, not_run=True, id=None)
+    assert caller.was_cut and not caller.complete
+
+
+def test_memory_is_counted_where_the_run_and_its_copy_are(world):
+    session, _, side = running(world)
+    session.keep_copy(HeldCopy(entry("e3"), entry("e3"), "h1"))
+    assert world.load.total("e3").expected == session.request.expected_tokens()
+    side.end()
+    assert world.load.runs_by_endpoint == {}
+
+
+@given(st.lists(st.integers(1, 9), min_size=1), st.data())
+def test_splitting_keeps_every_byte_of_whole_events(ids, data):
+    """Events come out whole and unchanged, however the bytes are cut."""
+    stream = b"".join(map(event, ids))
+    splitter, out = EventSplitter(), []
+    while stream:
+        cut = data.draw(st.integers(1, len(stream)))
+        out += splitter.feed(stream[:cut])
+        stream = stream[cut:]
+    assert [found.id for found in out] == ids
+    assert b"".join(found.data for found in out) == b"".join(map(event, ids))
+
+
+@given(st.lists(st.sampled_from(["event", "break", "end"]), max_size=25), st.data())
+def test_whatever_engines_do_the_caller_gets_a_prefix_and_no_false_end(steps, data):
+    """
+    Symptom: an answer with a hole, a repeat or a false end.
+    Sequence: any mix of events (also repeated or skipped ids), breaks with a copy, and ends.
+    Cause: the caller's events must be 1, 2, 3 ... and complete only if an engine ended the stream.
+    """
+    world = World(Clock())
+    session, caller, side = running(world, events=1)
+    ended = False
+    for step in steps:
+        side = world.pool.connections[-1]
+        if side.listener is None:
+            break
+        if step == "event":
+            next_id = (session.last_event or 0) + data.draw(st.integers(-1, 2))
+            side.body_bytes(event(max(1, next_id)))
+        elif step == "break":
+            session.keep_copy(HeldCopy(entry("e2"), entry("e2"), "h"))
+            side.break_off()
+            if world.pool.connections[-1] is not side:
+                world.pool.connections[-1].begin()
+        else:
+            side.end()
+            ended = True
+    ids = [found.id for found in EventSplitter().feed(caller.data)]
+    assert ids == list(range(1, len(ids) + 1))
+    assert caller.complete == ended
--- /dev/null
+++ b/tests/ingress/test_dispatch.py
@@ -0,0 +1,121 @@
+"""Which answer when: no configuration, no route, no key, held bytes, errors of our own."""
+
+import pytest
+
+from guavacleat.http1.messages import RequestHead
+from guavacleat.http1.server import CallerExchange
+from guavacleat.ingress.dispatch import Dispatch
+from guavacleat.ingress.metrics import IngressMetrics
+from guavacleat.routes import Account, Backend, CallerLimits, RequestKind, Route, RouteTable
+from guavacleat.routes.holder import RouteHolder
+from tests.forwarding.harness import CallerSide, PlainWire, World
+
+
+class KeyedWire(PlainWire):
+    def caller_facts(self, headers):
+        facts = super().caller_facts(headers)
+        facts.key = dict(headers).get(b"key", b"").decode()
+        return facts
+
+
+def table(version=1):
+    def route(name, public):
+        return Route(
+            name, "h", f"/{name}/", (Backend("svc", 1),), RequestKind.IDEMPOTENT, 1.0, 0.1,
+            public=public,
+        )  # fmt: skip
+
+    accounts = {"k1": Account("a1")}
+    routes = [route("open", True), route("keyed", False)]
+    return RouteTable(version, routes, {}, accounts, CallerLimits(), keyed=True)
+
+
+@pytest.fixture
+def world(clock):
+    world = World(clock, engine=None)
+    world.parts.wire = KeyedWire()
+    return world
+
+
+@pytest.fixture
+def dispatch(world):
+    holder = RouteHolder()
+    holder.offer(table())
+    return Dispatch(holder, world.parts, IngressMetrics(), held_bytes_bound=100)
+
+
+def ask(dispatch, path="/keyed/x", key=b"k1", host=b"h:80", body=b""):
+    caller = CallerSide()
+    headers = [(b"host", host), (b"id", b"r1"), (b"key", key)]
+    dispatch.handle(CallerExchange(caller, RequestHead(b"GET", path.encode(), headers), body))
+    return caller
+
+
+def test_a_known_key_reaches_an_endpoint(dispatch, world):
+    caller = ask(dispatch)
+    world.pool.connections[0].answer(body=b"ok")
+    assert (caller.head[0], caller.data) == (200, b"ok")
+
+
+ANSWERS = [
+    ({"path": "/nowhere/"}, 404),
+    ({"host": b"unknown"}, 404),
+    ({"key": b"k9"}, 401),
+    ({"key": b""}, 401),
+]
+
+
+@pytest.mark.parametrize("request_changes,status", ANSWERS)
+def test_what_the_configuration_does_not_allow_is_refused(dispatch, world, request_changes, status):
+    caller = ask(dispatch, **request_changes)
+    assert caller.head[0] == status and caller.complete
+    assert world.pool.connections == []
+
+
+def test_a_public_route_asks_for_no_key(dispatch, world):
+    ask(dispatch, path="/open/x", key=b"k9")
+    assert len(world.pool.connections) == 1
+
+
+def test_without_configuration_nothing_is_denied(world):
+    """
+    Symptom: callers are told that a route does not exist, right after a restart.
+    Sequence: a gateway starts while the store is away; a request for a known route comes.
+    Cause: a gateway that knows no configuration can only ask the caller to come back.
+    """
+    dispatch = Dispatch(RouteHolder(), world.parts, IngressMetrics(), held_bytes_bound=100)
+    caller = ask(dispatch)
+    assert caller.head[0] == 503
+    assert float(caller.head[1][b"retry-after"]) > 0
+
+
+def test_bodies_beyond_the_bound_are_refused_as_not_run(dispatch):
+    ask(dispatch, body=b"x" * 80)
+    caller = ask(dispatch, body=b"x" * 80)
+    assert caller.head[0] == 503
+    assert dispatch.held_bytes == 80
+
+
+def test_an_error_of_our_own_promises_nothing(dispatch, monkeypatch):
+    """
+    Symptom: a caller repeats a request that has run, after an answer that said it had not.
+    Sequence: the gateway itself fails in the middle of a request.
+    Cause: the request may have been sent; only 502 claims nothing.
+    """
+
+    async def fail(request):
+        raise RuntimeError("defect")
+
+    monkeypatch.setattr(dispatch.plain, "forward", fail)
+    caller = ask(dispatch)
+    assert caller.head[0] == 502
+    assert dispatch.in_flight == 0
+
+
+def test_requests_are_counted_by_outcome(dispatch, world):
+    ask(dispatch, key=b"k9")
+    ask(dispatch)
+    world.pool.connections[0].answer(body=b"ok")
+    text = dispatch.metrics.exposition().decode()
+    assert 'outcome="UNKNOWN_KEY"' in text
+    assert 'outcome="ANSWERED"' in text
--- /dev/null
+++ b/tests/migration/test_evacuation.py
@@ -0,0 +1,215 @@
+"""The reclaim pattern: an engine is taken away a second or two after its notice.
+
+Grounds for the figures: long streams hold some 4,000 tokens, a copy takes 0.2 to 0.6 s on the
+leaving engine's one link, and the shortest notice is 1.5 s, so some five of eight can be copied.
+"""
+
+import pytest
+from twisted.internet import defer
+
+from guavacleat.forwarding.messages import MoveAnswer
+from guavacleat.forwarding.session import HeldCopy, StreamSession
+from guavacleat.membership.registry import EndpointState
+from guavacleat.migration import Evacuator
+from guavacleat.placement import EndpointLoad
+from guavacleat.routes import RequestKind
+from tests.forwarding.harness import World, entry, event
+
+
+class Peers:
+    """Peers that report ``movable`` runs on every endpoint."""
+
+    def __init__(self):
+        self.movable = {}
+
+    def movable_by_instance(self, endpoint_id):
+        return self.movable
+
+
+class Calls:
+    """Calls to engines, answered by the test."""
+
+    def __init__(self, monkeypatch):
+        self.made = []
+        monkeypatch.setattr("guavacleat.migration.evacuation.call", self)
+
+    async def __call__(self, clock, pool, address, method, target, headers, body, timeout):
+        answer = defer.Deferred()
+        self.made.append((address[0], target.decode(), body.decode(), answer))
+        return await answer
+
+    def targets(self):
+        return [target for _, target, _, _ in self.made]
+
+    def answer(self, index, status, handle=""):
+        self.made[index][3].callback(Answer(status, handle))
+
+
+class Answer:
+    def __init__(self, status, handle):
+        self.code = status
+        self.body = handle.encode()
+
+
+@pytest.fixture
+def world(clock):
+    return World(clock, names=("leaver",))
+
+
+@pytest.fixture
+def calls(monkeypatch):
+    return Calls(monkeypatch)
+
+
+@pytest.fixture
+def peers():
+    return Peers()
+
+
+def streams(world, count, events=30):
+    """Streams that run on the endpoint ``leaver``, each with some events out."""
+    sessions, found = set(), []
+    for number in range(count):
+        request, caller = world.request(
+            kind=RequestKind.STREAM, timeout=39.0, max_output_tokens=2000 + number
+        )
+        request.facts.id = f"r{number}"
+        session = StreamSession(request, world.parts, sessions)
+        defer.Deferred.fromCoroutine(session.run()).addErrback(lambda failure: None)
+        side = world.pool.connections[-1]
+        side.begin(id=f"r{number}".encode())
+        side.body_bytes(b"".join(event(id) for id in range(1, events + 1)))
+        found.append((session, caller, side))
+    return sessions, found
+
+
+def leave(world, sessions, peers):
+    """Give the notice, with two other engines ready."""
+    world.ready("e1")
+    world.ready("e2")
+    evacuator = Evacuator(world.parts, sessions, peers)
+    world.registry.on_leaving = evacuator.leaving
+    world.ready("leaver", state=EndpointState.DRAINING)
+
+
+def test_copies_are_made_one_at_a_time_and_runs_stopped_after_the_last(world, calls, peers):
+    """
+    Symptom: callers see pauses of a second and more when an engine leaves.
+    Sequence: three streams run on it; all are copied over its one link.
+    Cause: a run that is stopped while other copies queue waits for all of them.
+    """
+    sessions, found = streams(world, 3)
+    leave(world, sessions, peers)
+    assert calls.targets() == ["/copy"]
+    for index in range(3):
+        assert calls.targets() == ["/copy"] * (index + 1)
+        calls.answer(index, 200, f"h{index}")
+    assert calls.targets() == ["/copy"] * 3 + ["/last"]
+
+
+def test_no_run_is_stopped_while_a_peer_still_copies(world, calls, peers):
+    sessions, _ = streams(world, 1)
+    peers.movable = {"gateway-2": EndpointLoad(movable_runs=1, movable_tokens=4000)}
+    leave(world, sessions, peers)
+    calls.answer(0, 200, "h0")
+    world.clock.advance(0.1)
+    assert calls.targets() == ["/copy"]
+    peers.movable = {}
+    world.clock.advance(0.1)
+    assert calls.targets() == ["/copy", "/last"]
+
+
+def test_a_switched_stream_goes_on_where_its_copy_is(world, calls, peers):
+    sessions, [(session, caller, side)] = streams(world, 1)
+    leave(world, sessions, peers)
+    calls.answer(0, 200, "h0")
+    side.break_off()
+    assert len(world.pool.connections) == 1, "where to go on is not known yet"
+    calls.answer(1, 200, "h1")
+    second = world.pool.connections[1]
+    assert second.headers[b"resume"] == b"h1 30"
+    assert second.address[0] in calls.made[1][2]
+    second.begin(id=b"r0")
+    second.body_bytes(event(31))
+    second.end()
+    assert caller.complete and caller.data.endswith(event(31))
+
+
+def test_a_copied_stream_survives_an_engine_that_is_gone_early(world, calls, peers):
+    """
+    Symptom: a stream is cut although its memory had been copied.
+    Sequence: the first copy is made; peers still copy; the engine is gone.
+    Cause: the stream must go on from the first copy, which has a little more to read.
+    """
+    sessions, [(session, caller, side)] = streams(world, 1)
+    peers.movable = {"gateway-2": EndpointLoad(movable_runs=1)}
+    leave(world, sessions, peers)
+    calls.answer(0, 200, "h0")
+    side.body_bytes(event(31))
+    side.break_off()
+    assert world.pool.connections[1].headers[b"resume"] == b"h0 31"
+
+
+def test_a_stream_with_a_backup_is_left_alone(world, calls, peers):
+    sessions, [(session, _, side)] = streams(world, 1)
+    session.keep_copy(HeldCopy(entry("e2"), entry("e2"), "r0", backup=True))
+    leave(world, sessions, peers)
+    assert calls.made == []
+    side.break_off()
+    assert world.pool.connections[1].address[0] == "e2"
+
+
+def test_a_backup_on_the_leaving_engine_counts_no_more(world, calls, peers):
+    """
+    Symptom: a stream is cut although its engine was known to leave for seconds.
+    Sequence: the engine that keeps the stream's backup leaves, then the stream's own engine.
+    Cause: a backup that goes with its engine protects nothing; the stream must be copied.
+    """
+    sessions, [(session, _, _)] = streams(world, 1)
+    session.keep_copy(HeldCopy(entry("gone"), entry("gone"), "r0", backup=True))
+    Evacuator(world.parts, sessions, peers).leaving(entry("gone"))
+    assert session.copy is None
+    leave(world, sessions, peers)
+    assert calls.targets() == ["/copy"]
+
+
+def test_another_target_is_tried_when_the_first_has_no_room(world, calls, peers):
+    sessions, _ = streams(world, 1)
+    leave(world, sessions, peers)
+    calls.answer(0, 503)
+    assert calls.targets() == ["/copy", "/copy"]
+    assert calls.made[0][2] != calls.made[1][2]
+
+
+def test_a_run_that_the_engine_does_not_know_yet_is_tried_again(world, calls, peers):
+    sessions, _ = streams(world, 1)
+    leave(world, sessions, peers)
+    calls.answer(0, 404)
+    assert len(calls.made) == 1
+    world.clock.advance(0.11)
+    assert len(calls.made) == 2
+
+
+def test_the_longest_stream_is_copied_first(world, calls, peers):
+    sessions, found = streams(world, 3)
+    leave(world, sessions, peers)
+    assert calls.made[0][2].startswith("r2 ")
+
+
+def test_a_copy_that_came_too_late_is_freed(world, calls, peers):
+    """
+    Symptom: an engine's memory fills with copies that nobody uses.
+    Sequence: the stream ends by itself while its copy is under way.
+    Cause: the copy holds memory and a slot until it is freed.
+    """
+    sessions, [(_, _, side)] = streams(world, 1)
+    leave(world, sessions, peers)
+    side.end()
+    calls.answer(0, 200, "h0")
+    assert calls.targets() == ["/copy", "/free/h0"]
+
+
+def test_a_move_answer_counts_only_with_a_handle():
+    assert MoveAnswer(200, "h").copied
+    assert not MoveAnswer(200, None).copied
+    assert not MoveAnswer(503, "h").copied
--- /dev/null
+++ b/tests/peers/test_peers.py
@@ -0,0 +1,157 @@
+"""Gateways' reports: any datagram, late and lost ones, silent peers, registration."""
+
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet import defer
+
+from guavacleat.peers import PeerBook, PeerExchange
+from guavacleat.peers.book import SILENCE_SECONDS
+from guavacleat.peers.report import BadReportError, LoadReport, decode_report, encode_report
+from guavacleat.placement import EndpointLoad, LoadBook, Run
+from guavacleat.store import ConflictError, StoredObject, StoreUnavailableError, WatchBatch
+
+COUNTS = st.integers(0, 2**31 - 1)
+LOADS = st.builds(EndpointLoad, COUNTS, COUNTS, COUNTS, COUNTS, COUNTS)
+
+
+@given(st.text(max_size=20), st.dictionaries(st.text(max_size=20), LOADS, max_size=5))
+def test_reports_survive_the_wire(instance, loads):
+    report = decode_report(encode_report(LoadReport(instance, 7, 9, loads)))
+    assert (report.instance, report.incarnation, report.sequence) == (instance, 7, 9)
+    assert {
+        id: [getattr(load, slot) for slot in EndpointLoad.__slots__]
+        for id, load in report.loads_by_endpoint.items()
+    } == {
+        id: [getattr(load, slot) for slot in EndpointLoad.__slots__] for id, load in loads.items()
+    }
+
+
+@given(st.binary(max_size=100))
+def test_any_datagram_is_a_report_or_refused(data):
+    with contextlib.suppress(BadReportError):
+        decode_report(data)
+
+
+def report(instance="g2", incarnation=1, sequence=1, expected=100, movable=0):
+    load = EndpointLoad(1, expected, 0, movable * 1000, movable)
+    return LoadReport(instance, incarnation, sequence, {"e1": load})
+
+
+@pytest.fixture
+def book(clock):
+    return PeerBook(clock)
+
+
+def test_a_late_report_does_not_replace_a_newer_one(book):
+    book.observe(report(sequence=2, expected=200))
+    book.observe(report(sequence=1, expected=100))
+    assert book.total("e1").expected == 200
+
+
+def test_a_restarted_peer_counts_from_one_again(book):
+    """
+    Symptom: the load of a restarted gateway is not seen.
+    Sequence: a peer at sequence 9 is killed; its next start reports with sequence 1.
+    Cause: sequences compare within one incarnation only.
+    """
+    book.observe(report(sequence=9, expected=900))
+    book.observe(report(incarnation=2, sequence=1, expected=100))
+    assert book.total("e1").expected == 100
+
+
+def test_a_silent_peer_counts_no_more(book, clock):
+    book.observe(report())
+    clock.advance(SILENCE_SECONDS + 0.1)
+    assert book.total("e1").expected == 0
+    assert book.movable_by_instance("e1") == {}
+
+
+def test_peers_with_runs_to_move_are_named(book):
+    book.observe(report("g2", movable=2))
+    book.observe(report("g3", movable=0))
+    assert list(book.movable_by_instance("e1")) == ["g2"]
+
+
+class FakeStore:
+    """Registers gateways; ``failures`` calls fail first, and the name may be taken."""
+
+    def __init__(self, failures=0, taken=False):
+        self.failures = failures
+        self.taken = taken
+        self.written = []
+
+    def put(self, kind, name, value, expected_version):
+        if self.failures:
+            self.failures -= 1
+            return defer.fail(StoreUnavailableError("down"))
+        if self.taken and expected_version == 0:
+            return defer.fail(ConflictError(kind, name, 0, 5))
+        self.written.append((name, value, expected_version))
+        return defer.succeed(None)
+
+    def list_objects(self, kind):
+        stored = StoredObject(kind, "g2", 1, 1, {"ip": "10.0.0.2", "port": 7200})
+        return defer.succeed(WatchBatch(1, [stored]))
+
+
+class Datagrams:
+    def __init__(self):
+        self.sent = []
+
+    def write(self, data, address):
+        self.sent.append((decode_report(data), address))
+
+
+def exchange(clock, store):
+    load = LoadBook(clock)
+    found = PeerExchange(clock, store, PeerBook(clock), load, "g1", ("10.0.0.1", 7200))
+    found.transport = Datagrams()
+    found.startProtocol()
+    return found, load
+
+
+def test_a_gateway_registers_finds_the_others_and_reports_changes(clock):
+    found, load = exchange(clock, FakeStore())
+    load.begin("e1", Run("r1", expected=500, unread=300))
+    clock.advance(0.02)
+    last, address = found.transport.sent[-1]
+    assert address == ("10.0.0.2", 7200)
+    assert last.loads_by_endpoint["e1"].expected == 500
+    assert found.gateway_count() == 2
+
+
+def test_registration_goes_on_until_the_store_answers(clock):
+    store = FakeStore(failures=2)
+    exchange(clock, store)
+    assert store.written == []
+    clock.advance(1.1)
+    clock.advance(1.1)
+    assert [name for name, _, _ in store.written] == ["g1"]
+
+
+def test_a_name_registered_by_an_earlier_start_is_taken_over(clock):
+    store = FakeStore(taken=True)
+    exchange(clock, store)
+    assert [version for _, _, version in store.written] == [5]
+
+
+def test_whoever_sends_is_known_from_then_on(clock):
+    """
+    Symptom: a gateway never hears of one that started after it.
+    Sequence: gateways list each other at their start only.
+    Cause: the later one sends first, and its address is learnt from its datagram.
+    """
+    found, _ = exchange(clock, FakeStore())
+    found.datagramReceived(encode_report(report("g9")), ("10.0.0.9", 7200))
+    assert found.addresses_by_instance["g9"] == ("10.0.0.9", 7200)
+
+
+def test_plain_requests_cause_no_reports(clock):
+    found, load = exchange(clock, FakeStore())
+    sent = len(found.transport.sent)
+    load.begin("e1", Run("r1"))
+    clock.advance(0.1)
+    assert len(found.transport.sent) == sent
--- /dev/null
+++ b/tests/placement/test_choice.py
@@ -0,0 +1,82 @@
+"""Where requests go: room, prompts still to read, failures, peers' runs, backups' memory."""
+
+import pytest
+
+from guavacleat.peers import PeerBook
+from guavacleat.peers.report import LoadReport
+from guavacleat.placement import EndpointLoad, Run
+from guavacleat.placement.choice import BACKUP_MEMORY, FAILURE_MEMORY_SECONDS
+from tests.forwarding.harness import ENGINE, World
+
+
+@pytest.fixture
+def world(clock):
+    return World(clock, names=("e1", "e2"))
+
+
+def place(world, tokens=1000):
+    return world.parts.placement.for_run("svc", tokens, ENGINE, set()).id
+
+
+def test_generations_spread_over_engines(world):
+    for number in range(4):
+        found = place(world)
+        world.load.begin(found, Run(f"r{number}", expected=1000, unread=900))
+    assert [world.load.own(id).runs for id in ("e1", "e2")] == [2, 2]
+
+
+def test_a_new_prompt_goes_where_fewer_wait_to_be_read(world):
+    """
+    Symptom: first tokens come two seconds late while another engine reads nothing.
+    Sequence: two prompts wait on one engine; the other runs as much, all of it read.
+    Cause: an engine reads prompts one after the other, between the tokens of the others.
+    """
+    for number in range(3):
+        world.load.begin("e1", Run(f"a{number}", expected=3000, unread=2900))
+        world.load.begin("e2", Run(f"b{number}", expected=3000, unread=0))
+    assert place(world) == "e2"
+
+
+def test_an_engine_without_memory_is_the_last_choice(world):
+    world.load.begin("e1", Run("a", expected=ENGINE.memory_tokens))
+    for number in range(6):
+        world.load.begin("e2", Run(f"b{number}", expected=2000, unread=1500))
+    assert place(world) == "e2"
+
+
+def test_peers_runs_count(world, clock):
+    """
+    Symptom: every gateway sends to the same engine.
+    Sequence: a peer runs much on one engine; this gateway runs nothing.
+    Cause: an engine's load is that of all gateways.
+    """
+    world.load.peers = PeerBook(clock)
+    world.load.peers.observe(LoadReport("g2", 1, 1, {"e1": EndpointLoad(5, 15000, 6000)}))
+    assert place(world) == "e2"
+
+
+def test_a_failing_endpoint_is_avoided_and_then_tried_again(world, clock):
+    for _ in range(3):
+        world.load.failed("e1")
+    calls = [world.parts.placement.for_call("svc", set()).id for _ in range(20)]
+    assert set(calls) == {"e2"}
+    clock.advance(FAILURE_MEMORY_SECONDS)
+    calls = [world.parts.placement.for_call("svc", set()).id for _ in range(20)]
+    assert set(calls) == {"e1", "e2"}
+
+
+def test_backups_go_only_where_memory_is_free(world):
+    source = world.registry.entries_by_id["e1"]
+    room = int(ENGINE.memory_tokens * BACKUP_MEMORY)
+    world.load.begin("e2", Run("b", expected=room - 1000))
+    assert world.parts.placement.for_backup(source, 1000, ENGINE).id == "e2"
+    assert world.parts.placement.for_backup(source, 1001, ENGINE) is None
+
+
+def test_a_move_stays_in_its_data_centre_if_there_is_room(world):
+    source = world.registry.entries_by_id["e1"]
+    world.ready("far", data_centre="other")
+    world.load.begin("e2", Run("b", expected=ENGINE.memory_tokens // 2))
+    assert world.parts.placement.for_move(source, 1000, ENGINE, set()).id == "e2"
+    world.load.begin("e2", Run("c", expected=ENGINE.memory_tokens // 2))
+    assert world.parts.placement.for_move(source, 1000, ENGINE, set()).id == "far"
--- /dev/null
+++ b/tests/platform/test_decode.py
@@ -0,0 +1,199 @@
+"""Wire to types: configuration, endpoint entries, headers, moves; any input, never a crash."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavacleat.forwarding.messages import EndpointOrder, ResumePoint
+from guavacleat.membership.registry import EndpointState
+from guavacleat.platform.decode import decode_configuration, decode_endpoint
+from guavacleat.platform.engines import decode_move, encode_move
+from guavacleat.platform.headers import (
+    answer_facts,
+    caller_facts,
+    endpoint_headers,
+    refusal_headers,
+)
+from guavacleat.routes import RequestKind
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "Ficu95.example",
+            "pathPrefix": "/lohu930/",
+            "kind": "stream",
+            "timeoutMs": 39000,
+            "latencyGoalMs": 1800,
+            "priority": 0,
+            "backends": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+            "maxAttempts": 1,
+            "public": False,
+            "gapGoalMs": 180,
+        },
+        {
+            "name": "r2",
+            "host": "ficu95.example",
+            "pathPrefix": "/lohu930/pufi/",
+            "kind": "idempotent",
+            "timeoutMs": 800,
+            "service": "b",
+            "maxAttempts": 2,
+            "public": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "a",
+            "maxConns": 252,
+            "engine": {"slots": 24, "kvCapacity": 34239, "stride": 4, "moves": True},
+        },
+        {"name": "b", "maxConns": 110},
+    ],
+    "limits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 15000},
+    "tenants": [{"name": "t1", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def test_configuration_in_seconds_and_types():
+    table = decode_configuration(CONFIGURATION)
+    stream = table.match("ficu95.example", "/lohu930/2f")
+    plain = table.match("ficu95.example", "/lohu930/pufi/x")
+    assert (stream.kind, stream.timeout, stream.latency_goal) == (RequestKind.STREAM, 39.0, 1.8)
+    assert (stream.gap_goal, stream.max_attempts, stream.priority) == (0.18, 1, 0)
+    assert [(backend.service, backend.weight) for backend in stream.backends] == [
+        ("a", 90),
+        ("b", 10),
+    ]
+    assert (plain.kind, plain.public, plain.max_attempts) == (RequestKind.IDEMPOTENT, True, 2)
+    assert table.match("ficu95.example", "/other/") is None
+    assert table.accounts_by_key["k2"].name == "t1"
+    assert table.accounts_by_key["k2"].priority == 1
+    assert table.services_by_name["a"].engine.memory_tokens == 34239
+    assert table.services_by_name["b"].engine is None
+    assert (table.limits.idle_timeout, table.limits.header_timeout) == (15.0, 3.0)
+
+
+def test_an_unknown_kind_is_run_once_at_most():
+    route = {**CONFIGURATION["routes"][1], "kind": "something-new"}
+    table = decode_configuration({**CONFIGURATION, "routes": [route]})
+    assert table.match("ficu95.example", "/lohu930/pufi/").kind is RequestKind.NON_IDEMPOTENT
+
+
+def test_without_accounts_no_key_is_asked():
+    spec = {key: value for key, value in CONFIGURATION.items() if key != "tenants"}
+    assert not decode_configuration(spec).keyed
+    assert decode_configuration(CONFIGURATION).keyed
+
+
+def test_an_endpoint_in_any_state_but_ready_takes_no_new_work():
+    spec = {"service": "a", "address": "10.1.2.3:80", "zone": "z", "slots": 24, "state": "ready"}
+    assert decode_endpoint("i-1", spec).state is EndpointState.READY
+    assert decode_endpoint("i-1", spec).address == ("10.1.2.3", 80)
+    for state in ("draining", "odd", None):
+        assert decode_endpoint("i-1", {**spec, "state": state}).state is EndpointState.DRAINING
+
+
+FORGED = [
+    (b"hold", b"1"),
+    (b"pin-ms", b"4000"),
+    (b"kv-backup", b"10.0.0.1:1"),
+    (b"kv-from", b"10.0.0.1:1/x"),
+    (b"kv-fetch", b"10.0.0.1:1"),
+    (b"kv-anything", b"1"),
+    (b"expect-instance", b"i-9"),
+    (b"expect-version", b"3"),
+    (b"tenant", b"someone"),
+    (b"request-priority", b"0"),
+    (b"key", b"secret"),
+    (b"deadline-ms", b"999999"),
+]
+
+
+@pytest.mark.parametrize("name,value", FORGED)
+def test_headers_that_the_system_owns_never_pass_from_a_caller(name, value):
+    """
+    Symptom: an engine's memory fills with pins that nobody in the system asked for.
+    Sequence: a caller sends a header that is the system's to set.
+    Cause: forwarding what callers send would obey it.
+    """
+    order = EndpointOrder("i-1", 1.5, account="t1")
+    headers = endpoint_headers([(name, value), (b"x-own", b"kept")], order)
+    assert (name, value) not in headers
+    assert (b"x-own", b"kept") in headers
+    values = dict(headers)
+    assert values[b"expect-instance"] == b"i-1"
+    assert values[b"tenant"] == b"t1"
+    assert values[b"deadline-ms"] == b"1500"
+
+
+def test_a_resumed_request_names_its_copy_and_last_event():
+    order = EndpointOrder("i-1", 1.5, resume=ResumePoint(("10.0.0.1", 80), "h7", 42))
+    values = dict(endpoint_headers([(b"last-event-id", b"1")], order))
+    assert values[b"kv-from"] == b"10.0.0.1:80/h7"
+    assert values[b"last-event-id"] == b"42"
+
+
+def test_caller_facts_are_decoded():
+    facts = caller_facts(
+        [
+            (b"attempt-id", b"r1"),
+            (b"key", b"k1"),
+            (b"deadline-ms", b"1500"),
+            (b"token-usage", b"1460,80"),
+            (b"length-hint", b"60"),
+            (b"prompt-prefix", b"5c1e07a2:800,91bd3f06:410"),
+        ]
+    )
+    assert (facts.id, facts.key, facts.patience) == ("r1", "k1", 1.5)
+    assert (facts.prompt_tokens, facts.max_output_tokens) == (1460, 80)
+    assert facts.expected_output_tokens == 60.0
+    assert [(part.id, part.tokens) for part in facts.prompt_parts] == [
+        ("5c1e07a2", 800),
+        ("91bd3f06", 410),
+    ]
+
+
+def test_answer_facts_are_decoded():
+    facts = answer_facts([(b"attempt-id", b"r1"), (b"response-seal", b"s")])
+    assert (facts.request_id, facts.sealed, facts.not_run) == ("r1", True, False)
+    assert answer_facts([(b"not-executed", b"1")]).not_run
+    assert answer_facts([(b"content-encoding", b"gzip")]).encoded
+
+
+def test_a_refusal_names_the_request_and_when_to_come_back():
+    assert dict(refusal_headers("r1", 0.5)) == {b"attempt-id": b"r1", b"retry-after": b"0.500"}
+    assert refusal_headers("", None) == []
+
+
+def test_moves_are_encoded_and_decoded():
+    method, _, _, body = encode_move("r1", ("10.0.0.2", 81), last=True)
+    assert method == b"POST"
+    assert json.loads(body) == {"id": "r1", "target": "10.0.0.2:81", "last": True}
+    assert decode_move(200, b'{"handle": "h1", "createdAt": 3}').handle == "h1"
+    assert decode_move(503, b"").handle is None
+
+
+@given(st.integers(100, 599), st.binary(max_size=60))
+def test_any_move_answer_decodes(status, body):
+    decode_move(status, body)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(
+                [b"attempt-id", b"deadline-ms", b"token-usage", b"prompt-prefix", b"length-hint"]
+            ),
+            st.binary(max_size=30),
+        )
+    )
+)
+def test_any_header_values_decode(headers):
+    """Callers may send anything: what cannot be read counts as not said."""
+    facts = caller_facts(headers)
+    assert facts.patience is None or facts.patience >= 0
+    answer_facts(headers)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,168 @@
+"""Contract of the platform's store as the product's client and watch loop meet it."""
+
+import pytest
+from twisted.internet import defer
+
+from guavacleat.platform.objects import PlatformDialect
+from guavacleat.store import ConflictError, StoreClient, StoreUnavailableError
+from guavacleat.store.messages import MUST_NOT_EXIST
+from guavacleat.store.watch import WatchLoop
+from tests.conftest import result_of
+from tests.platform.store_standin import PAGE, StoreStandin
+
+
+@pytest.fixture
+def standin():
+    return StoreStandin()
+
+
+@pytest.fixture
+def client(standin):
+    return StoreClient("http://store", http=standin, dialect=PlatformDialect())
+
+
+class Follower:
+    """A watch loop with what it heard."""
+
+    def __init__(self, clock, client, kind="servers"):
+        self.names = {}
+        self.deleted = []
+        self.listings = []
+        self.health = []
+        self.loop = WatchLoop(
+            clock,
+            client,
+            kind,
+            self._hear,
+            on_health=self.health.append,
+            on_listed=self.listings.append,
+        )
+        self.loop.start()
+        clock.advance(0)
+
+    def _hear(self, stored):
+        if stored.deleted:
+            self.deleted.append(stored.name)
+        else:
+            self.names[stored.name] = stored.value
+
+
+def test_created_and_replaced_conditionally(client):
+    created = result_of(client.put("gateways", "g1", {"a": 1}, MUST_NOT_EXIST))
+    replaced = result_of(client.put("gateways", "g1", {"a": 2}, created.version))
+    assert replaced.value == {"a": 2} and replaced.version > created.version
+    assert result_of(client.get("gateways", "g1")).value == {"a": 2}
+    assert result_of(client.get("gateways", "none")) is None
+
+
+def test_a_lost_race_names_the_version_to_build_on(client, standin):
+    result_of(client.put("gateways", "g1", {"a": 1}, MUST_NOT_EXIST))
+    standin.write("gateways", "g1", {"a": 2})
+    for expected in (MUST_NOT_EXIST, 1):
+        with pytest.raises(ConflictError) as caught:
+            result_of(client.put("gateways", "g1", {"a": 3}, expected))
+        assert caught.value.current_version == 2
+
+
+FAULTS = [("busy", False), ("down", False), ("silent", False), ("lost", True), ("garbled", False)]
+
+
+@pytest.mark.parametrize("fault,took_effect", FAULTS)
+def test_every_fault_is_no_answer(client, standin, fault, took_effect):
+    standin.fault = fault
+    with pytest.raises(StoreUnavailableError):
+        result_of(client.put("gateways", "g1", {"a": 1}, MUST_NOT_EXIST))
+    assert (("gateways", "g1") in standin.objects) is took_effect
+
+
+def test_a_listing_reads_every_page(client, standin):
+    names = [f"e{number}" for number in range(2 * PAGE + 1)]
+    for name in names:
+        standin.write("servers", name, {})
+    batch = result_of(client.list_objects("servers"))
+    assert [stored.name for stored in batch.objects] == names
+
+
+def test_a_change_between_two_pages_is_not_missed(client, standin, clock):
+    """
+    Symptom: an endpoint that registered while a gateway started gets no work.
+    Sequence: a listing takes two pages; an object before the second page's start is written
+    between them.
+    Cause: the watch must go on from the first page's revision.
+    """
+    for number in range(PAGE + 1):
+        standin.write("servers", f"e{number}", {})
+    answer = standin.request
+    pages = []
+
+    def between_pages(method, url, data=None, timeout=None):
+        if "after=" in url and not pages:
+            pages.append(url)
+            standin.write("servers", "a-early", {})
+        return answer(method, url, data, timeout)
+
+    standin.request = between_pages
+    follower = Follower(clock, client)
+    clock.advance(0)
+    clock.advance(0)
+    assert "a-early" in follower.names
+
+
+def test_changes_and_deletions_are_heard(client, standin, clock):
+    standin.write("servers", "e1", {"state": "ready"})
+    follower = Follower(clock, client)
+    clock.advance(0)
+    standin.write("servers", "e1", {"state": "draining"})
+    clock.advance(0)
+    standin.delete("servers", "e1")
+    clock.advance(0)
+    assert follower.names == {"e1": {"state": "draining"}}
+    assert follower.deleted == ["e1"]
+
+
+def test_a_forgotten_history_leads_to_a_listing(client, standin, clock):
+    """
+    Symptom: a deleted endpoint gets work for ever.
+    Sequence: the watch breaks; the endpoint is deleted; the store forgets that it was.
+    Cause: only a listing shows what is no more.
+    """
+    standin.write("servers", "e1", {})
+    standin.write("servers", "e2", {})
+    follower = Follower(clock, client)
+    clock.advance(0)
+    _, _, waiter = standin.waiting.pop()
+    standin.delete("servers", "e1")
+    standin.forget()
+    waiter.errback(ConnectionError())
+    for _ in range(4):
+        clock.advance(1)
+    assert follower.listings[-1] == {"e2"}
+
+
+@pytest.mark.parametrize("fault", ["busy", "down", "silent", "garbled"])
+def test_the_loop_outlives_any_fault_and_tells_it(client, standin, clock, fault):
+    standin.fault = fault
+    follower = Follower(clock, client)
+    clock.advance(1)
+    standin.fault = None
+    standin.write("servers", "e1", {})
+    for _ in range(5):
+        clock.advance(1)
+    assert follower.health[0] is False and follower.health[-1] is True
+    assert follower.names == {"e1": {}}
+
+
+def test_an_answer_of_an_unknown_shape_does_not_end_the_loop(client, standin, clock):
+    """
+    Symptom: a gateway hears of no change any more, without a line in its log.
+    Sequence: the store once answers a listing with JSON of another shape.
+    Cause: the error ended the loop.
+    """
+    answer = standin.request
+    standin.request = lambda *args, **kwargs: defer.succeed(standin._reply(200, {"odd": 1}))
+    follower = Follower(clock, client)
+    standin.request = answer
+    standin.write("servers", "e1", {})
+    for _ in range(3):
+        clock.advance(1)
+    assert follower.names == {"e1": {}}
