--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -26,7 +26,7 @@
 
 # A watch waits this long for a change. A store that goes silent shows only by an answer that does
 # not come; this and the call's own time-out bound how long a gateway can be deaf.
-WATCH_SECONDS = 2.0
+WATCH_SECONDS = 3.0
 STORE_CALL_SECONDS = 0.8
 # Longest pause between attempts to reach the store: within the time in which a configuration must
 # be in force after an outage.
@@ -53,7 +53,7 @@
     :param settings: :class:`ProcessSettings`.
     :param adapter: names and formats of the platform: ``wire``, ``dialect``, ``readiness_path``,
         ``config_kind``, ``config_name``, ``endpoint_kind``, ``decode_configuration(spec)`` and
-        ``decode_endpoint(id, spec)``.
+        ``decode_endpoint(id, spec, revision)``.
     :param metrics_port: where ``/metrics`` is served; None for nowhere.
     """
 
@@ -87,7 +87,13 @@
         self.questions = CallerListener(reactor, self._answer_question, CallerLimits)
         self.watches = self._watches()
         self.exchange = PeerExchange(
-            reactor, self.store, self.peers, self.load, settings.instance, self._peer_address()
+            reactor,
+            self.store,
+            self.peers,
+            self.load,
+            self.registry,
+            settings.instance,
+            self._peer_address(),
         )
         self.ports = []
 
@@ -129,9 +135,10 @@
 
     def _endpoint_changed(self, stored) -> None:
         if stored.deleted:
-            self.registry.remove(stored.name)
-        else:
-            self.registry.observe(self.adapter.decode_endpoint(stored.name, stored.value))
+            self.registry.remove(stored.name, stored.revision)
+            return
+        entry = self.adapter.decode_endpoint(stored.name, stored.value, stored.revision)
+        self.registry.observe(entry)
 
     def _endpoint_leaving(self, entry) -> None:
         self.load.forget(entry.id)
--- a/src/guavacleat/membership/registry.py
+++ b/src/guavacleat/membership/registry.py
@@ -13,11 +13,19 @@
 
 from guavacleat.addresses import format_address
 
-__all__ = ["EndpointEntry", "EndpointRegistry", "EndpointState", "RETURN_SECONDS"]
+__all__ = [
+    "EndpointChange",
+    "EndpointEntry",
+    "EndpointRegistry",
+    "EndpointState",
+    "RETURN_SECONDS",
+]
 
 # Time that live endpoints need to register again after an outage of the store: two seconds by
 # the platform's word, and a margin for the watch that brings the news.
 RETURN_SECONDS = 2.3
+# How long a change is told to peers: longer than a gateway is usually cut off from the store.
+RECENT_SECONDS = 15.0
 
 
 class EndpointState(enum.Enum):
@@ -33,47 +41,80 @@
     :param id: the incarnation's id; a restart has another.
     :param address: ``(ip, port)`` of its HTTP listener; may later belong to another service.
     :param slots: requests it processes at a time.
-    :param cold_seconds: how much longer it is slow after its start, when the entry was written.
+    :param revision: the store's revision of the entry; a later one replaces it.
     """
 
-    __slots__ = ("id", "service", "address", "data_centre", "slots", "state", "cold_seconds")
-
-    def __init__(self, id, service, address, data_centre, slots, state, cold_seconds=0.0):
+    __slots__ = ("id", "service", "address", "data_centre", "slots", "state", "revision")
+
+    def __init__(
+        self,
+        id: str,
+        service: str,
+        address: tuple[str, int],
+        data_centre: str,
+        slots: int,
+        state: EndpointState,
+        revision: int = 0,
+    ):
         self.id = id
         self.service = service
         self.address = address
         self.data_centre = data_centre
         self.slots = slots
         self.state = state
-        self.cold_seconds = cold_seconds
+        self.revision = revision
+
+
+class EndpointChange:
+    """The newest that is known of an endpoint: its entry, or None if it is gone."""
+
+    __slots__ = ("id", "revision", "entry", "at")
+
+    def __init__(self, id: str, revision: int, entry: EndpointEntry | None, at: float = 0.0):
+        self.id = id
+        self.revision = revision
+        self.entry = entry
+        self.at = at
 
 
 class EndpointRegistry:
-    """Entries by id; tells ``on_leaving(entry)`` once about each endpoint that will go."""
+    """Entries by id; tells ``on_leaving(entry)`` once about each endpoint that will go.
+
+    ``on_change()`` is called when something changed that peers should hear of. A gateway that is
+    cut off from the store learns from its peers (:meth:`hear`) that an endpoint is leaving or has
+    come; without that it lost every stream on engines that were taken away meanwhile, and kept
+    sending to them.
+    """
 
     def __init__(self, clock: IReactorTime, on_leaving=None):
         self.clock = clock
         self.on_leaving = on_leaving or (lambda entry: None)
         self.entries_by_id: dict[str, EndpointEntry] = {}
-        self.left_ids: dict[str, float] = {}
+        self.on_change = lambda: None
+        self.left_ids: set[str] = set()
+        self.changes_by_id: dict[str, EndpointChange] = {}
         self.lapsed_ids: set[str] = set()
         self.store_lost_at: float | None = None
         self.store_back_at: float | None = None
 
     def observe(self, entry: EndpointEntry) -> None:
-        """Take in an entry as the store holds it now."""
+        """Take in an entry as the store holds it, unless a later one is known."""
+        known = self.changes_by_id.get(entry.id)
+        if known is not None and known.revision > entry.revision:
+            return
         self.lapsed_ids.discard(entry.id)
         previous = self.entries_by_id.get(entry.id)
         self.entries_by_id[entry.id] = entry
         if previous is None or previous.state is not entry.state:
             self._log(entry, entry.state.value)
+            self._note(entry.id, entry.revision, entry)
         if entry.state is EndpointState.DRAINING:
             self._leaving(entry)
         else:
-            self.left_ids.pop(entry.id, None)
+            self.left_ids.discard(entry.id)
 
-    def remove(self, id: str) -> None:
-        """Take in that the store holds no entry of this id any more."""
+    def remove(self, id: str, revision: int = 0) -> None:
+        """Take in that the store holds no entry of this id any more, since ``revision``."""
         entry = self.entries_by_id.get(id)
         if entry is None or id in self.lapsed_ids:
             return
@@ -82,7 +123,29 @@
             self._log(entry, "lapsed")
             self.clock.callLater(self._return_time_left(), self._drop_if_lapsed, id)
             return
-        self._drop(id)
+        self._drop(id, revision)
+
+    def hear(self, change: EndpointChange) -> None:
+        """Take in what a peer learnt from the store, unless as much is known here."""
+        known = self.changes_by_id.get(change.id)
+        if known is not None and known.revision >= change.revision:
+            return
+        if change.entry is not None:
+            self.observe(change.entry)
+        elif change.id in self.entries_by_id:
+            self._drop(change.id, change.revision)
+
+    def recent_changes(self) -> list[EndpointChange]:
+        """Changes of the last ``RECENT_SECONDS``, for peers; older ones are forgotten."""
+        oldest = self.clock.seconds() - RECENT_SECONDS
+        old = [
+            id
+            for id, change in self.changes_by_id.items()
+            if change.at < oldest and id not in self.entries_by_id
+        ]
+        for id in old:
+            del self.changes_by_id[id]
+        return [change for change in self.changes_by_id.values() if change.at >= oldest]
 
     def listed(self, ids: set[str]) -> None:
         """Take in a whole listing: every entry not in it is gone."""
@@ -125,16 +188,21 @@
         if id in self.lapsed_ids:
             self._drop(id)
 
-    def _drop(self, id: str) -> None:
+    def _drop(self, id: str, revision: int = 0) -> None:
         self.lapsed_ids.discard(id)
         entry = self.entries_by_id.pop(id)
         self._log(entry, "gone")
+        self._note(id, max(revision, entry.revision + 1), None)
         self._leaving(entry)
-        self.left_ids.pop(id, None)
+        self.left_ids.discard(id)
+
+    def _note(self, id: str, revision: int, entry: EndpointEntry | None) -> None:
+        self.changes_by_id[id] = EndpointChange(id, revision, entry, self.clock.seconds())
+        self.on_change()
 
     def _leaving(self, entry: EndpointEntry) -> None:
         if entry.id not in self.left_ids:
-            self.left_ids[entry.id] = self.clock.seconds()
+            self.left_ids.add(entry.id)
             self.on_leaving(entry)
 
     def _log(self, entry: EndpointEntry, state: str) -> None:
--- a/src/guavacleat/peers/book.py
+++ b/src/guavacleat/peers/book.py
@@ -3,7 +3,7 @@
 from eliot import log_message
 from twisted.internet.interfaces import IReactorTime
 
-from guavacleat.peers.report import LoadReport
+from guavacleat.peers.report import GatewayReport
 from guavacleat.placement import EndpointLoad, sum_loads
 
 __all__ = ["PeerBook", "SILENCE_SECONDS"]
@@ -16,7 +16,7 @@
 class _Peer:
     __slots__ = ("report", "heard_at")
 
-    def __init__(self, report: LoadReport, heard_at: float):
+    def __init__(self, report: GatewayReport, heard_at: float):
         self.report = report
         self.heard_at = heard_at
 
@@ -28,12 +28,12 @@
         self.clock = clock
         self.peers_by_instance: dict[str, _Peer] = {}
 
-    def observe(self, report: LoadReport) -> None:
-        """Take in a report unless a newer one of the same incarnation is known."""
+    def observe(self, report: GatewayReport) -> bool:
+        """Take in a report unless a newer one of its incarnation is known; tell whether it was."""
         known = self.peers_by_instance.get(report.instance)
         if known is not None and known.report.incarnation == report.incarnation:
             if report.sequence <= known.report.sequence:
-                return
+                return False
         else:
             log_message(
                 message_type="peer:heard",
@@ -41,8 +41,9 @@
                 incarnation=report.incarnation,
             )
         self.peers_by_instance[report.instance] = _Peer(report, self.clock.seconds())
+        return True
 
-    def alive(self) -> list[LoadReport]:
+    def alive(self) -> list[GatewayReport]:
         """Reports of the peers that were heard of lately."""
         oldest = self.clock.seconds() - SILENCE_SECONDS
         return [peer.report for peer in self.peers_by_instance.values() if peer.heard_at >= oldest]
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -1,12 +1,13 @@
-"""Sending and hearing load reports: a datagram to each known peer, on change and at intervals."""
+"""Sending and hearing reports: a datagram to each known peer, on change and at intervals."""
 
 import random
 
 from eliot import log_message
 from twisted.internet import defer, protocol, task
 
+from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.peers.book import PeerBook
-from guavacleat.peers.report import BadReportError, LoadReport, decode_report, encode_report
+from guavacleat.peers.report import BadReportError, GatewayReport, decode_report, encode_report
 from guavacleat.placement import LoadBook
 from guavacleat.store import ConflictError, StoreClient, StoreUnavailableError
 from guavacleat.store.messages import MUST_NOT_EXIST
@@ -31,8 +32,16 @@
     """
 
     def __init__(
-        self, reactor, store: StoreClient, book: PeerBook, load: LoadBook, instance, address
+        self,
+        reactor,
+        store: StoreClient,
+        book: PeerBook,
+        load: LoadBook,
+        registry: EndpointRegistry,
+        instance: str,
+        address: tuple[str, int],
     ):
+        self.registry = registry
         self.reactor = reactor
         self.store = store
         self.book = book
@@ -48,6 +57,7 @@
         self._heartbeat = task.LoopingCall(self.report)
         self._heartbeat.clock = reactor
         load.on_change = self.change
+        registry.on_change = self.change
 
     def startProtocol(self):  # noqa: N802 - Twisted's name
         self._heartbeat.start(HEARTBEAT_SECONDS, now=False)
@@ -77,7 +87,13 @@
             return
         self.sequence += 1
         data = encode_report(
-            LoadReport(self.instance, self.incarnation, self.sequence, self.load.generations())
+            GatewayReport(
+                self.instance,
+                self.incarnation,
+                self.sequence,
+                self.load.generations(),
+                self.registry.recent_changes(),
+            )
         )
         for address in self.addresses_by_instance.values():
             self._send(data, address)
@@ -99,7 +115,9 @@
         if report.instance == self.instance:
             return
         self.addresses_by_instance[report.instance] = tuple(address)
-        self.book.observe(report)
+        if self.book.observe(report):
+            for change in report.changes:
+                self.registry.hear(change)
 
     @defer.inlineCallbacks
     def _register(self):
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -1,26 +1,27 @@
-"""One gateway's report of its load, and its form on the wire (thrift, compact)."""
+"""One gateway's report, and its form on the wire (thrift, compact)."""
 
 from thrift.protocol.TCompactProtocol import TCompactProtocol
 from thrift.transport.TTransport import TMemoryBuffer
 
+from guavacleat.membership.registry import EndpointChange, EndpointEntry, EndpointState
 from guavacleat.placement import EndpointLoad
 from guavacleat.protocol.gen.peers import ttypes
 
-__all__ = ["BadReportError", "LoadReport", "decode_report", "encode_report"]
+__all__ = ["BadReportError", "GatewayReport", "decode_report", "encode_report"]
 
 
 class BadReportError(ValueError):
     """A datagram is not a report."""
 
 
-class LoadReport:
-    """What ``instance`` runs, by endpoint id.
+class GatewayReport:
+    """What ``instance`` runs, by endpoint id, and what it learnt of endpoints lately.
 
     :param incarnation: drawn at each start of the sender.
     :param sequence: grows with each report of an incarnation.
     """
 
-    __slots__ = ("instance", "incarnation", "sequence", "loads_by_endpoint")
+    __slots__ = ("instance", "incarnation", "sequence", "loads_by_endpoint", "changes")
 
     def __init__(
         self,
@@ -28,14 +29,16 @@
         incarnation: int,
         sequence: int,
         loads_by_endpoint: dict[str, EndpointLoad],
+        changes: tuple[EndpointChange, ...] = (),
     ):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
         self.loads_by_endpoint = loads_by_endpoint
+        self.changes = tuple(changes)
 
 
-def encode_report(report: LoadReport) -> bytes:
+def encode_report(report: GatewayReport) -> bytes:
     loads = [
         ttypes.EndpointLoad(
             id, load.runs, load.expected, load.unread, load.movable_tokens, load.movable_runs
@@ -43,12 +46,15 @@
         for id, load in report.loads_by_endpoint.items()
     ]
     buffer = TMemoryBuffer()
-    message = ttypes.PeerReport(report.instance, report.incarnation, report.sequence, loads)
+    changes = [_encode_change(change) for change in report.changes]
+    message = ttypes.PeerReport(
+        report.instance, report.incarnation, report.sequence, loads, changes
+    )
     message.write(TCompactProtocol(buffer))
     return buffer.getvalue()
 
 
-def decode_report(data: bytes) -> LoadReport:
+def decode_report(data: bytes) -> GatewayReport:
     """Decode a datagram; raise BadReportError if it is no report."""
     message = ttypes.PeerReport()
     try:
@@ -64,6 +70,40 @@
             )
             for load in message.loads
         }
+        changes = [_decode_change(change) for change in message.changes or ()]
     except Exception as exc:  # noqa: BLE001 - thrift raises many kinds on bytes it cannot read
         raise BadReportError(repr(exc)) from exc
-    return LoadReport(message.instance, message.incarnation, message.sequence, loads_by_endpoint)
+    return GatewayReport(
+        message.instance, message.incarnation, message.sequence, loads_by_endpoint, changes
+    )
+
+
+def _encode_change(change: EndpointChange) -> ttypes.EndpointChange:
+    entry = change.entry
+    if entry is None:
+        return ttypes.EndpointChange(change.id, change.revision)
+    return ttypes.EndpointChange(
+        change.id,
+        change.revision,
+        entry.service,
+        *entry.address,
+        entry.data_centre,
+        entry.slots,
+        entry.state is EndpointState.DRAINING,
+    )
+
+
+def _decode_change(change: ttypes.EndpointChange) -> EndpointChange:
+    if change.service_name is None:
+        return EndpointChange(change.endpoint, change.revision, None)
+    state = EndpointState.DRAINING if change.draining else EndpointState.READY
+    entry = EndpointEntry(
+        change.endpoint,
+        change.service_name,
+        (change.ip, change.port),
+        change.data_centre,
+        change.slots,
+        state,
+        change.revision,
+    )
+    return EndpointChange(change.endpoint, change.revision, entry)
--- a/src/guavacleat/platform/decode.py
+++ b/src/guavacleat/platform/decode.py
@@ -92,7 +92,7 @@
     )
 
 
-def decode_endpoint(id: str, spec: dict) -> EndpointEntry:
+def decode_endpoint(id: str, spec: dict, revision: int) -> EndpointEntry:
     """Decode the entry that an engine keeps of itself under its id."""
     host, _, port = spec["address"].rpartition(":")
     return EndpointEntry(
@@ -103,5 +103,5 @@
         slots=spec.get("slots", 1),
         # Any state but ready takes no new work.
         state=EndpointState.READY if spec.get("state") == READY else EndpointState.DRAINING,
-        cold_seconds=spec.get("coldRemainingMs", 0) / MS,
+        revision=revision,
     )
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -156,6 +156,162 @@
         return not (self == other)
 
 
+class EndpointChange(object):
+    """
+    Attributes:
+     - endpoint
+     - revision
+     - service_name
+     - ip
+     - port
+     - data_centre
+     - slots
+     - draining
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'revision',
+        'service_name',
+        'ip',
+        'port',
+        'data_centre',
+        'slots',
+        'draining',
+    )
+
+
+    def __init__(self, endpoint=None, revision=None, service_name=None, ip=None, port=None, data_centre=None, slots=None, draining=None,):
+        self.endpoint = endpoint
+        self.revision = revision
+        self.service_name = service_name
+        self.ip = ip
+        self.port = port
+        self.data_centre = data_centre
+        self.slots = slots
+        self.draining = draining
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.ip = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.draining = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointChange')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.ip is not None:
+            oprot.writeFieldBegin('ip', TType.STRING, 4)
+            oprot.writeString(self.ip.encode('utf-8') if sys.version_info[0] == 2 else self.ip)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 5)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 6)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 7)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.draining is not None:
+            oprot.writeFieldBegin('draining', TType.BOOL, 8)
+            oprot.writeBool(self.draining)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerReport(object):
     """
     Attributes:
@@ -163,6 +319,7 @@
      - incarnation
      - sequence
      - loads
+     - changes
 
     """
 
@@ -171,14 +328,16 @@
         'incarnation',
         'sequence',
         'loads',
+        'changes',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None,):
+    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
         self.loads = loads
+        self.changes = changes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -215,6 +374,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.changes = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = EndpointChange()
+                        _elem11.read(iprot)
+                        self.changes.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -240,8 +410,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter6 in self.loads:
-                iter6.write(oprot)
+            for iter12 in self.loads:
+                iter12.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.changes is not None:
+            oprot.writeFieldBegin('changes', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.changes))
+            for iter13 in self.changes:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -285,6 +462,18 @@
     (5, TType.I64, 'movable_tokens', None, None, ),  # 5
     (6, TType.I32, 'movable_runs', None, None, ),  # 6
 )
+all_structs.append(EndpointChange)
+EndpointChange.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'ip', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'port', None, None, ),  # 5
+    (6, TType.STRING, 'data_centre', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'slots', None, None, ),  # 7
+    (8, TType.BOOL, 'draining', None, None, ),  # 8
+)
 all_structs.append(PeerReport)
 PeerReport.thrift_spec = (
     None,  # 0
@@ -292,6 +481,7 @@
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 4
+    (5, TType.LIST, 'changes', (TType.STRUCT, [EndpointChange, None], False), None, ),  # 5
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -185,8 +185,8 @@
         return request, caller
 
 
-def entry(name, data_centre="dc", state=EndpointState.READY, service="svc"):
-    return EndpointEntry(name, service, (name, 80), data_centre, 6, state)
+def entry(name, data_centre="dc", state=EndpointState.READY, service="svc", revision=0):
+    return EndpointEntry(name, service, (name, 80), data_centre, 6, state, revision)
 
 
 def event(id, text="x"):
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -6,7 +6,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from twisted.internet.task import Clock
 
-from guavacleat.membership.registry import RETURN_SECONDS, EndpointRegistry, EndpointState
+from guavacleat.membership.registry import (
+    RECENT_SECONDS,
+    RETURN_SECONDS,
+    EndpointChange,
+    EndpointRegistry,
+    EndpointState,
+)
 from tests.forwarding.harness import entry
 
 DRAINING = EndpointState.DRAINING
@@ -91,6 +97,35 @@
     assert ready_ids(registry) == ["e2"]
 
 
+def test_the_latest_revision_of_an_endpoint_counts(registry):
+    """
+    Symptom: an endpoint that left gets new work.
+    Sequence: it drains and is removed; a peer that heard later of less still tells it as ready.
+    Cause: what is known of an endpoint may only be replaced by a later revision.
+    """
+    registry.observe(entry("e1", revision=5, state=DRAINING))
+    registry.hear(EndpointChange("e1", 4, entry("e1", revision=4)))
+    assert ready_ids(registry) == ["e2"]
+    registry.remove("e1", revision=7)
+    registry.hear(EndpointChange("e1", 6, entry("e1", revision=6)))
+    assert ready_ids(registry) == ["e2"]
+
+
+def test_an_endpoint_that_a_peer_knows_to_be_gone_is_gone_also_in_an_outage(registry, left):
+    registry.store_health(False)
+    registry.hear(EndpointChange("e1", 9, None))
+    assert ready_ids(registry) == ["e2"]
+    assert [found.id for found in left] == ["e1"]
+
+
+def test_changes_are_told_for_a_time_and_then_forgotten(registry, clock):
+    registry.remove("e1", revision=4)
+    assert {change.id for change in registry.recent_changes()} == {"e1", "e2"}
+    clock.advance(RECENT_SECONDS + 1)
+    assert registry.recent_changes() == []
+    assert "e1" not in registry.changes_by_id
+
+
 class RegistryMachine(RuleBasedStateMachine):
     """Whatever is observed, removed, listed or lost: draining is final for an incarnation."""
 
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -7,11 +7,13 @@
 from hypothesis import strategies as st
 from twisted.internet import defer
 
+from guavacleat.membership.registry import EndpointChange, EndpointRegistry, EndpointState
 from guavacleat.peers import PeerBook, PeerExchange
 from guavacleat.peers.book import SILENCE_SECONDS
-from guavacleat.peers.report import BadReportError, LoadReport, decode_report, encode_report
+from guavacleat.peers.report import BadReportError, GatewayReport, decode_report, encode_report
 from guavacleat.placement import EndpointLoad, LoadBook, Run
 from guavacleat.store import ConflictError, StoredObject, StoreUnavailableError, WatchBatch
+from tests.forwarding.harness import entry
 
 COUNTS = st.integers(0, 2**31 - 1)
 LOADS = st.builds(EndpointLoad, COUNTS, COUNTS, COUNTS, COUNTS, COUNTS)
@@ -19,7 +21,7 @@
 
 @given(st.text(max_size=20), st.dictionaries(st.text(max_size=20), LOADS, max_size=5))
 def test_reports_survive_the_wire(instance, loads):
-    report = decode_report(encode_report(LoadReport(instance, 7, 9, loads)))
+    report = decode_report(encode_report(GatewayReport(instance, 7, 9, loads)))
     assert (report.instance, report.incarnation, report.sequence) == (instance, 7, 9)
     assert {
         id: [getattr(load, slot) for slot in EndpointLoad.__slots__]
@@ -37,7 +39,7 @@
 
 def report(instance="g2", incarnation=1, sequence=1, expected=100, movable=0):
     load = EndpointLoad(1, expected, 0, movable * 1000, movable)
-    return LoadReport(instance, incarnation, sequence, {"e1": load})
+    return GatewayReport(instance, incarnation, sequence, {"e1": load})
 
 
 @pytest.fixture
@@ -107,7 +109,8 @@
 
 def exchange(clock, store):
     load = LoadBook(clock)
-    found = PeerExchange(clock, store, PeerBook(clock), load, "g1", ("10.0.0.1", 7200))
+    registry = EndpointRegistry(clock)
+    found = PeerExchange(clock, store, PeerBook(clock), load, registry, "g1", ("10.0.0.1", 7200))
     found.transport = Datagrams()
     found.startProtocol()
     return found, load
@@ -149,6 +152,52 @@
     assert found.addresses_by_instance["g9"] == ("10.0.0.9", 7200)
 
 
+CHANGES = [
+    EndpointChange("e1", 5, entry("e1")),
+    EndpointChange("e1", 6, entry("e1", state=EndpointState.DRAINING)),
+    EndpointChange("e1", 7, None),
+]
+
+
+@pytest.mark.parametrize("change", CHANGES)
+def test_changes_of_endpoints_survive_the_wire(change):
+    (found,) = decode_report(encode_report(GatewayReport("g2", 1, 1, {}, [change]))).changes
+    assert (found.id, found.revision) == (change.id, change.revision)
+    assert (found.entry is None) == (change.entry is None)
+    if change.entry is not None:
+        assert found.entry.address == change.entry.address
+        assert found.entry.state is change.entry.state
+
+
+def test_a_gateway_without_the_store_hears_of_endpoints_from_its_peers(clock):
+    """
+    Symptom: streams of one gateway are cut whenever an engine is taken away, others' are not.
+    Sequence: the gateway is cut off from the store; an engine drains and another comes; a peer
+    reports both.
+    Cause: the store was the only way to learn of either.
+    """
+    found, _ = exchange(clock, FakeStore())
+    left = []
+    found.registry.on_leaving = left.append
+    found.registry.observe(entry("e1", revision=1))
+    changes = [
+        EndpointChange("e1", 5, entry("e1", state=EndpointState.DRAINING, revision=5)),
+        EndpointChange("e9", 6, entry("e9", revision=6)),
+    ]
+    data = encode_report(GatewayReport("g2", 1, 1, {}, changes))
+    found.datagramReceived(data, ("10.0.0.2", 7200))
+    assert [gone.id for gone in left] == ["e1"]
+    assert [ready.id for ready in found.registry.ready("svc")] == ["e9"]
+
+
+def test_what_was_learnt_is_told_to_peers(clock):
+    found, _ = exchange(clock, FakeStore())
+    found.registry.observe(entry("e1", revision=3))
+    clock.advance(0.02)
+    report_sent, _ = found.transport.sent[-1]
+    assert [(change.id, change.revision) for change in report_sent.changes] == [("e1", 3)]
+
+
 def test_plain_requests_cause_no_reports(clock):
     found, load = exchange(clock, FakeStore())
     sent = len(found.transport.sent)
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -91,10 +91,10 @@
 
 def test_an_endpoint_in_any_state_but_ready_takes_no_new_work():
     spec = {"service": "a", "address": "10.1.2.3:80", "zone": "z", "slots": 24, "state": "ready"}
-    assert decode_endpoint("i-1", spec).state is EndpointState.READY
-    assert decode_endpoint("i-1", spec).address == ("10.1.2.3", 80)
+    assert decode_endpoint("i-1", spec, 1).state is EndpointState.READY
+    assert decode_endpoint("i-1", spec, 1).address == ("10.1.2.3", 80)
     for state in ("draining", "odd", None):
-        assert decode_endpoint("i-1", {**spec, "state": state}).state is EndpointState.DRAINING
+        assert decode_endpoint("i-1", {**spec, "state": state}, 1).state is EndpointState.DRAINING
 
 
 FORGED = [
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -16,10 +16,25 @@
   6: required i32 movable_runs,
 }
 
+// What the sender learnt from the store of one endpoint lately. Without a service_name the endpoint is
+// gone. A gateway that cannot reach the store hears of endpoints this way.
+struct EndpointChange {
+  1: required string endpoint,
+  // The store's revision of the change; the highest one known of an endpoint counts.
+  2: required i64 revision,
+  3: optional string service_name,
+  4: optional string ip,
+  5: optional i32 port,
+  6: optional string data_centre,
+  7: optional i32 slots,
+  8: optional bool draining,
+}
+
 // ``incarnation`` is drawn at each start of the sender; ``sequence`` grows by one a report.
 struct PeerReport {
   1: required string instance,
   2: required i64 incarnation,
   3: required i64 sequence,
   4: required list<EndpointLoad> loads,
+  5: optional list<EndpointChange> changes,
 }
