Short watches after a failure; copies by worth per token, and a run being copied counts as such

Streams stopped while a peer still copied a run that it had not counted as movable paused 0.2 to 0.7 s. Change: after a failure watches wait 0.3 s until one is answered, and 2 s again otherwise; a run is movable while it is being copied; no run is stopped between 1.2 and 3 s after the notice.

--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -92,6 +92,7 @@
         self.moves = 0
         self.times = StreamTimes(request.arrived)
         self.copy: HeldCopy | None = None
+        self.copying = False
         # While a move stops the run: fires once it is known where the run goes on.
         self.stopping: defer.Deferred | None = None
         self.cancelled = False
@@ -230,6 +231,18 @@
             return None
         return HeldCopy(keeper, keeper, request.facts.id, backup=True)
 
+    def begin_copy(self) -> None:
+        """A copy is under way: peers must know that it uses the engine's link."""
+        self.copying = True
+        self.placed.movable = True
+        self.parts.load.changed(self.placed)
+
+    def end_copy(self) -> None:
+        """The copy is made or was refused."""
+        self.copying = False
+        self.placed.movable = self.copy is None and self.worth_moving()
+        self.parts.load.changed(self.placed)
+
     def keep_copy(self, copy: HeldCopy | None) -> None:
         """Count the copy where it is held, and the former one no more."""
         self.drop_copy()
@@ -280,7 +293,7 @@
         run.expected = max(run.expected, self.expected_tokens())
         if self.copy is not None:
             self.copy_run.expected = run.expected
-        run.movable = self.copy is None and self.worth_moving()
+        run.movable = self.copy is None and (self.copying or self.worth_moving())
         if run.unread:
             run.unread = 0
             self.parts.load.changed(run)
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -26,7 +26,7 @@
 
 # A watch waits this long for a change. A store that goes silent shows only by an answer that does
 # not come; this and the call's own time-out bound how long a gateway can be deaf.
-WATCH_SECONDS = 3.0
+WATCH_SECONDS = 2.0
 STORE_CALL_SECONDS = 0.8
 # Longest pause between attempts to reach the store: within the time in which a configuration must
 # be in force after an outage.
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -31,6 +31,15 @@
 # Runs that seemed short at the notice are moved too if they still run after this long: the
 # shortest notice seen is 1.5 s, and a copy takes up to 0.4 s.
 SHORT_RUNS_SECONDS = 0.8
+# A run that is stopped when its engine vanishes pauses for the call's time besides. After this
+# long it is left to run until the engine is gone, unless the notice turns out to be a long one: an
+# engine drops a copy that is not used for some five seconds.
+LAST_SWITCH_SECONDS = 1.2
+LONG_NOTICE_SECONDS = 3.0
+# The users weigh a token of output like so many of the prompt. Copying first what is worth most
+# per token, in place of the longest first, gave 0.756 of the worth against 0.746 (means of nine
+# simulated days of both deployments, one run each).
+OUTPUT_WORTH = 10
 NO_SUCH_RUN = 404
 
 
@@ -81,11 +90,12 @@
                     failed.add(session)
                 continue
             failed.clear()
-            await self._switch_copied(entry)
+            if not self._soon_gone(began):
+                await self._switch_copied(entry)
             await task.deferLater(self.parts.clock, RETRY_SECONDS)
 
     def _next(self, entry: EndpointEntry, began: float, failed: set) -> StreamSession | None:
-        """The stream to copy next: of those that will run on, the one with most left."""
+        """The stream to copy next: of those that will run on, the one worth most per token."""
         late = self.parts.clock.seconds() - began >= SHORT_RUNS_SECONDS
         waiting = [
             session
@@ -94,7 +104,11 @@
             and session.last_event is not None
             and (late or session.worth_moving())
         ]
-        return max(waiting, key=lambda session: session.expected_left(), default=None)
+        return max(waiting, key=_worth_per_token, default=None)
+
+    def _soon_gone(self, began: float) -> bool:
+        """Whether the engine may vanish while a run is being stopped there."""
+        return LAST_SWITCH_SECONDS < self.parts.clock.seconds() - began < LONG_NOTICE_SECONDS
 
     async def _switch_copied(self, entry: EndpointEntry) -> None:
         """Let copied streams go on at their targets, unless peers still need the link.
@@ -125,7 +139,9 @@
                 return False
             tried.add(target.id)
             began = self.parts.clock.seconds()
+            session.begin_copy()
             answer = await self._copy(session, entry, target, last=False)
+            session.end_copy()
             self._log("move:copied", session, entry, target, answer.status, began)
             if answer.copied and self._still_there(session, entry):
                 session.keep_copy(HeldCopy(target, entry, answer.handle))
@@ -200,6 +216,13 @@
         )
 
 
+def _worth_per_token(session: StreamSession) -> float:
+    """What the link earns by copying the stream: its worth by its size, per token to copy."""
+    request = session.request
+    size = request.prompt_tokens + OUTPUT_WORTH * request.facts.max_output_tokens
+    return size / max(1, session.tokens)
+
+
 def _ended(leg) -> defer.Deferred:
     """Fire when the leg has ended; safe beside its other waiters."""
     waiter = defer.Deferred()
--- a/src/guavacleat/store/watch.py
+++ b/src/guavacleat/store/watch.py
@@ -13,9 +13,13 @@
 from guavacleat.store.client import WATCH_WAIT, StoreClient
 from guavacleat.store.messages import HistoryLostError, StoreUnavailableError
 
-__all__ = ["WatchLoop"]
+__all__ = ["RECOVERY_WAIT", "WatchLoop"]
 
 BACKOFF_FIRST = 0.2
+# Seconds that a watch waits after a failure. A store that swallows calls shows only by silence: a
+# watch sent just before its return is given up after its wait and the call's own time-out, and
+# with a wait of 3 s a gateway was deaf for 3.8 s after the store was back.
+RECOVERY_WAIT = 0.3
 BACKOFF_MAX = 5.0
 
 
@@ -83,7 +87,8 @@
             if listing:
                 batch = yield self.store.list_objects(self.kind)
             else:
-                batch = yield self.store.watch(self.kind, self.revision, self.wait)
+                wait = min(self.wait, RECOVERY_WAIT) if self.failures else self.wait
+                batch = yield self.store.watch(self.kind, self.revision, wait)
         except HistoryLostError:
             log_message(message_type="watch:history-lost", kind=self.kind, since=self.revision)
             self.revision = None
--- a/tests/migration/test_evacuation.py
+++ b/tests/migration/test_evacuation.py
@@ -190,7 +190,7 @@
     assert len(calls.made) == 2
 
 
-def test_the_longest_stream_is_copied_first(world, calls, peers):
+def test_the_stream_worth_most_per_token_is_copied_first(world, calls, peers):
     sessions, found = streams(world, 3)
     leave(world, sessions, peers)
     assert calls.made[0][2].startswith("r2 ")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,8 +5,9 @@
 
 from guavacleat.platform.objects import PlatformDialect
 from guavacleat.store import ConflictError, StoreClient, StoreUnavailableError
+from guavacleat.store.client import WATCH_WAIT
 from guavacleat.store.messages import MUST_NOT_EXIST
-from guavacleat.store.watch import WatchLoop
+from guavacleat.store.watch import RECOVERY_WAIT, WatchLoop
 from tests.conftest import result_of
 from tests.platform.store_standin import PAGE, StoreStandin
 
@@ -152,6 +153,31 @@
     assert follower.names == {"e1": {}}
 
 
+def test_after_a_failure_the_loop_asks_with_short_waits_until_it_is_answered(
+    client, standin, clock
+):
+    """
+    Symptom: a configuration is not in force two seconds after the store took it.
+    Sequence: the store is silent for eight seconds; a watch is sent just before its return and
+    swallowed; it is given up only after its whole wait.
+    Cause: while the store does not answer, a long wait only delays the notice of its return.
+    """
+    standin.write("servers", "e1", {})
+    Follower(clock, client)
+    clock.advance(0)
+    standin.fault = "silent"
+    standin.waiting.pop()[2].errback(ConnectionError())
+    clock.advance(1)
+    standin.fault = None
+    clock.advance(1)
+    waits = [int(url.rpartition("waitMs=")[2]) for _, url in standin.calls if "waitMs=" in url]
+    assert waits[0] == WATCH_WAIT * 1000
+    assert waits[1] == RECOVERY_WAIT * 1000
+    standin.write("servers", "e2", {})
+    clock.advance(0)
+    assert standin.calls[-1][1].endswith(f"waitMs={int(WATCH_WAIT * 1000)}")
+
+
 def test_an_answer_of_an_unknown_shape_does_not_end_the_loop(client, standin, clock):
     """
     Symptom: a gateway hears of no change any more, without a line in its log.
