--- /dev/null
+++ b/src/guavacleat/forwarding/memory.py
@@ -0,0 +1,129 @@
+"""Engine memory that one stream uses: its run's, and a copy's on another engine."""
+
+from guavacleat.forwarding.request import ForwardedRequest
+from guavacleat.membership.registry import EndpointEntry
+from guavacleat.placement import LoadBook, Run
+
+__all__ = ["HeldCopy", "StreamMemory"]
+
+# Events that come within some second: a run with fewer left ends by itself before its engine is
+# gone.
+SHORT_RUN_EVENTS = 20
+# Part of its output that a run is expected to produce once more when it outgrew its estimate.
+OUTGROWN_SHARE = 0.25
+
+
+class HeldCopy:
+    """A copy of the run's memory on ``entry``, named by ``handle`` at its ``source``.
+
+    :param backup: whether the engine keeps it up to date by itself while the run goes on.
+    """
+
+    __slots__ = ("entry", "source", "handle", "backup")
+
+    def __init__(self, entry: EndpointEntry, source: EndpointEntry, handle: str, backup=False):
+        self.backup = backup
+        self.entry = entry
+        self.source = source
+        self.handle = handle
+
+
+class StreamMemory:
+    """Counts the stream's memory in the load book, where its run is and where a copy is held.
+
+    :param events: events that the run has produced.
+    :param copy: where the stream goes on if its engine is gone; None if nowhere.
+    """
+
+    def __init__(self, request: ForwardedRequest, load: LoadBook):
+        self.request = request
+        self.load = load
+        self.events = 0
+        self.copy: HeldCopy | None = None
+        self._copying = False
+        self._run: Run | None = None
+        self._copy_run: Run | None = None
+
+    @property
+    def backed_up(self) -> bool:
+        """Whether another engine keeps a copy of the run that grows with it."""
+        return self.copy is not None and self.copy.backup
+
+    @property
+    def tokens(self) -> int:
+        """Memory that the run holds now."""
+        traits = self.request.traits.engine
+        per_event = traits.tokens_per_event if traits else 1
+        return self.request.prompt_tokens + self.events * per_event
+
+    def expected_tokens(self) -> int:
+        """Memory that the run will hold at its end.
+
+        A caller's estimate is right in the middle and often far off: a run that outgrows it is
+        expected to produce a part of what it has so far once more. Left at the estimate, engines
+        looked free while their memory ran out, and first tokens came up to 5 s late there.
+        """
+        output = self.tokens - self.request.prompt_tokens
+        return max(self.request.expected_tokens(), self.tokens + int(OUTGROWN_SHARE * output))
+
+    def expected_left(self) -> int:
+        """Tokens still to come, if the estimate holds."""
+        return self.expected_tokens() - self.tokens
+
+    def worth_moving(self) -> bool:
+        """Whether the run will outlive the notice that a leaving engine gives."""
+        traits = self.request.traits.engine
+        if traits is None or not traits.moves:
+            return False
+        short = SHORT_RUN_EVENTS * traits.tokens_per_event
+        return self.expected_left() > short or self.events > SHORT_RUN_EVENTS
+
+    def begin_run(self, entry: EndpointEntry, resumed: bool) -> Run:
+        """Count a run on ``entry``; a resumed one has no prompt to read."""
+        unread = 0 if resumed else self.request.prompt_tokens
+        self._run = Run(self.request.facts.id, self.expected_tokens(), unread)
+        self.load.begin(entry.id, self._run)
+        return self._run
+
+    def note_event(self) -> None:
+        """The run produced an event."""
+        self.events += 1
+        run = self._run
+        run.held = self.tokens
+        run.expected = max(run.expected, self.expected_tokens())
+        if self.copy is not None:
+            self._copy_run.expected = run.expected
+        run.movable = self._is_movable()
+        if run.unread:
+            run.unread = 0
+            self.load.changed(run)
+
+    def begin_copy(self) -> None:
+        """A copy is under way: peers must know that it uses the engine's link."""
+        self._copying = True
+        self._run.movable = True
+        self.load.changed(self._run)
+
+    def end_copy(self) -> None:
+        """The copy is made or was refused."""
+        self._copying = False
+        self._run.movable = self._is_movable()
+        self.load.changed(self._run)
+
+    def keep_copy(self, copy: HeldCopy | None) -> None:
+        """Count the copy where it is held, and the former one no more."""
+        self.drop_copy()
+        self.copy = copy
+        if copy is not None:
+            self._copy_run = Run(f"copy:{self.request.facts.id}", self.expected_tokens())
+            self.load.begin(copy.entry.id, self._copy_run)
+        self._run.movable = self._is_movable()
+
+    def drop_copy(self) -> None:
+        """Forget the copy: it was used, or the engine that holds it is leaving."""
+        if self.copy is not None:
+            self.load.end(self.copy.entry.id, self._copy_run)
+            self.copy = None
+
+    def _is_movable(self) -> bool:
+        return self.copy is None and (self._copying or self.worth_moving())
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -11,67 +11,21 @@
 from guavacleat.forwarding.answer import pass_head_on
 from guavacleat.forwarding.answers import RefusalError, Verdict
 from guavacleat.forwarding.leg import Leg, LegEnd
+from guavacleat.forwarding.memory import HeldCopy, StreamMemory
 from guavacleat.forwarding.messages import EndpointOrder, ResumePoint
 from guavacleat.forwarding.request import ForwardedRequest
+from guavacleat.forwarding.times import StreamTimes
 from guavacleat.membership.registry import EndpointEntry
-from guavacleat.placement import Run
 
-__all__ = ["HeldCopy", "StreamSession"]
+__all__ = ["StreamSession"]
 
 # Sends of a stream that no endpoint began to run, at most.
 MAX_SENDS = 4
-# Events that come within some second: a run with fewer left ends by itself before its engine is
-# gone.
-SHORT_RUN_EVENTS = 20
-# Part of its output that a run is expected to produce once more when it outgrew its estimate.
-OUTGROWN_SHARE = 0.25
 RETRY_AFTER_NO_ENDPOINT = 1.0
 RETRY_AFTER_NO_ROOM = 1.0
 NEVER_RUN = (LegEnd.NOT_RUN, LegEnd.WRONG_INCARNATION)
 
 
-class StreamTimes:
-    """When a caller got its events; seconds.
-
-    :param first: from the request's arrival to its first event; None before it.
-    :param longest_gap: the longest pause between two events.
-    :param gap_event: the event that ended that pause.
-    """
-
-    __slots__ = ("arrived", "first", "last_at", "longest_gap", "gap_event")
-
-    def __init__(self, arrived: float):
-        self.arrived = arrived
-        self.first: float | None = None
-        self.last_at = arrived
-        self.longest_gap = 0.0
-        self.gap_event: int | None = None
-
-    def event(self, now: float, id: int | None) -> None:
-        """An event went to the caller."""
-        if self.first is None:
-            self.first = now - self.arrived
-        elif now - self.last_at > self.longest_gap:
-            self.longest_gap = now - self.last_at
-            self.gap_event = id
-        self.last_at = now
-
-
-class HeldCopy:
-    """A copy of the run's memory on ``entry``, named by ``handle`` at its ``source``.
-
-    :param backup: whether the engine keeps it up to date by itself while the run goes on.
-    """
-
-    __slots__ = ("entry", "source", "handle", "backup")
-
-    def __init__(self, entry: EndpointEntry, source: EndpointEntry, handle: str, backup=False):
-        self.backup = backup
-        self.entry = entry
-        self.source = source
-        self.handle = handle
-
-
 class StreamSession:
     """Runs one stream; ``parts`` as for plain requests.
 
@@ -83,37 +37,18 @@
         self.parts = parts
         self.sessions = sessions
         self.leg: Leg | None = None
-        # The run as the load book counts it where it runs now.
-        self.placed: Run | None = None
-        # The copy as the load book counts it where it is held.
-        self.copy_run: Run | None = None
         self.last_event: int | None = None
-        self.events = 0
         self.moves = 0
         self.times = StreamTimes(request.arrived)
-        self.copy: HeldCopy | None = None
-        self.copying = False
+        self.memory = StreamMemory(request, parts.load)
         # While a move stops the run: fires once it is known where the run goes on.
         self.stopping: defer.Deferred | None = None
         self.cancelled = False
-        self.paused = False
 
     @property
     def finished(self) -> bool:
         return self.request.exchange.ended or self.cancelled
 
-    @property
-    def backed_up(self) -> bool:
-        """Whether another engine keeps a copy of the run that grows with it."""
-        return self.copy is not None and self.copy.backup
-
-    @property
-    def tokens(self) -> int:
-        """Memory that the run holds now."""
-        traits = self.request.traits.engine
-        per_event = traits.tokens_per_event if traits else 1
-        return self.request.prompt_tokens + self.events * per_event
-
     async def run(self) -> None:
         """Answer the caller, or raise :class:`RefusalError` if nothing was sent to it yet."""
         try:
@@ -130,7 +65,7 @@
         try:
             await self._run()
         finally:
-            self.drop_copy()
+            self.memory.drop_copy()
             self.sessions.discard(self)
             exchange.on_gone = None
             exchange.source = None
@@ -185,9 +120,7 @@
     async def _send(self, entry: EndpointEntry, resume: ResumePoint | None) -> bool:
         """Send the request to ``entry``; return False if no connection came about."""
         request, parts = self.request, self.parts
-        unread = request.prompt_tokens if resume is None else 0
-        run = Run(request.facts.id, self.expected_tokens(), unread)
-        parts.load.begin(entry.id, run)
+        run = self.memory.begin_run(entry, resumed=resume is not None)
         try:
             connection = await parts.pool.connect(entry.address)
         except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
@@ -211,9 +144,8 @@
         leg = Leg(entry, request.facts.id, parts.wire, self._head, self._event)
         leg.connection = connection
         leg.done.addBoth(lambda end: self._leg_over(entry, run, end))
-        self.keep_copy(backup)
+        self.memory.keep_copy(backup)
         self.leg = leg
-        self.placed = run
         head = request.exchange.head
         headers = parts.wire.endpoint_headers(request.headers, order)
         connection.send(head.method, head.target, headers, request.exchange.body, leg)
@@ -223,42 +155,14 @@
         """Where a growing copy of the run shall be kept: None if no engine has memory to spare."""
         request = self.request
         engine = request.traits.engine
-        if engine is None or not engine.backups or not self.worth_moving():
+        if engine is None or not engine.backups or not self.memory.worth_moving():
             return None
-        expected = self.expected_tokens()
+        expected = self.memory.expected_tokens()
         keeper = self.parts.placement.for_backup(entry, expected, engine)
         if keeper is None:
             return None
         return HeldCopy(keeper, keeper, request.facts.id, backup=True)
 
-    def begin_copy(self) -> None:
-        """A copy is under way: peers must know that it uses the engine's link."""
-        self.copying = True
-        self.placed.movable = True
-        self.parts.load.changed(self.placed)
-
-    def end_copy(self) -> None:
-        """The copy is made or was refused."""
-        self.copying = False
-        self.placed.movable = self.copy is None and self.worth_moving()
-        self.parts.load.changed(self.placed)
-
-    def keep_copy(self, copy: HeldCopy | None) -> None:
-        """Count the copy where it is held, and the former one no more."""
-        self.drop_copy()
-        self.copy = copy
-        if copy is not None:
-            self.copy_run = Run(f"copy:{self.request.facts.id}", self.expected_tokens())
-            self.parts.load.begin(copy.entry.id, self.copy_run)
-        if self.placed is not None:
-            self.placed.movable = False
-
-    def drop_copy(self) -> None:
-        """Forget the copy: it was used, or the engine that holds it is leaving."""
-        if self.copy is not None:
-            self.parts.load.end(self.copy.entry.id, self.copy_run)
-            self.copy = None
-
     def _leg_over(self, entry, run, end):
         self.parts.load.end(entry.id, run)
         return end
@@ -282,50 +186,16 @@
                 leg.abandon()
                 return
             self.last_event = event.id
-            self.events += 1
-            self._note_progress()
+            self.memory.note_event()
         self.times.event(self.parts.clock.seconds(), event.id)
         self.request.exchange.write(event.data)
 
-    def _note_progress(self) -> None:
-        run = self.placed
-        run.held = self.tokens
-        run.expected = max(run.expected, self.expected_tokens())
-        if self.copy is not None:
-            self.copy_run.expected = run.expected
-        run.movable = self.copy is None and (self.copying or self.worth_moving())
-        if run.unread:
-            run.unread = 0
-            self.parts.load.changed(run)
-
-    def worth_moving(self) -> bool:
-        """Whether the run will outlive the notice that a leaving engine gives."""
-        traits = self.request.traits.engine
-        if traits is None or not traits.moves:
-            return False
-        short = SHORT_RUN_EVENTS * traits.tokens_per_event
-        return self.expected_left() > short or self.events > SHORT_RUN_EVENTS
-
-    def expected_tokens(self) -> int:
-        """Memory that the run will hold at its end.
-
-        A caller's estimate is right in the middle and often far off: a run that outgrows it is
-        expected to produce a part of what it has so far once more. Left at the estimate, engines
-        looked free while their memory ran out, and first tokens came up to 5 s late there.
-        """
-        output = self.tokens - self.request.prompt_tokens
-        return max(self.request.expected_tokens(), self.tokens + int(OUTGROWN_SHARE * output))
-
-    def expected_left(self) -> int:
-        """Tokens still to come, if the estimate holds."""
-        return self.expected_tokens() - self.tokens
-
     async def _go_on(self) -> bool:
         """After a leg broke: send to where the run can go on; False if there is nowhere."""
         if self.stopping is not None:
             await self.stopping
-        copy = self.copy
-        self.drop_copy()
+        copy = self.memory.copy
+        self.memory.drop_copy()
         if copy is None or self.last_event is None or self.finished:
             return False
         self.parts.budget.repeat(self.request.service)
@@ -393,7 +263,7 @@
             gap_event=self.times.gap_event,
             moves=self.moves,
             expected=self.request.expected_tokens(),
-            tokens=self.tokens,
+            tokens=self.memory.tokens,
         )
 
     def _time_left(self) -> float:
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -12,8 +12,9 @@
 from eliot import log_message
 from twisted.internet import defer, task
 
+from guavacleat.forwarding.memory import HeldCopy
 from guavacleat.forwarding.messages import MoveAnswer
-from guavacleat.forwarding.session import HeldCopy, StreamSession
+from guavacleat.forwarding.session import StreamSession
 from guavacleat.http1.calls import CallBrokenError, call
 from guavacleat.membership.registry import EndpointEntry
 
@@ -57,8 +58,8 @@
     def leaving(self, entry: EndpointEntry) -> None:
         """Hear that an endpoint will soon be gone."""
         for session in self.sessions:
-            if session.copy is not None and session.copy.entry.id == entry.id:
-                session.drop_copy()
+            if session.memory.copy is not None and session.memory.copy.entry.id == entry.id:
+                session.memory.drop_copy()
         if self._on(entry):
             evacuating = defer.Deferred.fromCoroutine(self._evacuate(entry))
             evacuating.addErrback(self._note_error)
@@ -68,7 +69,7 @@
 
     def _unprotected(self, entry: EndpointEntry) -> list[StreamSession]:
         """Streams on ``entry`` that would be lost with it."""
-        return [session for session in self._on(entry) if session.copy is None]
+        return [session for session in self._on(entry) if session.memory.copy is None]
 
     def _note_error(self, failure) -> None:
         log_message(message_type="move:error", error=failure.getTraceback())
@@ -102,7 +103,7 @@
             for session in self._unprotected(entry)
             if session not in failed
             and session.last_event is not None
-            and (late or session.worth_moving())
+            and (late or session.memory.worth_moving())
         ]
         return max(waiting, key=_worth_per_token, default=None)
 
@@ -119,7 +120,7 @@
         for session in self._on(entry):
             if self.peers.movable_by_instance(entry.id):
                 return
-            if session.copy is not None and not session.backed_up:
+            if session.memory.copy is not None and not session.memory.backed_up:
                 await self._switch(session, entry)
 
     def _still_there(self, session: StreamSession, entry: EndpointEntry) -> bool:
@@ -133,18 +134,18 @@
         tried: set[str] = set()
         for _ in range(2):
             engine = session.request.traits.engine
-            expected = session.expected_tokens()
+            expected = session.memory.expected_tokens()
             target = self.parts.placement.for_move(entry, expected, engine, tried)
             if target is None or not self._still_there(session, entry):
                 return False
             tried.add(target.id)
             began = self.parts.clock.seconds()
-            session.begin_copy()
+            session.memory.begin_copy()
             answer = await self._copy(session, entry, target, last=False)
-            session.end_copy()
+            session.memory.end_copy()
             self._log("move:copied", session, entry, target, answer.status, began)
             if answer.copied and self._still_there(session, entry):
-                session.keep_copy(HeldCopy(target, entry, answer.handle))
+                session.memory.keep_copy(HeldCopy(target, entry, answer.handle))
                 return True
             if answer.copied:
                 await self._free(entry, answer.handle)
@@ -155,7 +156,7 @@
     async def _switch(self, session: StreamSession, source: EndpointEntry) -> None:
         """Stop the run, copy what is new and let the stream go on from the copy."""
         began = self.parts.clock.seconds()
-        target = session.copy.entry
+        target = session.memory.copy.entry
         session.stopping = defer.Deferred()
         try:
             answer = await self._copy(session, source, target, last=True)
@@ -168,10 +169,10 @@
     async def _settle(self, session, source, target, last: MoveAnswer) -> None:
         """After the call that stops the run: let the old leg end, and say where to go on."""
         if last.copied:
-            session.keep_copy(HeldCopy(target, source, last.handle))
+            session.memory.keep_copy(HeldCopy(target, source, last.handle))
         elif last.handle is not None:
             # The run was stopped, but the rest found no way: the source still has all of it.
-            session.keep_copy(HeldCopy(source, source, last.handle))
+            session.memory.keep_copy(HeldCopy(source, source, last.handle))
         leg = session.leg
         if not leg.ended:
             await defer.DeferredList(
@@ -211,7 +212,7 @@
             source=source.id,
             target=target.id,
             status=status,
-            tokens=session.tokens,
+            tokens=session.memory.tokens,
             seconds=round(self.parts.clock.seconds() - began, 3),
         )
 
@@ -220,7 +221,7 @@
     """What the link earns by copying the stream: its worth by its size, per token to copy."""
     request = session.request
     size = request.prompt_tokens + OUTPUT_WORTH * request.facts.max_output_tokens
-    return size / max(1, session.tokens)
+    return size / max(1, session.memory.tokens)
 
 
 def _ended(leg) -> defer.Deferred:
--- a/tests/forwarding/test_session.py
+++ b/tests/forwarding/test_session.py
@@ -8,7 +8,8 @@
 
 from guavacleat.forwarding.answers import Verdict
 from guavacleat.forwarding.events import EventSplitter
-from guavacleat.forwarding.session import HeldCopy, StreamSession
+from guavacleat.forwarding.memory import HeldCopy
+from guavacleat.forwarding.session import StreamSession
 from guavacleat.routes import RequestKind
 from tests.forwarding.harness import World, entry, event
 
@@ -53,7 +54,7 @@
     Cause: only whole events are passed on, and each id once.
     """
     session, caller, side = running(world)
-    session.keep_copy(HeldCopy(entry("e2"), entry("e2"), "h1"))
+    session.memory.keep_copy(HeldCopy(entry("e2"), entry("e2"), "h1"))
     side.body_bytes(event(4)[:7])
     side.break_off()
     second = world.pool.connections[1]
@@ -149,7 +150,7 @@
 
 def test_a_copy_that_the_engine_no_longer_has_ends_the_stream(world):
     session, caller, side = running(world)
-    session.keep_copy(HeldCopy(entry("e2"), entry("e2"), "h1"))
+    session.memory.keep_copy(HeldCopy(entry("e2"), entry("e2"), "h1"))
     side.break_off()
     world.pool.connections[1].answer(503, sealed=False, not_run=True, id=None)
     assert caller.was_cut and not caller.complete
@@ -157,8 +158,8 @@
 
 def test_memory_is_counted_where_the_run_and_its_copy_are(world):
     session, _, side = running(world)
-    session.keep_copy(HeldCopy(entry("e3"), entry("e3"), "h1"))
-    assert world.load.total("e3").expected == session.expected_tokens()
+    session.memory.keep_copy(HeldCopy(entry("e3"), entry("e3"), "h1"))
+    assert world.load.total("e3").expected == session.memory.expected_tokens()
     side.end()
     assert world.load.runs_by_endpoint == {}
 
@@ -173,7 +174,7 @@
     side = world.pool.connections[0]
     side.begin()
     side.body_bytes(b"".join(event(id) for id in range(1, 101)))
-    assert session.tokens == 1400
+    assert session.memory.tokens == 1400
     assert world.load.total(side.address[0]).expected > 1400
 
 
@@ -208,7 +209,7 @@
             next_id = (session.last_event or 0) + data.draw(st.integers(-1, 2))
             side.body_bytes(event(max(1, next_id)))
         elif step == "break":
-            session.keep_copy(HeldCopy(entry("e2"), entry("e2"), "h"))
+            session.memory.keep_copy(HeldCopy(entry("e2"), entry("e2"), "h"))
             side.break_off()
             if world.pool.connections[-1] is not side:
                 world.pool.connections[-1].begin()
--- a/tests/migration/test_evacuation.py
+++ b/tests/migration/test_evacuation.py
@@ -7,8 +7,9 @@
 import pytest
 from twisted.internet import defer
 
+from guavacleat.forwarding.memory import HeldCopy
 from guavacleat.forwarding.messages import MoveAnswer
-from guavacleat.forwarding.session import HeldCopy, StreamSession
+from guavacleat.forwarding.session import StreamSession
 from guavacleat.membership.registry import EndpointState
 from guavacleat.migration import Evacuator
 from guavacleat.placement import EndpointLoad
@@ -152,7 +153,7 @@
 
 def test_a_stream_with_a_backup_is_left_alone(world, calls, peers):
     sessions, [(session, _, side)] = streams(world, 1)
-    session.keep_copy(HeldCopy(entry("e2"), entry("e2"), "r0", backup=True))
+    session.memory.keep_copy(HeldCopy(entry("e2"), entry("e2"), "r0", backup=True))
     leave(world, sessions, peers)
     assert calls.made == []
     side.break_off()
@@ -166,9 +167,9 @@
     Cause: a backup that goes with its engine protects nothing; the stream must be copied.
     """
     sessions, [(session, _, _)] = streams(world, 1)
-    session.keep_copy(HeldCopy(entry("gone"), entry("gone"), "r0", backup=True))
+    session.memory.keep_copy(HeldCopy(entry("gone"), entry("gone"), "r0", backup=True))
     Evacuator(world.parts, sessions, peers).leaving(entry("gone"))
-    assert session.copy is None
+    assert session.memory.copy is None
     leave(world, sessions, peers)
     assert calls.targets() == ["/copy"]
 
