A refused takeover ends the stream; an engine that broke one gets no backups for some seconds

Change: no backup survives a request that was not run; broken streams count as failures of their engine, which placement weighs and backups avoid. tests/placement imports the report's new name. Conclusion: saves a useless arrival and places fewer backups on dead engines.

--- a/src/guavacleat/forwarding/leg.py
+++ b/src/guavacleat/forwarding/leg.py
@@ -23,6 +23,7 @@
     NOT_RUN = "not run"
     WRONG_INCARNATION = "another incarnation"
     BROKEN = "broken"
+    ABANDONED = "abandoned by this gateway"
 
 
 REFUSALS = {
@@ -58,7 +59,12 @@
         return self.check is AnswerCheck.GENUINE and self.head.status in SUCCESS
 
     def abandon(self) -> None:
-        """Stop listening and close, so that the endpoint stops working; ends as broken."""
+        """Stop listening and close, so that the endpoint stops working."""
+        self._end(LegEnd.ABANDONED)
+        self.connection.abandon()
+
+    def _reject(self) -> None:
+        """What the endpoint sends is not this stream."""
         self._end(LegEnd.BROKEN)
         self.connection.abandon()
 
@@ -66,7 +72,7 @@
         self.head = head
         self.check = check_answer(head, self.wire.answer_facts(head.headers), self.request_id)
         if self.check is AnswerCheck.FOREIGN:
-            self.abandon()
+            self._reject()
         elif self.streaming and not self.ended:
             self.on_head(self)
 
@@ -79,7 +85,7 @@
         try:
             events = self.splitter.feed(data)
         except ValueError:
-            self.abandon()
+            self._reject()
             return
         for event in events:
             if not self.ended:
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -81,6 +81,9 @@
             if end is LegEnd.FAILED_WHOLE and self.last_event is None:
                 self._pass_failure_on()
                 return
+            if end in NEVER_RUN:
+                # The copy was not there; nor is the backup that was asked for with it.
+                self.memory.drop_copy()
             if not await self._go_on():
                 self._break_off(end)
                 return
@@ -165,6 +168,9 @@
 
     def _leg_over(self, entry, run, end):
         self.parts.load.end(entry.id, run)
+        if end is LegEnd.BROKEN:
+            # It may have crashed: for some seconds nothing new goes there, nor a backup.
+            self.parts.load.failed(entry.id)
         return end
 
     async def _leg_end(self) -> LegEnd:
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -91,6 +91,7 @@
             entry
             for entry in self._ready(source.service, {source.id})
             if self.memory_share(entry, expected, engine) <= BACKUP_MEMORY
+            and not self._failing(entry)
         ]
         return min(
             spare, key=lambda entry: self.memory_share(entry, expected, engine), default=None
--- a/tests/forwarding/test_session.py
+++ b/tests/forwarding/test_session.py
@@ -10,7 +10,7 @@
 from guavacleat.forwarding.events import EventSplitter
 from guavacleat.forwarding.memory import HeldCopy
 from guavacleat.forwarding.session import StreamSession
-from guavacleat.routes import RequestKind
+from guavacleat.routes import EngineTraits, RequestKind
 from tests.forwarding.harness import World, entry, event
 
 
@@ -156,6 +156,30 @@
     assert caller.was_cut and not caller.complete
 
 
+def test_a_refused_takeover_ends_the_stream_and_asks_nobody_else(clock):
+    """
+    Symptom: a cut stream's request arrives at a third engine, and at one that had just crashed.
+    Sequence: a stream's engine crashes before its backup has arrived; the keeper refuses; with
+    that request a new backup had been asked for, on the engine that had just crashed.
+    Cause: a backup exists only once a run does, and a broken engine keeps none.
+    """
+    engine = EngineTraits(24, 30000, 163840, 24000.0, 4, moves=True, backups=True)
+    world = World(clock, engine=engine)
+    _, caller, _ = start(world, max_output_tokens=2000)
+    first = world.pool.connections[0]
+    keeper = first.headers[b"copy-to"].decode()
+    first.begin()
+    first.body_bytes(event(1))
+    first.break_off()
+    second = world.pool.connections[1]
+    assert second.address[0] == keeper
+    assert second.headers[b"copy-to"].decode() not in (keeper, first.address[0])
+    second.answer(503, sealed=False, not_run=True, id=None)
+    assert len(world.pool.connections) == 2
+    assert caller.was_cut and not caller.complete
+    assert world.load.runs_by_endpoint == {}
+
+
 def test_memory_is_counted_where_the_run_and_its_copy_are(world):
     session, _, side = running(world)
     session.memory.keep_copy(HeldCopy(entry("e3"), entry("e3"), "h1"))
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -3,7 +3,7 @@
 import pytest
 
 from guavacleat.peers import PeerBook
-from guavacleat.peers.report import LoadReport
+from guavacleat.peers.report import GatewayReport
 from guavacleat.placement import EndpointLoad, Run
 from guavacleat.placement.choice import BACKUP_MEMORY, FAILURE_MEMORY_SECONDS
 from tests.forwarding.harness import ENGINE, World
@@ -51,7 +51,7 @@
     Cause: an engine's load is that of all gateways.
     """
     world.load.peers = PeerBook(clock)
-    world.load.peers.observe(LoadReport("g2", 1, 1, {"e1": EndpointLoad(5, 15000, 6000)}))
+    world.load.peers.observe(GatewayReport("g2", 1, 1, {"e1": EndpointLoad(5, 15000, 6000)}))
     assert place(world) == "e2"
 
 
