Copies that serve nobody are freed; a long notice ends the wait for peers; ports are a needed setting

Change: copies are freed at their source when their stream is over; after 3 s runs are stopped whatever peers report; the missing field is named with its remedy.

--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -10,6 +10,7 @@
 
 from guavacleat.forwarding.answer import pass_head_on
 from guavacleat.forwarding.answers import RefusalError, Verdict
+from guavacleat.forwarding.copies import free_copy
 from guavacleat.forwarding.leg import Leg, LegEnd
 from guavacleat.forwarding.memory import HeldCopy, StreamMemory
 from guavacleat.forwarding.messages import EndpointOrder, ResumePoint
@@ -44,6 +45,7 @@
         # While a move stops the run: fires once it is known where the run goes on.
         self.stopping: defer.Deferred | None = None
         self.cancelled = False
+        self.cut = False
 
     @property
     def finished(self) -> bool:
@@ -65,13 +67,28 @@
         try:
             await self._run()
         finally:
-            self.memory.drop_copy()
+            self._free_copy()
             self.sessions.discard(self)
             exchange.on_gone = None
             exchange.source = None
             if timer.active():
                 timer.cancel()
 
+    def _free_copy(self) -> None:
+        """The stream is over: a copy that is left serves nobody.
+
+        An engine frees a backup by itself when the run ended well.
+        """
+        copy = self.memory.copy
+        ended_well = self.request.exchange.ended and not self.cut and not self.cancelled
+        self.memory.drop_copy()
+        if copy is not None and not (copy.backup and ended_well):
+            freeing = free_copy(self.parts, copy.source.address, copy.handle)
+            defer.Deferred.fromCoroutine(freeing).addErrback(self._note_error)
+
+    def _note_error(self, failure) -> None:
+        self._log("stream:error", error=failure.getTraceback())
+
     async def _run(self) -> None:
         end = await self._first_legs()
         while not self.finished:
@@ -228,6 +245,10 @@
             return
         if not self.request.exchange.began:
             raise RefusalError(Verdict.BROKEN)
+        self._cut()
+
+    def _cut(self) -> None:
+        self.cut = True
         self.request.exchange.cut()
 
     def _time_up(self) -> None:
@@ -235,7 +256,7 @@
             return
         self._log("stream:expired")
         if self.request.exchange.began:
-            self.request.exchange.cut()
+            self._cut()
         else:
             headers = self.parts.wire.refusal_headers(self.request.facts.id, None)
             self.request.exchange.answer(Verdict.EXPIRED.status, headers, b"")
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -12,6 +12,7 @@
 from eliot import log_message
 from twisted.internet import defer, task
 
+from guavacleat.forwarding.copies import free_copy
 from guavacleat.forwarding.memory import HeldCopy
 from guavacleat.forwarding.messages import MoveAnswer
 from guavacleat.forwarding.session import StreamSession
@@ -91,8 +92,7 @@
                     failed.add(session)
                 continue
             failed.clear()
-            if not self._soon_gone(began):
-                await self._switch_copied(entry)
+            await self._switch_copied(entry, began)
             await task.deferLater(self.parts.clock, RETRY_SECONDS)
 
     def _next(self, entry: EndpointEntry, began: float, failed: set) -> StreamSession | None:
@@ -107,18 +107,21 @@
         ]
         return max(waiting, key=_worth_per_token, default=None)
 
-    def _soon_gone(self, began: float) -> bool:
-        """Whether the engine may vanish while a run is being stopped there."""
-        return LAST_SWITCH_SECONDS < self.parts.clock.seconds() - began < LONG_NOTICE_SECONDS
+    def _may_stop_runs(self, entry: EndpointEntry, began: float) -> bool:
+        """Whether no peer needs the link, nor may the engine vanish during the call."""
+        elapsed = self.parts.clock.seconds() - began
+        if elapsed >= LONG_NOTICE_SECONDS:
+            return True
+        return elapsed <= LAST_SWITCH_SECONDS and not self.peers.movable_by_instance(entry.id)
 
-    async def _switch_copied(self, entry: EndpointEntry) -> None:
-        """Let copied streams go on at their targets, unless peers still need the link.
+    async def _switch_copied(self, entry: EndpointEntry, began: float) -> None:
+        """Let copied streams go on at their targets.
 
         A stream that is left where it is loses nothing: when its engine is gone it goes on from
         the copy, which then has a little more to read.
         """
         for session in self._on(entry):
-            if self.peers.movable_by_instance(entry.id):
+            if not self._may_stop_runs(entry, began):
                 return
             if session.memory.copy is not None and not session.memory.backed_up:
                 await self._switch(session, entry)
@@ -148,7 +151,7 @@
                 session.memory.keep_copy(HeldCopy(target, entry, answer.handle))
                 return True
             if answer.copied:
-                await self._free(entry, answer.handle)
+                await free_copy(self.parts, entry.address, answer.handle)
             if answer.status == NO_SUCH_RUN:
                 return False
         return False
@@ -195,16 +198,6 @@
             return MoveAnswer(0, None)
         return parts.wire.decode_move(answer.code, answer.body)
 
-    async def _free(self, source: EndpointEntry, handle: str) -> None:
-        parts = self.parts
-        target = parts.wire.free_copy_target(handle)
-        try:
-            await call(
-                parts.clock, parts.pool, source.address, b"DELETE", target, [], b"", COPY_SECONDS
-            )
-        except CallBrokenError as exc:
-            log_message(message_type="move:not-freed", endpoint=source.id, error=repr(exc))
-
     def _log(self, message_type, session, source, target, status, began) -> None:
         log_message(
             message_type=message_type,
--- a/src/guavacleat/platform/settings.py
+++ b/src/guavacleat/platform/settings.py
@@ -31,14 +31,14 @@
 def parse_process_settings(text: str) -> ProcessSettings:
     """Decode the text; keys this release does not know are ignored."""
     values = _Values(text)
-    inner = values.numbers("internalPorts")
+    first_port, last_port = values.port_range("internalPorts")
     return ProcessSettings(
         instance=values.text("nodeName"),
         ip=values.text("ip"),
         data_centre=values.text("zone"),
         caller_address=values.address("listen.front"),
         readiness_address=values.address("listen.ready"),
-        peer_ports=range(int(inner[0]), int(inner[-1]) + 1) if inner else range(0),
+        peer_ports=range(first_port, last_port + 1),
         store_address=values.address("platform.address"),
         limits=ResourceLimits(
             memory_bytes=int(values.number("limits.memoryMb", 150) * (1 << 20)),
@@ -83,9 +83,10 @@
         value = self.text_by_key.get(key, "")
         return self._to_number(key, value) if value else default
 
-    def numbers(self, key: str) -> list[float]:
-        values = self.text_by_key.get(key, "").split(",")
-        return [self._to_number(key, value) for value in values if value]
+    def port_range(self, key: str) -> tuple[int, int]:
+        """The first and the last port, both included."""
+        ports = [int(self._to_number(key, value)) for value in self.text(key).split(",")]
+        return ports[0], ports[-1]
 
     def _to_number(self, key: str, value: str) -> float:
         try:
--- a/tests/migration/test_evacuation.py
+++ b/tests/migration/test_evacuation.py
@@ -33,6 +33,7 @@
     def __init__(self, monkeypatch):
         self.made = []
         monkeypatch.setattr("guavacleat.migration.evacuation.call", self)
+        monkeypatch.setattr("guavacleat.forwarding.copies.call", self)
 
     async def __call__(self, clock, pool, address, method, target, headers, body, timeout):
         answer = defer.Deferred()
@@ -210,6 +211,41 @@
     assert calls.targets() == ["/copy", "/free/h0"]
 
 
+def test_a_caller_that_leaves_frees_the_copy(world, calls, peers):
+    """
+    Symptom: engines run out of memory when many callers leave.
+    Sequence: a stream has a backup; its caller leaves.
+    Cause: the engine that keeps the backup would hold it for seconds.
+    """
+    _, [(session, caller, _)] = streams(world, 1)
+    session.memory.keep_copy(HeldCopy(entry("e2"), entry("e2"), "r0", backup=True))
+    caller.open = False
+    session.cancel()
+    assert calls.targets() == ["/free/r0"]
+
+
+def test_a_backup_of_a_run_that_ended_well_is_left_to_its_engine(world, calls, peers):
+    _, [(session, _, side)] = streams(world, 1)
+    session.memory.keep_copy(HeldCopy(entry("e2"), entry("e2"), "r0", backup=True))
+    side.end()
+    assert calls.made == []
+
+
+def test_with_a_long_notice_runs_are_stopped_whatever_peers_report(world, calls, peers):
+    """
+    Symptom: a stream is cut although its engine was leaving for many seconds.
+    Sequence: a peer cannot copy its run and goes on reporting it; the engine stays; the copy of
+    another gateway's run is dropped unused.
+    Cause: a copy lasts some five seconds, so waiting for peers must end before that.
+    """
+    sessions, _ = streams(world, 1)
+    peers.movable = {"gateway-2": EndpointLoad(movable_runs=1)}
+    leave(world, sessions, peers)
+    calls.answer(0, 200, "h0")
+    world.clock.pump([0.1] * 31)
+    assert calls.targets() == ["/copy", "/last"]
+
+
 def test_a_move_answer_counts_only_with_a_handle():
     assert MoveAnswer(200, "h").copied
     assert not MoveAnswer(200, None).copied
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -35,7 +35,8 @@
 
 
 @pytest.mark.parametrize(
-    "key", ["nodeName", "ip", "zone", "listen.front", "listen.ready", "platform.address"]
+    "key",
+    ["nodeName", "ip", "zone", "listen.front", "listen.ready", "internalPorts", "platform.address"],
 )
 def test_a_missing_field_is_named_with_its_remedy(key):
     with pytest.raises(SettingsError) as caught:
