Tests of evacuation end their streams themselves

Cause: a test failed now and then: streams of an earlier test, collected while it ran, freed their copies through the calls it had put in place. Change: the fixture ends the streams of its own test.

--- a/tests/migration/test_evacuation.py
+++ b/tests/migration/test_evacuation.py
@@ -54,13 +54,18 @@
 
 
 @pytest.fixture
-def world(clock):
-    return World(clock, names=("leaver",))
+def calls(monkeypatch):
+    return Calls(monkeypatch)
 
 
 @pytest.fixture
-def calls(monkeypatch):
-    return Calls(monkeypatch)
+def world(clock, calls):
+    """Ends its streams with the test: collected later, they would free copies in another one."""
+    world = World(clock, names=("leaver",))
+    world.sessions = set()
+    yield world
+    for session in list(world.sessions):
+        session.cancel()
 
 
 @pytest.fixture
@@ -70,7 +75,7 @@
 
 def streams(world, count, events=30):
     """Streams that run on the endpoint ``leaver``, each with some events out."""
-    sessions, found = set(), []
+    sessions, found = world.sessions, []
     for number in range(count):
         request, caller = world.request(
             kind=RequestKind.STREAM, timeout=39.0, max_output_tokens=2000 + number
