Reports between gateways by thrift's accelerated codec

Cause: at the grown sites' 28 gateways the codec in Python would cost each 11 % of a core (arithmetic on measured slopes).

--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -1,6 +1,10 @@
-"""One gateway's report, and its form on the wire (thrift, compact)."""
+"""One gateway's report, and its form on the wire (thrift, compact).
 
-from thrift.protocol.TCompactProtocol import TCompactProtocol
+The accelerated codec writes and reads a report of 20 engines in 31 and 41 us of CPU, the one in
+Python in 565 and 776 us (300 rounds each): with 28 gateways that is 0.6 % of a core for 11 %.
+"""
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
 from guavacleat.membership.registry import EndpointChange, EndpointEntry, EndpointState
@@ -50,7 +54,7 @@
     message = ttypes.PeerReport(
         report.instance, report.incarnation, report.sequence, loads, changes
     )
-    message.write(TCompactProtocol(buffer))
+    message.write(TCompactProtocolAccelerated(buffer))
     return buffer.getvalue()
 
 
@@ -58,7 +62,7 @@
     """Decode a datagram; raise BadReportError if it is no report."""
     message = ttypes.PeerReport()
     try:
-        message.read(TCompactProtocol(TMemoryBuffer(data)))
+        message.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
         message.validate()
         loads_by_endpoint = {
             load.endpoint: EndpointLoad(
