--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Shared fixtures: a paused clock, a stand-in store and an in-memory HTTP client for it."""
 
 import itertools
+from pathlib import Path
 
 import pytest
 from treq.testing import StubTreq
@@ -12,6 +13,28 @@
 from guavacleat.streams import CompletionRequest
 
 REQUEST_NUMBERS = itertools.count(1)
+# One line each: a test's node id, then cause, command and seed, issue.
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def known_red_lines():
+    if not KNOWN_RED.exists():
+        return []
+    return [line.strip() for line in KNOWN_RED.read_text().splitlines() if line.strip()]
+
+
+def pytest_report_header(config):
+    del config
+    return [f"known red, passed over: {line}" for line in known_red_lines()]
+
+
+def pytest_collection_modifyitems(config, items):
+    """Pass over the tests that KNOWN-RED.txt names, and no others."""
+    named = {line.split()[0] for line in known_red_lines()}
+    passed_over = [item for item in items if item.nodeid in named]
+    if passed_over:
+        config.hook.pytest_deselected(items=passed_over)
+        items[:] = [item for item in items if item.nodeid not in named]
 
 
 @pytest.fixture
