Generations wait in the gateway until an engine has room

Cause: requests were sent whatever engines had waiting. Ruled out: engines' own queues by priority only (the state before).

--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -18,7 +18,7 @@
 from thrift.transport import TTransport
 from twisted.internet.task import Clock
 
-from guavacleat.admission import Dispatcher
+from guavacleat.admission.dispatcher import Dispatcher
 from guavacleat.config.model import Limits
 from guavacleat.membership import EndpointRecord, MembershipView
 from guavacleat.metrics import LatencyBook
--- a/src/guavacleat/admission/__init__.py
+++ b/src/guavacleat/admission/__init__.py
@@ -1,7 +1,4 @@
-"""Admission of requests: fair queues, bounds per client account, refusal as not run."""
+"""Admission of requests: fair queues, bounds per client account, refusal as not run.
 
-from guavacleat.admission.dispatcher import Dispatcher
-from guavacleat.admission.gate import Admission
-from guavacleat.admission.queues import QUEUES_BY_NAME, get_queue_by_name
-
-__all__ = ["Admission", "Dispatcher", "QUEUES_BY_NAME", "get_queue_by_name"]
+Import from the modules: the ingress uses few of them and must stay small.
+"""
--- a/src/guavacleat/admission/dispatcher.py
+++ b/src/guavacleat/admission/dispatcher.py
@@ -13,17 +13,11 @@
 from twisted.internet.interfaces import IReactorTime
 
 from guavacleat.admission.gate import Admission
-from guavacleat.admission.queues import get_queue_by_name
+from guavacleat.admission.queues import PROMPT_TOKEN_COST, SHORT_OUTPUT, get_queue_by_name
 from guavacleat.errors import NotRunError
 
-__all__ = ["Dispatcher", "PROMPT_TOKEN_COST"]
+__all__ = ["Dispatcher"]
 
-# What reading one prompt token costs next to emitting one output token: an engine reads 14
-# prompt tokens in a millisecond and emits a token of each of some 20 streams every 7 (the users'
-# engines), so about 0.2 of the time.
-PROMPT_TOKEN_COST = 0.2
-# An output expected to be at most this many tokens counts as short.
-SHORT_OUTPUT = 64
 MARKS = 64
 MARKS_MIN = 8
 
--- a/src/guavacleat/admission/queues.py
+++ b/src/guavacleat/admission/queues.py
@@ -11,7 +11,21 @@
 import heapq
 import itertools
 
-__all__ = ["FairQueue", "FifoQueue", "QUEUES_BY_NAME", "get_queue_by_name"]
+__all__ = [
+    "PROMPT_TOKEN_COST",
+    "QUEUES_BY_NAME",
+    "SHORT_OUTPUT",
+    "FairQueue",
+    "FifoQueue",
+    "get_queue_by_name",
+]
+
+# What reading one prompt token costs next to emitting one output token: an engine reads 14
+# prompt tokens in a millisecond and emits a token of each of some 20 streams every 7 (the users'
+# engines), so about 0.2 of the time.
+PROMPT_TOKEN_COST = 0.2
+# An output expected to be at most this many tokens counts as short.
+SHORT_OUTPUT = 64
 
 # How far, in tokens per unit of weight, an account's most urgent requests may run ahead of
 # accounts that are owed more. It lets an interactive request pass batch work of others, and its
--- a/src/guavacleat/forwarding/parts.py
+++ b/src/guavacleat/forwarding/parts.py
@@ -13,11 +13,12 @@
     :param load: :class:`~guavacleat.placement.LoadBook`.
     :param placement: :class:`~guavacleat.placement.Placement`.
     :param budget: :class:`~guavacleat.retries.RetryBudget`.
+    :param queue: :class:`~guavacleat.admission.generations.GenerationQueue`.
     """
 
-    __slots__ = ("clock", "pool", "wire", "registry", "load", "placement", "budget")
+    __slots__ = ("clock", "pool", "wire", "registry", "load", "placement", "budget", "queue")
 
-    def __init__(self, clock, pool, wire, registry, load, placement, budget):
+    def __init__(self, clock, pool, wire, registry, load, placement, budget, queue):
         self.clock = clock
         self.pool = pool
         self.wire = wire
@@ -25,3 +26,4 @@
         self.load = load
         self.placement = placement
         self.budget = budget
+        self.queue = queue
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -44,6 +44,8 @@
         self.memory = StreamMemory(request, parts.load)
         # While a move stops the run: fires once it is known where the run goes on.
         self.stopping: defer.Deferred | None = None
+        # While the request waits for an engine that has room.
+        self.placing: defer.Deferred | None = None
         self.cancelled = False
         self.cut = False
 
@@ -112,7 +114,7 @@
         for sends in range(MAX_SENDS):
             if sends and not self.parts.budget.may_repeat(request.service):
                 break
-            entry = self._place(tried)
+            entry = await self._place(tried)
             if entry is None:
                 break
             tried.add(entry.id)
@@ -130,12 +132,16 @@
             raise RefusalError(Verdict.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT)
         raise RefusalError(Verdict.NO_ROOM, RETRY_AFTER_NO_ROOM)
 
-    def _place(self, tried: set[str]) -> EndpointEntry | None:
+    async def _place(self, tried: set[str]) -> EndpointEntry | None:
+        """The endpoint to send to; None if there is none, or the caller left meanwhile."""
         request = self.request
         if request.traits.engine is None:
             return self.parts.placement.for_call(request.service, tried)
-        engine, expected = request.traits.engine, request.expected_tokens()
-        return self.parts.placement.for_run(request.service, expected, engine, tried)
+        self.placing = self.parts.queue.acquire(request, tried)
+        try:
+            return await self.placing
+        finally:
+            self.placing = None
 
     async def _send(self, entry: EndpointEntry, resume: ResumePoint | None) -> bool:
         """Send the request to ``entry``; return False if no connection came about."""
@@ -153,6 +159,7 @@
             connection.abandon()
             return False
         backup = self._place_backup(entry)
+        self._log_placed(entry, backup, resume)
         order = EndpointOrder(
             entry.id,
             self._time_left(),
@@ -171,6 +178,19 @@
         connection.send(head.method, head.target, headers, request.exchange.body, leg)
         return True
 
+    def _log_placed(self, entry, backup: HeldCopy | None, resume: ResumePoint | None) -> None:
+        """What decided where the run goes: the endpoint's load with it, as known here."""
+        load = self.parts.load.total(entry.id)
+        self._log(
+            "stream:placed",
+            endpoint=entry.id,
+            resumed=resume is not None,
+            backup=backup.entry.id if backup else None,
+            runs=load.runs,
+            expected=load.expected,
+            unread=load.unread,
+        )
+
     def _place_backup(self, entry: EndpointEntry) -> HeldCopy | None:
         """Where a growing copy of the run shall be kept: None if no engine has memory to spare."""
         request = self.request
@@ -265,6 +285,8 @@
     def cancel(self) -> None:
         """The caller is gone or its time is up: stop the endpoint's work."""
         self.cancelled = True
+        if self.placing is not None:
+            self.placing.cancel()
         if self.leg is not None and not self.leg.ended:
             self.leg.abandon()
 
--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer, task
 from twisted.web.server import Site
 
-from guavacleat.admission import Dispatcher
+from guavacleat.admission.dispatcher import Dispatcher
 from guavacleat.config.holder import CONFIG_KIND, ConfigHolder
 from guavacleat.gateway.app import GatewayApp
 from guavacleat.gateway.sidecars import SidecarPool
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -3,6 +3,7 @@
 from eliot import log_message
 from twisted.internet import defer, task
 
+from guavacleat.admission.generations import GenerationQueue
 from guavacleat.errors import SettingsError
 from guavacleat.forwarding.parts import ForwardingParts
 from guavacleat.forwarding.wire import Wire
@@ -69,14 +70,19 @@
         self.peers = PeerBook(reactor)
         self.load.peers = self.peers
         self.metrics = IngressMetrics()
+        placement = Placement(self.registry, self.load, settings.data_centre)
+        queue = GenerationQueue(reactor, placement)
+        self.load.listeners.append(queue.look_soon)
+        self.peers.on_report = queue.look_soon
         parts = ForwardingParts(
             clock=reactor,
             pool=self.pool,
             wire=wire,
             registry=self.registry,
             load=self.load,
-            placement=Placement(self.registry, self.load, settings.data_centre),
+            placement=placement,
             budget=RetryBudget(reactor, settings.bounds, source.gateway_count),
+            queue=queue,
         )
         self.parts = parts
         bodies = int(settings.limits.memory_bytes * BODIES_SHARE)
--- a/src/guavacleat/load/fleet.py
+++ b/src/guavacleat/load/fleet.py
@@ -10,7 +10,7 @@
 from twisted.internet import defer
 from twisted.internet.error import ConnectionRefusedError
 
-from guavacleat.admission import Dispatcher
+from guavacleat.admission.dispatcher import Dispatcher
 from guavacleat.membership import EndpointRecord, MembershipView
 from guavacleat.membership.lease import HEARTBEAT_SECONDS
 from guavacleat.metrics import StreamMetrics
--- a/src/guavacleat/load/report.py
+++ b/src/guavacleat/load/report.py
@@ -3,7 +3,7 @@
 import itertools
 import json
 
-from guavacleat.admission.dispatcher import PROMPT_TOKEN_COST
+from guavacleat.admission.queues import PROMPT_TOKEN_COST
 from guavacleat.checks.runs import check_run
 from guavacleat.load.experiment import Run
 from guavacleat.metrics import LatencyBook
--- a/src/guavacleat/peers/book.py
+++ b/src/guavacleat/peers/book.py
@@ -22,10 +22,14 @@
 
 
 class PeerBook:
-    """Reports by instance; those of silent peers are left out."""
+    """Reports by instance; those of silent peers are left out.
+
+    ``on_report()`` is called when a report was taken in.
+    """
 
     def __init__(self, clock: IReactorTime):
         self.clock = clock
+        self.on_report = lambda: None
         self.peers_by_instance: dict[str, _Peer] = {}
 
     def observe(self, report: GatewayReport) -> bool:
@@ -41,6 +45,7 @@
                 incarnation=report.incarnation,
             )
         self.peers_by_instance[report.instance] = _Peer(report, self.clock.seconds())
+        self.on_report()
         return True
 
     def alive(self) -> list[GatewayReport]:
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -56,7 +56,7 @@
         self.stopped = False
         self._heartbeat = task.LoopingCall(self.report)
         self._heartbeat.clock = reactor
-        load.on_change = self.change
+        load.listeners.append(self.change)
         registry.on_change = self.change
 
     def startProtocol(self):  # noqa: N802 - Twisted's name
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -29,6 +29,11 @@
 SPREAD_SECONDS = 0.5
 # Memory above this share counts as full: outputs grow past what was expected of them.
 USABLE_MEMORY = 0.92
+# Memory share up to which generations are begun. Beyond it the engine would preempt the newest.
+FULL_MEMORY = 1.0
+# Prompt tokens that may wait to be read on an engine when it is given another: about 0.4 s of
+# reading, so that it never idles, and what is lost with an engine that leaves is little.
+READ_AHEAD_TOKENS = 3000
 # Backups go only where memory stays below this share with them: the rest is for generations that
 # come, and for those of an engine that is taken away.
 BACKUP_MEMORY = 0.75
@@ -45,18 +50,40 @@
 
     def for_call(self, service: str, exclude: set[str]) -> EndpointEntry | None:
         """The endpoint for a plain request: fewest requests per slot, least failing."""
-        ready = self._ready(service, exclude)
+        ready = self.ready(service, exclude)
         return min(ready, key=self._call_cost, default=None)
 
-    def for_run(
-        self, service: str, expected: int, engine: EngineTraits, exclude: set[str]
-    ) -> EndpointEntry | None:
-        """The engine that will begin a generation soonest without running out of memory.
+    def ready(self, service: str, exclude: set[str]) -> list[EndpointEntry]:
+        """Endpoints of ``service`` that take new work, but for ``exclude`` (ids)."""
+        return [entry for entry in self.registry.ready(service) if entry.id not in exclude]
+
+    def with_room(self, request, exclude: set[str]) -> EndpointEntry | None:
+        """The engine for a generation that may begin now; None if it should wait for room.
 
-        :param expected: tokens that the generation will hold at its end.
+        :param request: a ``ForwardedRequest`` for a service with engines.
         """
-        ready = self._ready(service, exclude)
-        return min(ready, key=lambda entry: self._run_cost(entry, expected, engine), default=None)
+        engine, expected = request.traits.engine, request.expected_tokens()
+        roomy = [
+            entry
+            for entry in self.ready(request.service, exclude)
+            if self._has_room(entry, expected, engine)
+        ]
+        return min(roomy, key=lambda entry: self._run_cost(entry, expected, engine), default=None)
+
+    def _has_room(self, entry: EndpointEntry, expected: int, engine: EngineTraits) -> bool:
+        load = self.load.total(entry.id)
+        if load.runs == 0:
+            return True
+        return (
+            load.unread <= READ_AHEAD_TOKENS
+            and load.runs < engine.slots
+            and self.memory_share(entry, expected, engine) <= FULL_MEMORY
+        )
+
+    def latest_start(self, request) -> float:
+        """Clock time at which the prompt must be handed to an idle engine to be on time."""
+        reading = request.prompt_tokens / READ_TOKENS_PER_SECOND
+        return request.arrived + request.route.latency_goal - reading
 
     def for_move(
         self, source: EndpointEntry, expected: int, engine: EngineTraits, exclude: set[str]
@@ -66,7 +93,7 @@
         A copy across data centres takes twice as long, and the time until the source is gone is
         short.
         """
-        ready = self._ready(source.service, exclude | {source.id})
+        ready = self.ready(source.service, exclude | {source.id})
         near = [
             entry
             for entry in ready
@@ -89,7 +116,7 @@
         """
         spare = [
             entry
-            for entry in self._ready(source.service, {source.id})
+            for entry in self.ready(source.service, {source.id})
             if self.memory_share(entry, expected, engine) <= BACKUP_MEMORY
             and not self._failing(entry)
         ]
@@ -101,9 +128,6 @@
         """Share of the engine's memory in use once ``expected`` more tokens are there."""
         return (self.load.total(entry.id).expected + expected) / max(1, engine.memory_tokens)
 
-    def _ready(self, service: str, exclude: set[str]) -> list[EndpointEntry]:
-        return [entry for entry in self.registry.ready(service) if entry.id not in exclude]
-
     def _call_cost(self, entry: EndpointEntry) -> tuple[float, float]:
         load = self.load.total(entry.id)
         away = 0.0 if entry.data_centre == self.data_centre else LOCAL_BIAS
--- a/src/guavacleat/placement/load.py
+++ b/src/guavacleat/placement/load.py
@@ -54,12 +54,12 @@
 class LoadBook:
     """Runs by endpoint id and request id.
 
-    :param on_change: called when a generation begins, produces its first event or ends.
+    ``listeners`` are called when a generation begins, produces its first event or ends.
     """
 
-    def __init__(self, clock: IReactorTime, on_change=None):
+    def __init__(self, clock: IReactorTime):
         self.clock = clock
-        self.on_change = on_change or (lambda: None)
+        self.listeners: list = []
         self.runs_by_endpoint: dict[str, dict[str, Run]] = {}
         self.health_by_endpoint: dict[str, EndpointHealth] = {}
         # Anything with ``total(endpoint_id)``: the peers' runs.
@@ -80,9 +80,10 @@
         self.changed(run)
 
     def changed(self, run: Run) -> None:
-        """What peers know of this run is out of date."""
+        """What listeners know of this run is out of date."""
         if run.expected:
-            self.on_change()
+            for listener in self.listeners:
+                listener()
 
     def own(self, endpoint_id: str) -> EndpointLoad:
         """This gateway's own runs on the endpoint."""
--- a/tests/admission/test_dispatcher.py
+++ b/tests/admission/test_dispatcher.py
@@ -2,8 +2,7 @@
 
 import pytest
 
-from guavacleat.admission import Dispatcher
-from guavacleat.admission.dispatcher import MARKS
+from guavacleat.admission.dispatcher import MARKS, Dispatcher
 from guavacleat.config.model import Limits
 from guavacleat.errors import NotRunError
 from guavacleat.membership import MembershipView
--- a/tests/admission/test_queues.py
+++ b/tests/admission/test_queues.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from guavacleat.admission import get_queue_by_name
+from guavacleat.admission.queues import get_queue_by_name
 from guavacleat.load.report import fair_shares
 from tests.conftest import make_request
 
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -2,6 +2,7 @@
 
 from twisted.internet import defer
 
+from guavacleat.admission.generations import GenerationQueue
 from guavacleat.forwarding.messages import AnswerFacts, CallerFacts, MoveAnswer
 from guavacleat.forwarding.parts import ForwardingParts
 from guavacleat.forwarding.request import ForwardedRequest
@@ -160,8 +161,10 @@
         placement = Placement(self.registry, self.load, "dc", seed=1)
         bounds = bounds or Bounds(retry_extra=100)
         budget = RetryBudget(clock, bounds, lambda: 1)
+        self.queue = GenerationQueue(clock, placement, seed=1)
+        self.load.listeners.append(self.queue.look_soon)
         self.parts = ForwardingParts(
-            clock, self.pool, PlainWire(), self.registry, self.load, placement, budget
+            clock, self.pool, PlainWire(), self.registry, self.load, placement, budget, self.queue
         )
         for name in names:
             self.ready(name)
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -6,7 +6,7 @@
 import pytest
 
 import guavacleat
-from guavacleat.admission import Admission
+from guavacleat.admission.gate import Admission
 from guavacleat.config import load_settings
 from guavacleat.errors import NotRunError
 from guavacleat.gateway.requests import RequestError, parse_completion
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -6,6 +6,7 @@
 from guavacleat.peers.report import GatewayReport
 from guavacleat.placement import EndpointLoad, Run
 from guavacleat.placement.choice import BACKUP_MEMORY, FAILURE_MEMORY_SECONDS
+from guavacleat.routes import RequestKind
 from tests.forwarding.harness import ENGINE, World
 
 
@@ -15,7 +16,8 @@
 
 
 def place(world, tokens=1000):
-    return world.parts.placement.for_run("svc", tokens, ENGINE, set()).id
+    request, _ = world.request(kind=RequestKind.STREAM, prompt_tokens=tokens)
+    return world.parts.placement.with_room(request, set()).id
 
 
 def test_generations_spread_over_engines(world):
--- a/tests/streams/test_relay.py
+++ b/tests/streams/test_relay.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet import defer
 
-from guavacleat.admission import Dispatcher
+from guavacleat.admission.dispatcher import Dispatcher
 from guavacleat.config.model import Limits
 from guavacleat.errors import NotRunError
 from guavacleat.membership import MembershipView
--- a/tests/streams/test_relay_machine.py
+++ b/tests/streams/test_relay_machine.py
@@ -13,7 +13,7 @@
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
-from guavacleat.admission import Dispatcher
+from guavacleat.admission.dispatcher import Dispatcher
 from guavacleat.checks import check_stream
 from guavacleat.config.model import Limits
 from guavacleat.membership import MembershipView
