Expected lengths from those that finished; first try of handing streams over

Copies on their way now count at their target from the moment they are asked for. The caller got the present engine's events at once and then waited until the other had generated them anew; and streams being handed over were copied once more.

--- /dev/null
+++ b/src/guavacleat/forwarding/handover.py
@@ -0,0 +1,95 @@
+"""A stream that goes on at another engine while its present engine still runs it.
+
+An engine that leaves takes all its streams with it at one moment. Where several go on at the same
+engine then, each waits for the others' last tokens to be read, and their callers see pauses of 0.2
+to 0.3 s. Handed over one after the other, each pauses only for its own.
+
+The present engine is left at the first event from the other one, or after ``OVERLAP_SECONDS``: a
+run may not be worked on twice for longer than 0.4 s.
+"""
+
+from twisted.internet import defer
+
+from guavacleat.forwarding.leg import Leg, LegEnd
+from guavacleat.forwarding.messages import ResumePoint
+
+__all__ = ["Handover"]
+
+OVERLAP_SECONDS = 0.25
+# Events come every 30 to 70 ms; the request is sent right after one, so that the pause does not
+# begin with waiting for nothing.
+NEXT_EVENT_SECONDS = 0.08
+
+
+class Handover:
+    """One attempt for ``session``, a :class:`~.session.StreamSession`, which holds a copy.
+
+    :param leg: the stream at the other engine, once it was asked for.
+    """
+
+    def __init__(self, session):
+        self.session = session
+        self.leg: Leg | None = None
+        self._opened = defer.Deferred()
+        self._ended = defer.Deferred()
+        self._event = defer.Deferred()
+        self._overlap = None
+
+    async def run(self) -> bool:
+        """Return whether the stream goes on at the other engine."""
+        session = self.session
+        clock = session.parts.clock
+        copy = session.memory.copy
+        session.parts.budget.repeat(session.request.service)
+        timer = clock.callLater(NEXT_EVENT_SECONDS, self.note_event)
+        await self._event
+        if timer.active():
+            timer.cancel()
+        if session.memory.copy is not copy or session.finished or session.leg.ended:
+            self._opened.callback(None)
+            return False
+        point = ResumePoint(copy.source.address, copy.handle, session.last_event)
+        self.leg = await session.open_leg(copy.entry, point)
+        if self.leg is not None:
+            session.memory.drop_copy()
+            self._overlap = clock.callLater(OVERLAP_SECONDS, session.leave_engine)
+            self.leg.done.addCallback(self._leg_ended)
+        self._opened.callback(None)
+        if self.leg is None:
+            return False
+        return await self._ended
+
+    def note_event(self) -> None:
+        """The present engine sent an event."""
+        if not self._event.called:
+            self._event.callback(None)
+
+    async def take(self) -> Leg | None:
+        """The leg to go on with, now that the present one has ended; None if there is none."""
+        self.note_event()
+        if not self._opened.called:
+            opened = defer.Deferred()
+            self._opened.addCallback(opened.callback)
+            await opened
+        if self.leg is None or self.leg.ended:
+            return None
+        self._end(True)
+        return self.leg
+
+    def abandon(self) -> None:
+        """The stream is over."""
+        self.note_event()
+        if self.leg is not None and not self.leg.ended:
+            self.leg.abandon()
+        self._end(False)
+
+    def _leg_ended(self, end: LegEnd) -> LegEnd:
+        """Refused or broken before it was used: the present engine still has the stream."""
+        self._end(False)
+        return end
+
+    def _end(self, taken: bool) -> None:
+        if self._overlap is not None and self._overlap.active():
+            self._overlap.cancel()
+        if not self._ended.called:
+            self._ended.callback(taken)
--- a/src/guavacleat/forwarding/leg.py
+++ b/src/guavacleat/forwarding/leg.py
@@ -6,9 +6,11 @@
 
 from guavacleat.forwarding.answer import AnswerCheck, check_answer
 from guavacleat.forwarding.events import EventSplitter
+from guavacleat.forwarding.memory import HeldCopy
 from guavacleat.http1.client import AnswerListener, BreakReason
 from guavacleat.http1.messages import ResponseHead
 from guavacleat.membership.registry import EndpointEntry
+from guavacleat.placement import Run
 
 __all__ = ["Leg", "LegEnd"]
 
@@ -47,6 +49,9 @@
         self.on_event = on_event
         self.done = defer.Deferred()
         self.connection = None
+        # How the session counts its memory, and the backup that was asked for with it.
+        self.run: Run | None = None
+        self.backup: HeldCopy | None = None
         self.head: ResponseHead | None = None
         self.check: AnswerCheck | None = None
         self.splitter = EventSplitter()
--- a/src/guavacleat/forwarding/memory.py
+++ b/src/guavacleat/forwarding/memory.py
@@ -9,8 +9,8 @@
 # Events that come within some second: a run with fewer left ends by itself before its engine is
 # gone.
 SHORT_RUN_EVENTS = 20
-# Part of its output that a run is expected to produce once more when it outgrew its estimate.
-OUTGROWN_SHARE = 0.25
+# Events after which the expected length is looked at again.
+FORECAST_EVENTS = 8
 
 
 class HeldCopy:
@@ -51,19 +51,21 @@
     @property
     def tokens(self) -> int:
         """Memory that the run holds now."""
+        return self.request.prompt_tokens + self.output_tokens
+
+    @property
+    def output_tokens(self) -> int:
+        """Tokens that the run has produced."""
         traits = self.request.traits.engine
-        per_event = traits.tokens_per_event if traits else 1
-        return self.request.prompt_tokens + self.events * per_event
+        return self.events * (traits.tokens_per_event if traits else 1)
 
     def expected_tokens(self) -> int:
-        """Memory that the run will hold at its end.
+        """Memory that the run will hold at its end, by what it has produced so far.
 
-        A caller's estimate is right in the middle and often far off: a run that outgrows it is
-        expected to produce a part of what it has so far once more. Left at the estimate, engines
-        looked free while their memory ran out, and first tokens came up to 5 s late there.
+        Left at the first estimate, engines looked free while runs outgrew it and their memory ran
+        out; first tokens came up to 5 s late there.
         """
-        output = self.tokens - self.request.prompt_tokens
-        return max(self.request.expected_tokens(), self.tokens + int(OUTGROWN_SHARE * output))
+        return self.request.expected_tokens(self.output_tokens)
 
     def expected_left(self) -> int:
         """Tokens still to come, if the estimate holds."""
@@ -80,17 +82,22 @@
     def begin_run(self, entry: EndpointEntry, resumed: bool) -> Run:
         """Count a run on ``entry``; a resumed one has no prompt to read."""
         unread = 0 if resumed else self.request.prompt_tokens
-        self._run = Run(self.request.facts.id, self.expected_tokens(), unread)
-        self.load.begin(entry.id, self._run)
-        return self._run
+        run = Run(self.request.facts.id, self.expected_tokens(), unread)
+        self.load.begin(entry.id, run)
+        return run
+
+    def use_run(self, run: Run) -> None:
+        """From now on the events are those of this run."""
+        self._run = run
 
     def note_event(self) -> None:
         """The run produced an event."""
         self.events += 1
         run = self._run
-        run.expected = max(run.expected, self.expected_tokens())
-        if self.copy is not None:
-            self._copy_run.expected = run.expected
+        if self.events % FORECAST_EVENTS == 0:
+            run.expected = self.expected_tokens()
+            if self.copy is not None:
+                self._copy_run.expected = run.expected
         if run.unread:
             run.unread = 0
             self.load.changed(run)
--- a/src/guavacleat/forwarding/request.py
+++ b/src/guavacleat/forwarding/request.py
@@ -2,16 +2,21 @@
 
 from guavacleat.forwarding.messages import CallerFacts
 from guavacleat.http1.server import CallerExchange
+from guavacleat.lengths import LengthForecast
 from guavacleat.routes import Account, Route, ServiceTraits
 
 __all__ = ["ForwardedRequest"]
 
+# Longest output, in tokens, of a request that names none.
+UNKNOWN_LENGTH = 512
+
 
 class ForwardedRequest:
     """One request on its way.
 
     :param arrived: clock time of its arrival.
     :param deadline: clock time at which its answer is of no more use.
+    :param forecast: the lengths of this route's generations; None if nothing is known of them.
     """
 
     __slots__ = (
@@ -25,6 +30,7 @@
         "arrived",
         "deadline",
         "headers",
+        "forecast",
     )
 
     def __init__(
@@ -38,6 +44,7 @@
         version: int,
         arrived: float,
         headers: list[tuple[bytes, bytes]],
+        forecast: LengthForecast | None = None,
     ):
         self.exchange = exchange
         self.facts = facts
@@ -50,6 +57,7 @@
         patience = route.timeout if facts.patience is None else facts.patience
         self.deadline = arrived + min(patience, route.timeout)
         self.headers = headers
+        self.forecast = forecast or LengthForecast(facts.max_output_tokens or UNKNOWN_LENGTH)
 
     @property
     def account_name(self) -> str | None:
@@ -66,9 +74,8 @@
     def prompt_tokens(self) -> int:
         return self.facts.prompt_tokens
 
-    def expected_tokens(self) -> int:
-        """Memory that the run will hold at its end: the prompt and the expected output."""
-        most = self.facts.max_output_tokens
-        hint = self.facts.expected_output_tokens
-        output = most if hint is None else min(most, hint) if most else hint
-        return int(self.prompt_tokens + output)
+    def expected_tokens(self, emitted: int = 0) -> int:
+        """Memory that the run will hold at its end, once it has produced ``emitted`` tokens."""
+        output = self.forecast.length(emitted, self.facts.expected_output_tokens)
+        most = max(emitted, self.facts.max_output_tokens or output)
+        return self.prompt_tokens + min(output, most)
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -11,6 +11,7 @@
 from guavacleat.forwarding.answer import pass_head_on
 from guavacleat.forwarding.answers import RefusalError, Verdict
 from guavacleat.forwarding.copies import free_copy
+from guavacleat.forwarding.handover import Handover
 from guavacleat.forwarding.leg import Leg, LegEnd
 from guavacleat.forwarding.memory import HeldCopy, StreamMemory
 from guavacleat.forwarding.messages import EndpointOrder, ResumePoint
@@ -42,12 +43,12 @@
         self.moves = 0
         self.times = StreamTimes(request.arrived)
         self.memory = StreamMemory(request, parts.load)
-        # While a move stops the run: fires once it is known where the run goes on.
-        self.stopping: defer.Deferred | None = None
+        self.handover: Handover | None = None
         # While the request waits for an engine that has room.
         self.placing: defer.Deferred | None = None
         self.cancelled = False
         self.cut = False
+        self.completed = False
 
     @property
     def finished(self) -> bool:
@@ -69,6 +70,8 @@
         try:
             await self._run()
         finally:
+            if self.handover is not None:
+                self.handover.abandon()
             self._free_copy()
             self.sessions.discard(self)
             exchange.on_gone = None
@@ -95,6 +98,7 @@
         end = await self._first_legs()
         while not self.finished:
             if end is LegEnd.COMPLETE:
+                self.completed = True
                 self.request.exchange.end()
                 return
             if end is LegEnd.FAILED_WHOLE and self.last_event is None:
@@ -145,6 +149,19 @@
 
     async def _send(self, entry: EndpointEntry, resume: ResumePoint | None) -> bool:
         """Send the request to ``entry``; return False if no connection came about."""
+        leg = await self.open_leg(entry, resume)
+        if leg is None:
+            return False
+        self._use(leg)
+        return True
+
+    def _use(self, leg: Leg) -> None:
+        self.leg = leg
+        self.memory.use_run(leg.run)
+        self.memory.keep_copy(leg.backup)
+
+    async def open_leg(self, entry: EndpointEntry, resume: ResumePoint | None) -> Leg | None:
+        """Send the request to ``entry``, ``resume`` as there is; None without a connection."""
         request, parts = self.request, self.parts
         run = self.memory.begin_run(entry, resumed=resume is not None)
         try:
@@ -153,11 +170,11 @@
             parts.load.end(entry.id, run)
             parts.load.failed(entry.id)
             self._log("stream:unreachable", endpoint=entry.id, error=repr(exc))
-            return False
+            return None
         if self.finished or self._time_left() <= 0:
             parts.load.end(entry.id, run)
             connection.abandon()
-            return False
+            return None
         backup = self._place_backup(entry)
         self._log_placed(entry, backup, resume)
         order = EndpointOrder(
@@ -169,14 +186,29 @@
             backup.entry.address if backup else None,
         )
         leg = Leg(entry, request.facts.id, parts.wire, self._head, self._event)
-        leg.connection = connection
+        leg.connection, leg.run, leg.backup = connection, run, backup
         leg.done.addBoth(lambda end: self._leg_over(entry, run, end))
-        self.memory.keep_copy(backup)
-        self.leg = leg
         head = request.exchange.head
         headers = parts.wire.endpoint_headers(request.headers, order)
         connection.send(head.method, head.target, headers, request.exchange.body, leg)
-        return True
+        return leg
+
+    async def hand_over(self) -> bool:
+        """Go on where the copy is, though the present engine still runs; return whether it does."""
+        if self.handover is not None or self.memory.copy is None or self.last_event is None:
+            return False
+        self.handover = Handover(self)
+        try:
+            taken = await self.handover.run()
+        finally:
+            self.handover = None
+        self._log("stream:handed-over" if taken else "stream:stays", endpoint=self.leg.entry.id)
+        return taken
+
+    def leave_engine(self) -> None:
+        """Stop the present engine's work: the stream goes on at another one."""
+        if not self.leg.ended:
+            self.leg.abandon()
 
     def _log_placed(self, entry, backup: HeldCopy | None, resume: ResumePoint | None) -> None:
         """What decided where the run goes: the endpoint's load with it, as known here."""
@@ -218,6 +250,11 @@
             pass_head_on(self.request.exchange, leg.head)
 
     def _event(self, leg: Leg, event) -> None:
+        if self.handover is not None:
+            if leg is self.handover.leg and leg is not self.leg:
+                self.leave_engine()
+            else:
+                self.handover.note_event()
         if leg is not self.leg or self.finished:
             return
         if event.id is not None:
@@ -235,8 +272,12 @@
 
     async def _go_on(self) -> bool:
         """After a leg broke: send to where the run can go on; False if there is nowhere."""
-        if self.stopping is not None:
-            await self.stopping
+        if self.handover is not None:
+            leg = await self.handover.take()
+            if leg is not None and not self.finished:
+                self.moves += 1
+                self._use(leg)
+                return True
         copy = self.memory.copy
         self.memory.drop_copy()
         if copy is None or self.last_event is None or self.finished:
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -12,6 +12,7 @@
 from guavacleat.forwarding.times import Pace
 from guavacleat.http1.messages import end_to_end_headers
 from guavacleat.http1.server import CallerExchange
+from guavacleat.lengths import LengthForecast
 from guavacleat.routes import Account, RequestKind, Route, RouteTable, ServiceTraits
 
 __all__ = ["Dispatch", "LAST_STREAM_SECONDS"]
@@ -23,6 +24,8 @@
 # After a stop began, streams are still taken for this long: the balancer needs two questions, a
 # second apart, to notice.
 LAST_STREAM_SECONDS = 2.5
+# Routes whose generations' lengths are remembered, some 2 KB each.
+FORECASTS_KEPT = 256
 # Connections to a service whose traits are not known, at most.
 UNKNOWN_SERVICE_CONNECTIONS = 16
 
@@ -43,6 +46,8 @@
         self.held_bytes = 0
         self.in_flight = 0
         self.pace = Pace()
+        # The routes used last come last.
+        self.forecasts_by_route: dict[str, LengthForecast] = {}
         self._began_stopping: float | None = None
         self._stops_at: float | None = None
         self.sessions: set[StreamSession] = set()
@@ -81,10 +86,29 @@
         if request.route.kind is RequestKind.STREAM:
             session = StreamSession(request, self.parts, self.sessions)
             await session.run()
-            self.pace.learn(session.times, session.memory.tokens - request.prompt_tokens)
+            self._learn(session)
         else:
             await self.plain.forward(request)
 
+    def _learn(self, session: StreamSession) -> None:
+        """Take in how fast and how long a stream ran."""
+        request, output = session.request, session.memory.output_tokens
+        self.pace.learn(session.times, output)
+        if session.completed and request.traits.engine is not None:
+            request.forecast.finished(output, request.facts.expected_output_tokens)
+
+    def _forecast(self, route: Route, facts) -> LengthForecast | None:
+        """What is known of the lengths of the route's generations; None off streams."""
+        if route.kind is not RequestKind.STREAM or not facts.max_output_tokens:
+            return None
+        forecast = self.forecasts_by_route.pop(route.name, None)
+        if forecast is None:
+            forecast = LengthForecast(facts.max_output_tokens)
+            if len(self.forecasts_by_route) >= FORECASTS_KEPT:
+                del self.forecasts_by_route[next(iter(self.forecasts_by_route))]
+        self.forecasts_by_route[route.name] = forecast
+        return forecast
+
     def _check_time_to_stop(self, request: ForwardedRequest) -> None:
         """Refuse what a stopping gateway could not finish, so that another gateway runs it.
 
@@ -121,7 +145,16 @@
         if traits is None:
             traits = ServiceTraits(service, UNKNOWN_SERVICE_CONNECTIONS)
         return ForwardedRequest(
-            exchange, facts, route, account, service, traits, table.version, arrived, headers
+            exchange,
+            facts,
+            route,
+            account,
+            service,
+            traits,
+            table.version,
+            arrived,
+            headers,
+            self._forecast(route, facts),
         )
 
     def _refuse(self, exchange: CallerExchange, refusal: RefusalError) -> None:
--- a/src/guavacleat/lengths.py
+++ b/src/guavacleat/lengths.py
@@ -6,9 +6,11 @@
 """
 
 import bisect
+import math
+import operator
 from collections import deque
 
-__all__ = ["LengthEstimator"]
+__all__ = ["LengthEstimator", "LengthForecast"]
 
 KEPT = 512
 REFRESH_EVERY = 16
@@ -62,3 +64,61 @@
             return min(most, max(FIRST_GUESS, emitted))
         expected = lengths.ordered[rank + int(longer * QUANTILE)]
         return min(most, expected - emitted)
+
+
+# Before anything has finished, lengths are taken to be spread evenly on a log scale up to the
+# longest allowed; these give a mean of 0.39 of it.
+FIRST_LENGTHS = (1 / 16, 1 / 8, 1 / 4, 1 / 2, 1.0)
+# Finished lengths kept: enough for a mean to within some 10 %, few enough to weigh anew for each
+# estimate (30 us).
+FORECAST_KEPT = 64
+# Standard deviation of log(hint / length) before any was seen, and how many observations that
+# counts for: 1.0 to 1.4 in six simulated days of two deployments.
+FIRST_HINT_SPREAD = 1.2
+FIRST_HINT_WEIGHT = 8
+LEAST_HINT_SPREAD = 0.2
+# Part of its output that a run is expected to produce once more when it outgrew all others.
+OUTGROWN_SHARE = 0.25
+
+
+class LengthForecast:
+    """Expected lengths of generations of one kind, from those that finished and a caller's hint.
+
+    A hint is right in the middle and often far off, so it only shifts weight among the lengths
+    seen. On six simulated days the mean error was 390 tokens, against 580 where the hint was taken
+    as it is and 460 where it was left out (outputs of 840 tokens in the mean).
+
+    :param longest: tokens that a generation of this kind may produce at most.
+    """
+
+    __slots__ = ("lengths", "squares")
+
+    def __init__(self, longest: int):
+        first = (max(1.0, share * longest) for share in FIRST_LENGTHS)
+        self.lengths: deque[float] = deque(first, maxlen=FORECAST_KEPT)
+        # log(hint / length) squared, of the latest that came with a hint.
+        self.squares: deque[float] = deque(
+            [FIRST_HINT_SPREAD**2] * FIRST_HINT_WEIGHT, maxlen=FORECAST_KEPT
+        )
+
+    def finished(self, length: int, hint: float | None) -> None:
+        """Learn from a generation that ran to its end."""
+        self.lengths.append(max(1.0, length))
+        if hint:
+            self.squares.append(math.log(max(1.0, hint) / max(1.0, length)) ** 2)
+
+    def length(self, emitted: int, hint: float | None) -> int:
+        """Expected tokens at its end of a generation that has produced ``emitted`` so far."""
+        longer = [length for length in self.lengths if length > emitted]
+        if not longer:
+            return emitted + int(OUTGROWN_SHARE * emitted) + 1
+        weights = [self._weight(length, hint) for length in longer]
+        total = math.fsum(weights)
+        return int(math.fsum(map(operator.mul, weights, longer)) / total) if total else int(min(longer))
+
+    def _weight(self, length: float, hint: float | None) -> float:
+        """How likely the hint is for a generation of this length, up to a factor."""
+        if not hint:
+            return 1.0
+        variance = max(LEAST_HINT_SPREAD**2, math.fsum(self.squares) / len(self.squares))
+        return math.exp(-(math.log(max(1.0, hint) / length) ** 2) / (2 * variance))
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -21,23 +21,22 @@
 from guavacleat.forwarding.session import StreamSession
 from guavacleat.http1.calls import CallBrokenError, call
 from guavacleat.membership.registry import EndpointEntry
+from guavacleat.placement import Run
 
 __all__ = ["Evacuator"]
 
 # A copy takes at most some 0.8 s when others queue before it; one not done by then is not worth
 # waiting for.
 COPY_SECONDS = 3.0
-# After a run was stopped its last events are on their way on the stream's own connection.
-LAST_EVENTS_SECONDS = 0.1
 # A request that the engine has not begun to run cannot be moved yet.
 RETRY_SECONDS = 0.1
+# Between looks for a stream whose copy is ready.
+HAND_OVER_PAUSE_SECONDS = 0.02
 # How long after its notice an engine's streams are still worth moving.
 EVACUATION_SECONDS = 6.0
 # Runs that seemed short at the notice are moved too if they still run after this long: the
 # shortest notice seen is 1.5 s, and a copy takes up to 0.4 s.
 SHORT_RUNS_SECONDS = 0.8
-# An engine that is still there after this long has had a long notice.
-LONG_NOTICE_SECONDS = 3.0
 # The users weigh a token of output like so many of the prompt. Copying first what is worth most
 # per token, in place of the longest first, gave 0.756 of the worth against 0.746 (means of nine
 # simulated days of both deployments, one run each).
@@ -101,7 +100,7 @@
         log_message(message_type="move:error", error=failure.getTraceback())
 
     async def _evacuate(self, entry: EndpointEntry) -> None:
-        """Copy this gateway's streams off ``entry``, then let them go on elsewhere."""
+        """Copy this gateway's streams off ``entry``, and hand each over to where its copy is."""
         began = self.parts.clock.seconds()
         log_message(
             message_type="move:began",
@@ -109,48 +108,42 @@
             streams=len(self._on(entry)),
             unprotected=len(self._unprotected(entry)),
         )
+        handing_over = defer.Deferred.fromCoroutine(self._hand_over_all(entry, began))
+        handing_over.addErrback(self._note_error)
         failed: set[StreamSession] = set()
-        while self.parts.clock.seconds() - began < EVACUATION_SECONDS and self._on(entry):
-            session = self._next(entry, began, failed)
-            if session is not None:
-                if not await self._copy_somewhere(session, entry):
-                    failed.add(session)
-                continue
-            failed.clear()
-            await self._tend_copies(entry, began)
-            await task.deferLater(self.parts.clock, RETRY_SECONDS)
-
-    def _next(self, entry: EndpointEntry, began: float, failed: set) -> StreamSession | None:
-        """The stream to copy next: of those that will run on, the one worth most per token."""
+        while self._evacuating(entry, began):
+            session = self._next(self._unprotected(entry), began, failed)
+            if session is None:
+                failed.clear()
+                await task.deferLater(self.parts.clock, RETRY_SECONDS)
+            elif not await self._copy_somewhere(session, entry):
+                failed.add(session)
+
+    async def _hand_over_all(self, entry: EndpointEntry, began: float) -> None:
+        """Hand streams over one after the other as soon as there is a copy of each."""
+        failed: set[StreamSession] = set()
+        while self._evacuating(entry, began):
+            protected = [session for session in self._on(entry) if session.memory.copy is not None]
+            session = self._next(protected, began, failed)
+            if session is None or not await session.hand_over():
+                failed.add(session)
+                await task.deferLater(self.parts.clock, HAND_OVER_PAUSE_SECONDS)
+
+    def _evacuating(self, entry: EndpointEntry, began: float) -> bool:
+        return self.parts.clock.seconds() - began < EVACUATION_SECONDS and bool(self._on(entry))
+
+    def _next(self, sessions, began: float, failed: set) -> StreamSession | None:
+        """The stream to move next: of those that will run on, the one worth most per token."""
         late = self.parts.clock.seconds() - began >= SHORT_RUNS_SECONDS
         waiting = [
             session
-            for session in self._unprotected(entry)
+            for session in sessions
             if session not in failed
             and session.last_event is not None
             and (late or session.memory.worth_moving())
         ]
         return max(waiting, key=_worth_per_token, default=None)
 
-    async def _tend_copies(self, entry: EndpointEntry, began: float) -> None:
-        """Bring copies up to date, or, after a long notice, let their streams go on there."""
-        for session in self._on(entry):
-            if session.memory.copy is None or session.memory.backed_up:
-                continue
-            if not self._still_there(session, entry):
-                continue
-            if self.parts.clock.seconds() - began >= LONG_NOTICE_SECONDS:
-                await self._switch(session, entry)
-            else:
-                await self._refresh(session, entry)
-
-    async def _refresh(self, session: StreamSession, source: EndpointEntry) -> None:
-        """Copy what the run produced since its last copy; a failure leaves that one as it is."""
-        copy = session.memory.copy
-        answer = await self._copy(session, source, copy.entry, last=False)
-        if answer.copied and session.memory.copy is copy:
-            copy.handle = answer.handle
-
     def _still_there(self, session: StreamSession, entry: EndpointEntry) -> bool:
         leg = session.leg
         return (
@@ -168,10 +161,16 @@
                 return False
             tried.add(target.id)
             began = self.parts.clock.seconds()
-            answer = await self._copy(session, entry, target, last=False)
+            # The copy takes memory there from the moment it is asked for.
+            arriving = Run(f"move:{session.request.facts.id}", expected)
+            self.parts.load.begin(target.id, arriving)
+            answer = await self._copy(session, entry, target)
             self._log("move:copied", session, entry, target, answer.status, began)
-            if answer.copied and self._still_there(session, entry):
+            useful = answer.copied and self._still_there(session, entry)
+            if useful:
                 session.memory.keep_copy(HeldCopy(target, entry, answer.handle))
+            self.parts.load.end(target.id, arriving)
+            if useful:
                 return True
             if answer.copied:
                 await free_copy(self.parts, entry.address, answer.handle)
@@ -179,39 +178,10 @@
                 return False
         return False
 
-    async def _switch(self, session: StreamSession, source: EndpointEntry) -> None:
-        """Stop the run, copy what is new and let the stream go on from the copy."""
-        began = self.parts.clock.seconds()
-        target = session.memory.copy.entry
-        session.stopping = defer.Deferred()
-        try:
-            answer = await self._copy(session, source, target, last=True)
-            await self._settle(session, source, target, answer)
-        finally:
-            stopping, session.stopping = session.stopping, None
-            stopping.callback(None)
-        self._log("move:switched", session, source, target, answer.status, began)
-
-    async def _settle(self, session, source, target, last: MoveAnswer) -> None:
-        """After the call that stops the run: let the old leg end, and say where to go on."""
-        if last.copied:
-            session.memory.keep_copy(HeldCopy(target, source, last.handle))
-        elif last.handle is not None:
-            # The run was stopped, but the rest found no way: the source still has all of it.
-            session.memory.keep_copy(HeldCopy(source, source, last.handle))
-        leg = session.leg
-        if not leg.ended:
-            await defer.DeferredList(
-                [task.deferLater(self.parts.clock, LAST_EVENTS_SECONDS), _ended(leg)],
-                fireOnOneCallback=True,
-            )
-        if not leg.ended and (last.copied or last.handle is not None):
-            leg.abandon()
-
-    async def _copy(self, session, source, target, last: bool) -> MoveAnswer:
+    async def _copy(self, session, source, target) -> MoveAnswer:
         parts = self.parts
         method, path, headers, body = parts.wire.encode_move(
-            session.request.facts.id, target.address, last
+            session.request.facts.id, target.address, last=False
         )
         try:
             answer = await call(
@@ -238,15 +208,3 @@
     request = session.request
     size = request.prompt_tokens + OUTPUT_WORTH * request.facts.max_output_tokens
     return size / max(1, session.memory.tokens)
-
-
-def _ended(leg) -> defer.Deferred:
-    """Fire when the leg has ended; safe beside its other waiters."""
-    waiter = defer.Deferred()
-
-    def pass_on(end):
-        waiter.callback(None)
-        return end
-
-    leg.done.addCallback(pass_on)
-    return waiter
