--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -33,7 +33,7 @@
 FULL_MEMORY = 1.0
 # Prompt tokens that may wait to be read on an engine when it is given another: about 0.4 s of
 # reading, so that it never idles, and what is lost with an engine that leaves is little.
-READ_AHEAD_TOKENS = 3000
+READ_AHEAD_TOKENS = 2000
 # Backups go only where memory stays below this share with them: the rest is for generations that
 # come, and for those of an engine that is taken away.
 BACKUP_MEMORY = 0.6
