--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -3,7 +3,7 @@
 import json
 from urllib.parse import parse_qs, urlsplit
 
-from twisted.internet import defer
+from twisted.internet import defer, task
 
 PAGE = 3
 
@@ -21,10 +21,13 @@
     """Answers like treq's ``request``.
 
     :param fault: what the next calls meet: ``None``, ``"busy"`` (429), ``"down"`` (503),
-        ``"lost"`` (done, then no answer), ``"silent"`` (no answer), ``"garbled"``.
+        ``"lost"`` (done, then no answer), ``"silent"`` (no answer), ``"garbled"``, ``"slow"``
+        (done, and answered ``delay`` seconds later by ``clock``, unless the caller gave up).
     """
 
-    def __init__(self):
+    def __init__(self, clock=None):
+        self.clock = clock
+        self.delay = 0.0
         self.revision = 0
         self.forgotten = 0
         self.objects = {}
@@ -68,7 +71,6 @@
             answer.callback(self._changes(kind, since))
 
     def request(self, method, url, data=None, timeout=None):
-        del timeout
         self.calls.append((method, url))
         if self.fault == "busy":
             return defer.succeed(Reply(429, b"{}"))
@@ -81,8 +83,19 @@
         answer = self._handle(method, url, data)
         if self.fault == "lost":
             return defer.fail(ConnectionError("no answer"))
+        if self.fault == "slow":
+            return self._late(answer, timeout)
         return answer
 
+    def _late(self, answer, timeout):
+        if timeout is not None and self.delay >= timeout:
+            return task.deferLater(self.clock, timeout, self._give_up)
+        return task.deferLater(self.clock, self.delay, lambda: answer)
+
+    @staticmethod
+    def _give_up():
+        raise TimeoutError
+
     def _handle(self, method, url, data):
         parts = urlsplit(url)
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,7 +5,7 @@
 
 from guavacleat.platform.objects import PlatformDialect
 from guavacleat.store import ConflictError, StoreClient, StoreUnavailableError
-from guavacleat.store.client import WATCH_WAIT
+from guavacleat.store.client import CALL_TIMEOUT, WATCH_WAIT
 from guavacleat.store.messages import MUST_NOT_EXIST
 from guavacleat.store.watch import RECOVERY_WAIT, WatchLoop
 from tests.conftest import result_of
@@ -13,8 +13,8 @@
 
 
 @pytest.fixture
-def standin():
-    return StoreStandin()
+def standin(clock):
+    return StoreStandin(clock)
 
 
 @pytest.fixture
@@ -76,6 +76,42 @@
     assert (("gateways", "g1") in standin.objects) is took_effect
 
 
+def test_a_slow_store_is_waited_for_as_long_as_a_call_may_take(client, standin, clock):
+    standin.fault, standin.delay = "slow", 0.9 * CALL_TIMEOUT
+    written = client.put("gateways", "g1", {"a": 1}, MUST_NOT_EXIST)
+    clock.advance(standin.delay)
+    assert result_of(written).value == {"a": 1}
+
+
+def test_a_call_that_a_slow_store_answers_too_late_may_have_been_done(client, standin, clock):
+    """
+    Symptom: a gateway registers twice, or believes that it is not registered.
+    Sequence: the store does a write and answers after the caller has given up.
+    Cause: no answer says nothing of whether the write was done; the next one must be conditional.
+    """
+    standin.fault, standin.delay = "slow", 2 * CALL_TIMEOUT
+    written = client.put("gateways", "g1", {"a": 1}, MUST_NOT_EXIST)
+    clock.advance(2 * CALL_TIMEOUT)
+    with pytest.raises(StoreUnavailableError):
+        result_of(written)
+    standin.fault = None
+    with pytest.raises(ConflictError):
+        result_of(client.put("gateways", "g1", {"a": 1}, MUST_NOT_EXIST))
+
+
+def test_the_loop_follows_a_slow_store(client, standin, clock):
+    standin.fault, standin.delay = "slow", 0.5 * CALL_TIMEOUT
+    standin.write("servers", "e1", {"state": "ready"})
+    follower = Follower(clock, client)
+    for _ in range(4):
+        clock.advance(standin.delay)
+    standin.write("servers", "e1", {"state": "draining"})
+    for _ in range(4):
+        clock.advance(standin.delay)
+    assert follower.names == {"e1": {"state": "draining"}}
+    assert False not in follower.health
+
+
 def test_a_listing_reads_every_page(client, standin):
     names = [f"e{number}" for number in range(2 * PAGE + 1)]
     for name in names:
