--- a/src/guavacleat/commands/gateway.py
+++ b/src/guavacleat/commands/gateway.py
@@ -1,10 +1,18 @@
-"""``guavacleat gateway``: the entry daemon."""
+"""``guavacleat gateway``: the entry daemon.
+
+With --routes=FILE it serves plain HTTP routes too, at --routes_listen, see examples/routes.json5;
+SIGHUP reads that file again.
+"""
+
+import sys
 
 from absl import flags
 from twisted.internet import reactor
 
 from guavacleat.commands.common import FLAGS
 from guavacleat.commands.daemon import parse_address, serve, start_logging
+from guavacleat.commands.routes import reload_on_hangup, routes_service
+from guavacleat.errors import SettingsError
 from guavacleat.gateway import GatewayService
 from guavacleat.gateway.service import STOP_GRACE_SECONDS
 
@@ -12,6 +20,9 @@
 flags.declare_key_flag("store")
 flags.DEFINE_string("deployment", None, "Name of the deployment whose configuration to follow.")
 
+flags.declare_key_flag("routes")
+flags.declare_key_flag("ready_listen")
+flags.DEFINE_string("routes_listen", "127.0.0.1:0", "With --routes: host:port to serve them on.")
 flags.DEFINE_float(
     "stop_grace",
     STOP_GRACE_SECONDS,
@@ -30,4 +41,17 @@
         FLAGS.deployment,
         FLAGS.stop_grace,
     )
+    if FLAGS.routes:
+        _serve_routes()
     serve(gateway, lambda: f"ready gateway http://{gateway.address()}")
+
+
+def _serve_routes() -> None:
+    """Serve the routes file beside the gateway, in the same process."""
+    try:
+        service, reload = routes_service(FLAGS.routes_listen, "routes_listen")
+    except SettingsError as exc:
+        sys.exit(str(exc))
+    reload_on_hangup(service, reload)
+    reactor.callWhenRunning(service.start)
+    reactor.addSystemEventTrigger("before", "shutdown", service.stop)
--- a/tests/e2e/test_routes_file.py
+++ b/tests/e2e/test_routes_file.py
@@ -52,7 +52,7 @@
 class System:
     """An ingress before one endpoint for each fault given."""
 
-    def __init__(self, tmp_path, faults):
+    def __init__(self, tmp_path, faults, command=("ingress", "--listen")):
         self.endpoints = [
             Daemon("standin", "routed", f"--fault={fault}", f"--name=e{number}")
             for number, fault in enumerate(faults)
@@ -62,9 +62,10 @@
         self.path.write_text(json5.dumps(routes(addresses)))
         self.port, self.ready_port = free_port(), free_port()
         self.ingress = subprocess.Popen(
-            [sys.executable, "-m", "guavacleat", "ingress", f"--routes={self.path}",
-             f"--listen=127.0.0.1:{self.port}", f"--ready_listen=127.0.0.1:{self.ready_port}"],
+            [sys.executable, "-m", "guavacleat", command[0], f"--routes={self.path}",
+             f"{command[1]}=127.0.0.1:{self.port}", f"--ready_listen=127.0.0.1:{self.ready_port}"],
             stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
         )  # fmt: skip
         self._wait_ready()
 
@@ -100,8 +101,8 @@
 def start(tmp_path):
     started = []
 
-    def begin(*faults):
-        started.append(System(tmp_path, faults))
+    def begin(*faults, **options):
+        started.append(System(tmp_path, faults, **options))
         return started[-1]
 
     yield begin
@@ -148,3 +149,10 @@
     assert status == 200 and body.count(b"data: token") == 5
     cut = start("truncate")
     assert cut.ask("/listing/1") == (200, None)
+
+
+def test_the_gateway_serves_the_routes_file_beside_its_own_interface(start):
+    system = start("none", command=("gateway", "--routes_listen"))
+    assert system.ask("/page/1") == (200, b"done by e0")
+    status, body = system.ask("/listing/1")
+    assert status == 200 and body.count(b"data: token") == 5
