--- /dev/null
+++ b/src/guavacleat/explain/causes.py
@@ -0,0 +1,163 @@
+"""Naming the cause of a request's end in one sentence.
+
+Each finder looks at one kind of end and returns a sentence, or None if it is another kind. The
+first that knows wins; :func:`find_cause` goes through :data:`FINDERS`.
+"""
+
+from guavacleat.explain.story import Story
+
+__all__ = ["FINDERS", "find_cause"]
+
+# What a copy's status means, as an engine answers it; 0 is the gateway's own for no answer.
+COPY_STATUSES = {
+    0: "the copy of the stream was not through by then",
+    404: "the engine had not begun to run it, so that there was nothing to copy",
+    409: "a copy of it was under way already",
+    503: "the other engine had no memory for a copy",
+}
+SERVER_ERROR = 500
+
+
+def find_cause(story: Story) -> str:
+    """One sentence on why the request ended as it did."""
+    found = (finder(story) for finder in FINDERS)
+    return next((sentence for sentence in found if sentence), UNKNOWN)
+
+
+UNKNOWN = "The logs do not tell: look at the lines above, and at log:left-out of its gateway."
+
+
+def _unfinished(story: Story) -> str | None:
+    if story.end is not None:
+        return None
+    last = story.own[-1]
+    return f"Its gateway {last.instance} was gone before it ended: no line tells its outcome."
+
+
+def _not_allowed(story: Story) -> str | None:
+    end = story.end
+    if end.get("outcome") not in ("UNKNOWN_KEY", "UNKNOWN_ROUTE"):
+        return None
+    what = "key" if end.get("outcome") == "UNKNOWN_KEY" else "route"
+    newer = [
+        line
+        for line in story.around
+        if line.type == "config:accepted" and line.at > end.at - end.get("seconds")
+    ]
+    sentence = f"Version {end.get('config')} of the configuration has no such {what}"
+    if newer:
+        delay = newer[0].at - end.at
+        sentence += f"; version {newer[0].get('version')} came {delay:.2f} s after it ended"
+    if _store_was_lost(story):
+        sentence += "; its gateway could not reach the store meanwhile"
+    return sentence + "."
+
+
+def _store_was_lost(story: Story) -> bool:
+    states = [line.type for line in story.around if line.type in ("store:lost", "store:back")]
+    return bool(states) and "store:lost" in states
+
+
+def _refused(story: Story) -> str | None:
+    end = story.end
+    sentences = {
+        "NO_CONFIGURATION": "Its gateway had no configuration yet.",
+        "NO_ENDPOINT": "No endpoint of its service took work.",
+        "NO_MEMORY": "Its gateway held too many bytes of request bodies.",
+        "STOPPING": "Its gateway was stopping and could not have finished it.",
+    }
+    if end.get("outcome") == "NO_ROOM":
+        refusals = len(story.every("stream:refused")) + len(story.every("request:attempt"))
+        why = end.get("detail") or f"{refusals} endpoints would not run it"
+        return f"There was no room: {why}. It has not run."
+    sentence = sentences.get(end.get("outcome"))
+    return sentence and f"{sentence} It has not run."
+
+
+def _stream_broken(story: Story) -> str | None:
+    broken = story.last("stream:broken")
+    if broken is None:
+        return None
+    engine = broken.get("endpoint")
+    notice = story.notice(engine)
+    if notice is None or notice.at > broken.at:
+        sentence = f"Engine {engine} broke off without notice"
+    else:
+        sentence = f"Engine {engine} was gone {broken.at - notice.at:.2f} s after its notice"
+    return f"{sentence}, and {_why_not_elsewhere(story, engine)}."
+
+
+def _why_not_elsewhere(story: Story, engine: str) -> str:
+    if story.last("stream:broken").get("last_event") is None:
+        return "it had sent nothing yet, so that the request may have run and cannot run elsewhere"
+    copies = [line for line in story.every("move:copied") if line.get("source") == engine]
+    if not copies:
+        return "the stream had no copy elsewhere and none was tried"
+    status = copies[-1].get("status")
+    return COPY_STATUSES.get(status, f"its last copy ended with status {status}")
+
+
+def _expired(story: Story) -> str | None:
+    if story.end.get("outcome") != "EXPIRED" and story.last("stream:expired") is None:
+        return None
+    attempts = story.every("request:attempt")
+    tried = ", ".join(f"{line.get('endpoint')}: {line.get('end')}" for line in attempts)
+    return f"Its time was up ({tried or 'no endpoint had answered'})."
+
+
+def _no_whole_answer(story: Story) -> str | None:
+    if story.end.get("outcome") != "BROKEN":
+        return None
+    attempts = story.every("request:attempt")
+    tried = ", ".join(f"{line.get('endpoint')}: {line.get('end')}" for line in attempts)
+    return f"No endpoint gave a whole answer of its own ({tried}); it may have run."
+
+
+def _caller_left(story: Story) -> str | None:
+    if story.end.get("outcome") != "GONE":
+        return None
+    return f"Its caller left after {story.end.get('seconds'):.2f} s."
+
+
+def _own_failure(story: Story) -> str | None:
+    status = story.end.get("status")
+    if story.end.get("outcome") != "ANSWERED" or status is None or status < SERVER_ERROR:
+        return None
+    return f"The endpoint itself answered {status}; its answer was passed on unchanged."
+
+
+def _late(story: Story) -> str | None:
+    late = story.last("stream:late")
+    if late is None or story.end.get("outcome") != "ANSWERED":
+        return None
+    waited = story.last("stream:placed")
+    if late.get("moves") and late.get("gap_event") is not None:
+        return (
+            f"On time but for a pause of {late.get('gap')} s before event {late.get('gap_event')};"
+            f" it went on at another engine {late.get('moves')} times."
+        )
+    if story.last("stream:waits") is not None and waited is not None:
+        seconds = waited.at - story.last("stream:waits").at
+        return f"Late: it waited {seconds:.2f} s in its gateway until an engine had room."
+    first, gap = late.get("first"), late.get("gap")
+    return f"Late: its first event came after {first} s, with a pause of {gap} s."
+
+
+def _on_time(story: Story) -> str | None:
+    if story.end.get("outcome") != "ANSWERED":
+        return None
+    return f"It was answered with {story.end.get('status')} in {story.end.get('seconds')} s."
+
+
+FINDERS = (
+    _unfinished,
+    _not_allowed,
+    _refused,
+    _stream_broken,
+    _expired,
+    _no_whole_answer,
+    _caller_left,
+    _own_failure,
+    _late,
+    _on_time,
+)
--- /dev/null
+++ b/src/guavacleat/explain/lines.py
@@ -0,0 +1,63 @@
+"""Reading log lines: one JSON object a line, with or without a time and an instance before it."""
+
+import json
+
+__all__ = ["LogLine", "read_lines"]
+
+# Fields of every line that say nothing of their own.
+FRAME = {"timestamp", "task_uuid", "task_level", "message_type"}
+
+
+class LogLine:
+    """One line of one process.
+
+    :param at: seconds; from the prefix if there is one, else the process's time of day.
+    :param instance: who wrote it: from the prefix, else the name of the file.
+    :param type: the line's ``message_type``.
+    """
+
+    __slots__ = ("at", "instance", "type", "fields")
+
+    def __init__(self, at: float, instance: str, type: str, fields: dict):
+        self.at = at
+        self.instance = instance
+        self.type = type
+        self.fields = fields
+
+    def get(self, name: str):
+        """A field's value, None if the line has no such field."""
+        return self.fields.get(name)
+
+    def __str__(self) -> str:
+        said = (f"{name}={value}" for name, value in self.fields.items() if value is not None)
+        return " ".join([self.type, *said])
+
+
+def read_lines(source, instance: str) -> list[LogLine]:
+    """Read a file's lines; what is no log line is left out."""
+    parsed = (_parse(text, instance) for text in source)
+    return [line for line in parsed if line is not None]
+
+
+def _parse(text: str, instance: str) -> LogLine | None:
+    prefix, brace, rest = text.partition("{")
+    if not brace:
+        return None
+    try:
+        body = json.loads(brace + rest)
+    except ValueError:
+        return None
+    if "message_type" not in body:
+        return None
+    at, instance = _read_prefix(prefix.split(), body, instance)
+    fields = {name: value for name, value in body.items() if name not in FRAME}
+    return LogLine(at, instance, body["message_type"], fields)
+
+
+def _read_prefix(words: list[str], body: dict, instance: str) -> tuple[float, str]:
+    """The line's time and instance: what stands before the object goes first."""
+    try:
+        at = float(words[0])
+    except (IndexError, ValueError):
+        return float(body.get("timestamp", 0.0)), instance
+    return at, words[1] if len(words) > 1 else instance
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -95,7 +95,7 @@
             connection = await parts.pool.connect(entry.address)
         except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
             parts.load.failed(entry.id)
-            self._log_attempt(request, entry, AttemptEnd.UNREACHABLE, repr(exc))
+            self._log_attempt(request, entry, AttemptEnd.UNREACHABLE, answer, repr(exc))
             return AttemptEnd.UNREACHABLE, answer
         time_left = request.deadline - parts.clock.seconds()
         if time_left <= 0 or request.exchange.gone:
@@ -107,7 +107,7 @@
         end = await self._exchange(request, entry, connection, answer, time_left, patience)
         latency = parts.clock.seconds() - began
         self._note_health(entry, end, answer, latency)
-        self._log_attempt(request, entry, end, None)
+        self._log_attempt(request, entry, end, answer)
         return end, answer
 
     async def _exchange(self, request, entry, connection, answer, time_left, patience):
@@ -159,14 +159,16 @@
             raise RefusalError(Verdict.EXPIRED)
         raise RefusalError(Verdict.BROKEN)
 
-    def _log_attempt(self, request, entry, end: AttemptEnd, detail) -> None:
-        if end is AttemptEnd.ANSWERED:
+    def _log_attempt(self, request, entry, end: AttemptEnd, answer, detail=None) -> None:
+        status = answer.head.status if end is AttemptEnd.ANSWERED else None
+        if status is not None and status < SERVER_ERROR:
             return
         log_message(
             message_type="request:attempt",
             request=request.facts.id,
             endpoint=entry.id,
             end=end.value,
+            status=status,
             detail=detail,
             left=round(request.deadline - self.parts.clock.seconds(), 3),
         )
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -356,8 +356,9 @@
         first, goal = self.times.first, self.request.route.gap_goal
         late = first is None or first > self.request.route.latency_goal
         paused = goal is not None and self.times.longest_gap > goal
+        served = "stream:late" if late or paused else "stream:on-time"
         self._log(
-            "stream:late" if late or paused else "stream:on-time",
+            served if self.completed else "stream:unfinished",
             endpoint=self.leg.entry.id if self.leg else None,
             first=None if first is None else round(first, 3),
             gap=round(self.times.longest_gap, 3),
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -39,6 +39,7 @@
         self.source = None
         self.status: int | None = None
         self.ended = False
+        self.was_cut = False
 
     @property
     def began(self) -> bool:
@@ -72,6 +73,7 @@
     def cut(self) -> None:
         """End the connection without completing the answer, so that it cannot look whole."""
         self.ended = True
+        self.was_cut = True
         self.connection.cut()
 
 
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -160,10 +160,13 @@
     def _refuse(self, exchange: CallerExchange, refusal: RefusalError) -> None:
         if exchange.gone or exchange.began:
             return
-        request_id = self.parts.wire.caller_facts(exchange.head.headers).id
-        headers = self.parts.wire.refusal_headers(request_id, refusal.retry_after)
+        headers = self.parts.wire.refusal_headers(self._request_id(exchange), refusal.retry_after)
         exchange.answer(refusal.verdict.status, headers, b"")
 
+    def _request_id(self, exchange: CallerExchange) -> str:
+        """The id that the caller gave, also of a request that no route or account was found for."""
+        return self.parts.wire.caller_facts(exchange.head.headers).id
+
     def _unforeseen(self, failure, exchange: CallerExchange) -> None:
         """An error of our own: the request may have run, so its answer must promise nothing."""
         log_message(message_type="request:error", error=failure.getTraceback())
@@ -176,11 +179,11 @@
 
     def _log_end(self, request, exchange, arrived: float, refusal: RefusalError | None) -> None:
         seconds = self.parts.clock.seconds() - arrived
-        outcome = refusal.verdict.name if refusal else "GONE" if exchange.gone else "ANSWERED"
+        outcome = refusal.verdict.name if refusal else _outcome(exchange)
         self.metrics.ended(request, outcome, seconds)
         log_message(
             message_type="request:end",
-            request=request.facts.id if request else None,
+            request=self._request_id(exchange),
             route=request.route.name if request else exchange.head.target.decode("latin-1"),
             account=request.account_name if request else None,
             config=self.holder.table.version if self.holder.table else None,
@@ -192,6 +195,13 @@
         )
 
 
+def _outcome(exchange: CallerExchange) -> str:
+    """How an exchange ended that was not refused."""
+    if exchange.was_cut:
+        return "CUT"
+    return "ANSWERED" if exchange.ended else "GONE"
+
+
 def _host_name(host: str) -> str:
     """The host header without a port."""
     name, colon, port = host.rpartition(":")
--- a/tests/ingress/test_dispatch.py
+++ b/tests/ingress/test_dispatch.py
@@ -1,6 +1,7 @@
 """Which answer when: no configuration, no route, no key, held bytes, errors of our own."""
 
 import pytest
+from eliot import add_destinations, remove_destination
 
 from guavacleat.http1.messages import RequestHead
 from guavacleat.http1.server import CallerExchange
@@ -8,7 +9,7 @@
 from guavacleat.ingress.metrics import IngressMetrics
 from guavacleat.routes import Account, Backend, CallerLimits, RequestKind, Route, RouteTable
 from guavacleat.routes.holder import RouteHolder
-from tests.forwarding.harness import CallerSide, PlainWire, World
+from tests.forwarding.harness import CallerSide, PlainWire, World, event
 
 
 class KeyedWire(PlainWire):
@@ -156,3 +157,51 @@
     text = dispatch.metrics.exposition().decode()
     assert 'outcome="UNKNOWN_KEY"' in text
     assert 'outcome="ANSWERED"' in text
+
+
+@pytest.fixture
+def ends():
+    """The ``request:end`` lines written during the test."""
+    lines = []
+
+    def keep(message):
+        if message.get("message_type") == "request:end":
+            lines.append(message)
+
+    add_destinations(keep)
+    # The first destination is given what was logged before there was one.
+    lines.clear()
+    yield lines
+    remove_destination(keep)
+
+
+def test_a_refused_request_is_logged_with_its_id(dispatch, ends):
+    """
+    Symptom: nothing in the logs has the id of a request that a caller complains of.
+    Sequence: its key or route is not known.
+    Cause: the id was taken from the matched request, and none was matched.
+    """
+    ask(dispatch, key=b"k9")
+    [line] = ends
+    assert (line["request"], line["outcome"]) == ("r1", "UNKNOWN_KEY")
+
+
+def test_a_cut_stream_is_not_logged_as_left_by_its_caller(dispatch, world, ends):
+    """
+    Symptom: a cut stream is taken for one whose caller left.
+    Sequence: its endpoint breaks off in the middle; the gateway closes the caller's connection.
+    Cause: a closed connection was read as the caller's doing.
+    """
+    ask(dispatch, path="/stream/x")
+    side = world.pool.connections[0]
+    side.begin()
+    side.body_bytes(event(1))
+    side.break_off()
+    assert [line["outcome"] for line in ends] == ["CUT"]
+
+
+def test_a_caller_that_closes_after_its_whole_answer_was_answered(dispatch, world, ends):
+    caller = ask(dispatch)
+    caller.send_end = lambda: setattr(caller, "open", False)
+    world.pool.connections[0].answer(body=b"ok")
+    assert [line["outcome"] for line in ends] == ["ANSWERED"]
