Sessions, legs and the stand-in engine in smaller modules; pump_all looks at a copy of the queues

forwarding/opening.py asks endpoints for a stream, standin/sequences.py holds what an engine runs. A dispatch that asked for a service without a queue ended the round with an error (test fails on the code before).

--- a/src/guavacleat/admission/dispatcher.py
+++ b/src/guavacleat/admission/dispatcher.py
@@ -149,7 +149,8 @@
 
     def pump_all(self) -> None:
         """Look again at every queue (after membership or occupancy changed)."""
-        for service, queue in self.queues_by_service.items():
+        # A dispatch may ask for a service that has had no queue yet.
+        for service, queue in list(self.queues_by_service.items()):
             if len(queue):
                 self.pump(service)
 
--- a/src/guavacleat/commands/standin.py
+++ b/src/guavacleat/commands/standin.py
@@ -8,10 +8,11 @@
 
 from guavacleat.commands.common import FLAGS
 from guavacleat.commands.daemon import parse_address, serve, start_logging
-from guavacleat.standin.engine import Engine, EngineSettings
+from guavacleat.standin.engine import Engine
 from guavacleat.standin.engine_http import EngineApp
 from guavacleat.standin.listener import HttpListener
 from guavacleat.standin.routed import RoutedEndpoint, RoutedFault
+from guavacleat.standin.sequences import EngineSettings
 from guavacleat.standin.services import ServiceApp
 from guavacleat.standin.store import StoreApp, StoreState
 
--- a/src/guavacleat/forwarding/handover.py
+++ b/src/guavacleat/forwarding/handover.py
@@ -57,7 +57,7 @@
             self._opened.callback(None)
             return False
         point = ResumePoint(copy.source.address, copy.handle, session.last_event)
-        self.leg = await session.open_leg(copy.entry, point, protect=False)
+        self.leg = await session.opener.open(copy.entry, point, protect=False)
         if self.leg is not None:
             session.memory.drop_copy()
             self._overlap = clock.callLater(OVERLAP_SECONDS, session.leave_engine)
--- a/src/guavacleat/forwarding/leg.py
+++ b/src/guavacleat/forwarding/leg.py
@@ -37,16 +37,15 @@
 class Leg(AnswerListener):
     """Listens to the answer on ``connection``; ``done`` fires with a :class:`LegEnd`.
 
-    :param on_head: called with this leg when a genuine stream begins.
-    :param on_event: called with this leg and each whole :class:`StreamEvent`.
+    :param hearer: ``leg_began(leg)`` is called when a genuine stream begins, and
+        ``leg_event(leg, event)`` with each whole :class:`StreamEvent`.
     """
 
-    def __init__(self, entry: EndpointEntry, request_id: str, wire, on_head, on_event):
+    def __init__(self, entry: EndpointEntry, request_id: str, wire, hearer):
         self.entry = entry
         self.request_id = request_id
         self.wire = wire
-        self.on_head = on_head
-        self.on_event = on_event
+        self.hearer = hearer
         self.done = defer.Deferred()
         self.connection = None
         # How the session counts its memory, and the backup that was asked for with it.
@@ -79,7 +78,7 @@
         if self.check is AnswerCheck.FOREIGN:
             self._reject()
         elif self.streaming and not self.ended:
-            self.on_head(self)
+            self.hearer.leg_began(self)
 
     def answer_body(self, data):
         if self.ended:
@@ -94,7 +93,7 @@
             return
         for event in events:
             if not self.ended:
-                self.on_event(self, event)
+                self.hearer.leg_event(self, event)
 
     def answer_ended(self):
         if self.check in REFUSALS:
--- /dev/null
+++ b/src/guavacleat/forwarding/opening.py
@@ -0,0 +1,98 @@
+"""Asking an endpoint for a stream: connection, what the gateway tells it, where a backup goes."""
+
+from guavacleat.forwarding.leg import Leg, LegEnd
+from guavacleat.forwarding.memory import HeldCopy, StreamMemory
+from guavacleat.forwarding.messages import EndpointOrder, ResumePoint
+from guavacleat.forwarding.request import ForwardedRequest
+from guavacleat.membership.registry import EndpointEntry
+
+__all__ = ["LegOpener"]
+
+
+class LegOpener:
+    """Opens the legs of one stream.
+
+    :param session: the :class:`~.session.StreamSession`; hears the legs' heads and events.
+    :param log: writes a line with the request's id and the fields given.
+    """
+
+    def __init__(self, session, request: ForwardedRequest, parts, memory: StreamMemory, log):
+        self.session = session
+        self.request = request
+        self.parts = parts
+        self.memory = memory
+        self.log = log
+
+    async def open(
+        self, entry: EndpointEntry, resume: ResumePoint | None, protect: bool = True
+    ) -> Leg | None:
+        """Send the request to ``entry``, to go on at ``resume`` if that is given.
+
+        Returns None if no connection came about, or if the stream was over by then.
+
+        :param protect: whether a backup may be asked for.
+        """
+        run = self.memory.begin_run(entry, resumed=resume is not None)
+        try:
+            connection = await self.parts.pool.connect(entry.address)
+        except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
+            self.parts.load.end(entry.id, run)
+            self.parts.load.failed(entry.id)
+            self.log("stream:unreachable", endpoint=entry.id, error=repr(exc))
+            return None
+        if self.session.finished or self.session.time_left() <= 0:
+            self.parts.load.end(entry.id, run)
+            connection.abandon()
+            return None
+        backup = self._place_backup(entry) if protect else None
+        self._log_placed(entry, backup, resume)
+        leg = Leg(entry, self.request.facts.id, self.parts.wire, self.session)
+        leg.connection, leg.run, leg.backup = connection, run, backup
+        leg.done.addBoth(self._leg_over, leg)
+        self._send(leg, resume)
+        return leg
+
+    def _send(self, leg: Leg, resume: ResumePoint | None) -> None:
+        request = self.request
+        order = EndpointOrder(
+            leg.entry.id,
+            self.session.time_left(),
+            request.account_name,
+            request.priority,
+            resume,
+            leg.backup.entry.address if leg.backup else None,
+        )
+        head = request.exchange.head
+        headers = self.parts.wire.endpoint_headers(request.headers, order)
+        leg.connection.send(head.method, head.target, headers, request.exchange.body, leg)
+
+    def _leg_over(self, end: LegEnd, leg: Leg) -> LegEnd:
+        self.parts.load.end(leg.entry.id, leg.run)
+        if end is LegEnd.BROKEN:
+            # It may have crashed: for some seconds nothing new goes there, nor a backup.
+            self.parts.load.failed(leg.entry.id)
+        return end
+
+    def _place_backup(self, entry: EndpointEntry) -> HeldCopy | None:
+        """Where a growing copy of the run shall be kept: None if no engine has memory to spare."""
+        engine = self.request.traits.engine
+        if engine is None or not engine.backups or not self.memory.worth_moving():
+            return None
+        expected = self.memory.expected_tokens()
+        keeper = self.parts.placement.for_backup(entry, expected, engine)
+        if keeper is None:
+            return None
+        return HeldCopy(keeper, keeper, self.request.facts.id, backup=True)
+
+    def _log_placed(self, entry, backup: HeldCopy | None, resume: ResumePoint | None) -> None:
+        """What decided where the run goes: the endpoint's load with it, as known here."""
+        load = self.parts.load.total(entry.id)
+        self.log(
+            "stream:placed",
+            endpoint=entry.id,
+            resumed=resume is not None,
+            backup=backup.entry.id if backup else None,
+            runs=load.runs,
+            expected=load.expected,
+            unread=load.unread,
+        )
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -13,8 +13,9 @@
 from guavacleat.forwarding.copies import free_copy
 from guavacleat.forwarding.handover import Handover
 from guavacleat.forwarding.leg import Leg, LegEnd
-from guavacleat.forwarding.memory import HeldCopy, StreamMemory
-from guavacleat.forwarding.messages import EndpointOrder, ResumePoint
+from guavacleat.forwarding.memory import StreamMemory
+from guavacleat.forwarding.messages import ResumePoint
+from guavacleat.forwarding.opening import LegOpener
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.times import StreamTimes
 from guavacleat.membership.registry import EndpointEntry
@@ -44,6 +45,7 @@
         self.times = StreamTimes(request.arrived)
         self.memory = StreamMemory(request, parts.load)
         self.handover: Handover | None = None
+        self.opener = LegOpener(self, request, parts, self.memory, self._log)
         # While the request waits for an engine that has room.
         self.placing: defer.Deferred | None = None
         self.cancelled = False
@@ -65,7 +67,7 @@
         exchange = self.request.exchange
         exchange.on_gone = self.cancel
         exchange.source = self
-        timer = self.parts.clock.callLater(self._time_left(), self._time_up)
+        timer = self.parts.clock.callLater(self.time_left(), self._time_up)
         self.sessions.add(self)
         try:
             await self._run()
@@ -132,7 +134,7 @@
             if end not in NEVER_RUN:
                 return end
             self._note_refused(entry, end)
-            if self.cancelled or self._time_left() <= 0:
+            if self.cancelled or self.time_left() <= 0:
                 break
         if not tried:
             raise RefusalError(Verdict.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT)
@@ -151,7 +153,7 @@
 
     async def _send(self, entry: EndpointEntry, resume: ResumePoint | None) -> bool:
         """Send the request to ``entry``; return False if no connection came about."""
-        leg = await self.open_leg(entry, resume)
+        leg = await self.opener.open(entry, resume)
         if leg is None:
             return False
         self._use(leg)
@@ -162,44 +164,6 @@
         self.memory.use_run(leg.run)
         self.memory.keep_copy(leg.backup)
 
-    async def open_leg(
-        self, entry: EndpointEntry, resume: ResumePoint | None, protect: bool = True
-    ) -> Leg | None:
-        """Send the request to ``entry``, ``resume`` as there is; None without a connection.
-
-        :param protect: whether a backup may be asked for.
-        """
-        request, parts = self.request, self.parts
-        run = self.memory.begin_run(entry, resumed=resume is not None)
-        try:
-            connection = await parts.pool.connect(entry.address)
-        except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
-            parts.load.end(entry.id, run)
-            parts.load.failed(entry.id)
-            self._log("stream:unreachable", endpoint=entry.id, error=repr(exc))
-            return None
-        if self.finished or self._time_left() <= 0:
-            parts.load.end(entry.id, run)
-            connection.abandon()
-            return None
-        backup = self._place_backup(entry) if protect else None
-        self._log_placed(entry, backup, resume)
-        order = EndpointOrder(
-            entry.id,
-            self._time_left(),
-            request.account_name,
-            request.priority,
-            resume,
-            backup.entry.address if backup else None,
-        )
-        leg = Leg(entry, request.facts.id, parts.wire, self._head, self._event)
-        leg.connection, leg.run, leg.backup = connection, run, backup
-        leg.done.addBoth(lambda end: self._leg_over(entry, run, end))
-        head = request.exchange.head
-        headers = parts.wire.endpoint_headers(request.headers, order)
-        connection.send(head.method, head.target, headers, request.exchange.body, leg)
-        return leg
-
     async def hand_over(self) -> bool:
         """Go on where the copy is, though the present engine still runs; return whether it does."""
         if self.handover is not None or self.memory.copy is None or self.last_event is None:
@@ -217,46 +181,16 @@
         if not self.leg.ended:
             self.leg.abandon()
 
-    def _log_placed(self, entry, backup: HeldCopy | None, resume: ResumePoint | None) -> None:
-        """What decided where the run goes: the endpoint's load with it, as known here."""
-        load = self.parts.load.total(entry.id)
-        self._log(
-            "stream:placed",
-            endpoint=entry.id,
-            resumed=resume is not None,
-            backup=backup.entry.id if backup else None,
-            runs=load.runs,
-            expected=load.expected,
-            unread=load.unread,
-        )
-
-    def _place_backup(self, entry: EndpointEntry) -> HeldCopy | None:
-        """Where a growing copy of the run shall be kept: None if no engine has memory to spare."""
-        request = self.request
-        engine = request.traits.engine
-        if engine is None or not engine.backups or not self.memory.worth_moving():
-            return None
-        expected = self.memory.expected_tokens()
-        keeper = self.parts.placement.for_backup(entry, expected, engine)
-        if keeper is None:
-            return None
-        return HeldCopy(keeper, keeper, request.facts.id, backup=True)
-
-    def _leg_over(self, entry, run, end):
-        self.parts.load.end(entry.id, run)
-        if end is LegEnd.BROKEN:
-            # It may have crashed: for some seconds nothing new goes there, nor a backup.
-            self.parts.load.failed(entry.id)
-        return end
-
     async def _leg_end(self) -> LegEnd:
         return await self.leg.done
 
-    def _head(self, leg: Leg) -> None:
+    def leg_began(self, leg: Leg) -> None:
+        """Hear that an endpoint has begun a genuine stream."""
         if not self.request.exchange.began:
             pass_head_on(self.request.exchange, leg.head)
 
-    def _event(self, leg: Leg, event) -> None:
+    def leg_event(self, leg: Leg, event) -> None:
+        """Hear a whole event of an endpoint."""
         if self.handover is not None and leg is not self.handover.leg:
             self.handover.present_event(leg, event)
             return
@@ -368,7 +302,8 @@
             tokens=self.memory.tokens,
         )
 
-    def _time_left(self) -> float:
+    def time_left(self) -> float:
+        """Seconds until the answer is of no more use."""
         return self.request.deadline - self.parts.clock.seconds()
 
     def _log(self, message_type: str, **fields) -> None:
@@ -376,6 +311,6 @@
             message_type=message_type,
             request=self.request.facts.id,
             last_event=self.last_event,
-            left=round(self._time_left(), 3),
+            left=round(self.time_left(), 3),
             **fields,
         )
--- a/src/guavacleat/load/experiment.py
+++ b/src/guavacleat/load/experiment.py
@@ -9,7 +9,7 @@
 from guavacleat.errors import GuavacleatError, NotRunError
 from guavacleat.load.fleet import Fleet, Policy
 from guavacleat.load.workloads import Arrival, Workload, services_by_endpoint
-from guavacleat.standin.engine import EngineSettings
+from guavacleat.standin.sequences import EngineSettings
 from guavacleat.streams import CompletionRequest
 
 __all__ = ["CallerLog", "EngineSizes", "POLICIES_BY_NAME", "Run", "run_policy"]
--- a/src/guavacleat/standin/engine.py
+++ b/src/guavacleat/standin/engine.py
@@ -18,124 +18,24 @@
 """
 
 import bisect
-import hashlib
 import itertools
-import random
 
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
 from guavacleat.routing.prefix import BLOCK_TOKENS, prefix_blocks
+from guavacleat.standin.sequences import (
+    EngineSettings,
+    Sequence,
+    output_length_of,
+    token_of,
+)
 
-__all__ = ["Engine", "EngineSettings", "Sequence"]
+__all__ = ["Engine"]
 
-WORDS = ("the", "caller", "listing", "number", "garage", "slot", "summary", "check", "route", "ok")
-PARETO_SHAPE = 1.2
-MIN_OUTPUT = 4
 MAX_EVENTS = 4096
 
 
-class EngineSettings:
-    """Sizes and behaviour of one stand-in engine; times in seconds, memory in tokens.
-
-    :param output_length: None to draw lengths, a number for every output, or a callable from
-        request id to length (the load tool's workloads).
-    :param prefill_rate: prompt tokens read a second; None: reading takes no time.
-    """
-
-    __slots__ = (
-        "name",
-        "step_seconds",
-        "max_batch",
-        "kv_capacity",
-        "cache_blocks",
-        "load_lag",
-        "event_lag",
-        "event_gap_every",
-        "fencing",
-        "output_length",
-        "prefill_rate",
-        "prefill_chunk",
-    )
-
-    def __init__(
-        self,
-        name: str = "engine",
-        step_seconds: float = 0.01,
-        max_batch: int = 16,
-        kv_capacity: int = 8192,
-        cache_blocks: int = 256,
-        load_lag: float = 0.5,
-        event_lag: float = 0.2,
-        event_gap_every: int = 7,
-        fencing: str = "refuse",
-        output_length=None,
-        prefill_rate: float | None = None,
-        prefill_chunk: int = 512,
-    ):
-        self.name = name
-        self.step_seconds = step_seconds
-        self.max_batch = max_batch
-        self.kv_capacity = kv_capacity
-        self.cache_blocks = cache_blocks
-        self.load_lag = load_lag
-        self.event_lag = event_lag
-        self.event_gap_every = event_gap_every
-        self.fencing = fencing
-        self.output_length = output_length
-        self.prefill_rate = prefill_rate
-        self.prefill_chunk = prefill_chunk
-
-
-class Sequence:
-    """One generation on this engine; ``tokens`` only ever grows."""
-
-    __slots__ = (
-        "stream_id",
-        "request_id",
-        "generation",
-        "priority",
-        "prompt_tokens",
-        "target_length",
-        "tokens",
-        "kv_held",
-        "preemptions",
-        "finished",
-        "finish_reason",
-        "arrival",
-        "waiters",
-        "blocks",
-        "to_read",
-    )
-
-    def __init__(
-        self,
-        stream_id,
-        request_id,
-        generation,
-        priority,
-        prompt_tokens,
-        target_length,
-        arrival,
-        blocks,
-    ):
-        self.stream_id = stream_id
-        self.request_id = request_id
-        self.generation = generation
-        self.priority = priority
-        self.prompt_tokens = prompt_tokens
-        self.target_length = target_length
-        self.tokens: list[str] = []
-        self.kv_held = 0
-        self.preemptions = 0
-        self.finished = False
-        self.finish_reason = ""
-        self.arrival = arrival
-        self.waiters: list[defer.Deferred] = []
-        self.blocks = blocks
-        self.to_read = 0
-
-
 class Engine:
     """The engine's state machine, driven by the reactor's clock."""
 
@@ -172,7 +72,7 @@
             generation=f"{self.settings.name}/{request_id}/{stream_id}",
             priority=priority,
             prompt_tokens=max(1, len(prompt.split())),
-            target_length=_output_length(request_id, max_tokens, self.settings.output_length),
+            target_length=output_length_of(request_id, max_tokens, self.settings.output_length),
             arrival=self.clock.seconds(),
             blocks=prefix_blocks(prompt.split()),
         )
@@ -192,11 +92,7 @@
         sequence = self.sequences_by_id[stream_id]
         if len(sequence.tokens) > cursor or sequence.finished or wait <= 0:
             return defer.succeed(sequence)
-        waiter = defer.Deferred()
-        sequence.waiters.append(waiter)
-        timer = self.clock.callLater(wait, _wake, waiter, sequence)
-        waiter.addCallback(_cancel_and_pass, timer)
-        return waiter
+        return sequence.wait(self.clock, wait)
 
     def cancel(self, stream_id: str) -> None:
         sequence = self.sequences_by_id.get(stream_id)
@@ -259,12 +155,12 @@
 
     def _decode(self, sequence: Sequence) -> None:
         index = len(sequence.tokens)
-        sequence.tokens.append(_token(sequence.generation, index))
+        sequence.tokens.append(token_of(sequence.generation, index))
         sequence.kv_held += 1
         if len(sequence.tokens) >= sequence.target_length:
             self._finish(sequence, "stop")
         else:
-            _wake_all(sequence)
+            sequence.wake_all()
 
     def _preempt(self, sequence: Sequence) -> None:
         self.running.remove(sequence)
@@ -280,7 +176,7 @@
         for queue in (self.running, self.waiting):
             if sequence in queue:
                 queue.remove(sequence)
-        _wake_all(sequence)
+        sequence.wake_all()
 
     # Reports ----------------------------------------------------------------------------
     def _record_load(self) -> None:
@@ -337,35 +233,3 @@
         self.highest_fencing = max(self.highest_fencing, fencing)
         self.loaded_by_kind[kind] = target
         return True
-
-
-def _output_length(request_id: str, max_tokens: int, fixed) -> int:
-    if fixed is not None:
-        return min(max_tokens, fixed(request_id) if callable(fixed) else fixed)
-    draw = random.Random(request_id).paretovariate(PARETO_SHAPE)
-    return max(1, min(max_tokens, int(MIN_OUTPUT * draw)))
-
-
-def _token(generation: str, index: int) -> str:
-    digest = hashlib.blake2b(f"{generation}:{index}".encode(), digest_size=2).digest()
-    return WORDS[digest[0] % len(WORDS)]
-
-
-def _wake(waiter: defer.Deferred, sequence: Sequence) -> None:
-    if waiter in sequence.waiters:
-        sequence.waiters.remove(waiter)
-    if not waiter.called:
-        waiter.callback(sequence)
-
-
-def _wake_all(sequence: Sequence) -> None:
-    waiters, sequence.waiters = sequence.waiters, []
-    for waiter in waiters:
-        if not waiter.called:
-            waiter.callback(sequence)
-
-
-def _cancel_and_pass(sequence: Sequence, timer):
-    if timer.active():
-        timer.cancel()
-    return sequence
--- a/src/guavacleat/standin/system.py
+++ b/src/guavacleat/standin/system.py
@@ -15,9 +15,10 @@
 from guavacleat.ctl import apply_settings
 from guavacleat.gateway import GatewayService
 from guavacleat.sidecar import SidecarService
-from guavacleat.standin.engine import Engine, EngineSettings
+from guavacleat.standin.engine import Engine
 from guavacleat.standin.engine_http import EngineApp
 from guavacleat.standin.listener import HttpListener
+from guavacleat.standin.sequences import EngineSettings
 from guavacleat.standin.services import ServiceApp
 from guavacleat.standin.store import StoreApp, StoreState
 from guavacleat.store import StoreClient
--- a/tests/admission/test_dispatcher.py
+++ b/tests/admission/test_dispatcher.py
@@ -190,3 +190,20 @@
     dispatcher.pump("svc")
     assert all(given.called for given in waiting)
     assert dispatcher.router.in_flight_by_name["e1"] == 2
+
+
+def test_a_dispatch_may_ask_for_a_service_that_had_no_queue(dispatcher):
+    """
+    Symptom: a round of looking at all queues ends with an error, and later queues wait for the next.
+    Sequence: a request is dispatched in the round; whoever gets it asks for another service.
+    Cause: that adds a queue to those being looked at.
+    """
+    first, waiting = make_request(), make_request()
+    result_of(dispatcher.acquire(first, LIMITS))
+    given = dispatcher.acquire(waiting, LIMITS)
+    other = make_request()
+    other.service = "other"
+    given.addCallback(lambda _: dispatcher.acquire(other, LIMITS).addErrback(lambda _: None))
+    dispatcher.router.end("e1", first)
+    dispatcher.pump_all()
+    assert given.called and set(dispatcher.depth()) == {"svc", "other"}
--- a/tests/orders/test_fencing.py
+++ b/tests/orders/test_fencing.py
@@ -13,7 +13,8 @@
 )
 from guavacleat.protocol.gen.sidecar.ttypes import NotRun, Order, StaleOrder
 from guavacleat.sidecar.handler import SidecarHandler
-from guavacleat.standin.engine import Engine, EngineSettings
+from guavacleat.standin.engine import Engine
+from guavacleat.standin.sequences import EngineSettings
 from tests.conftest import result_of
 
 
--- a/tests/standin/test_engine.py
+++ b/tests/standin/test_engine.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from guavacleat.standin.engine import Engine, EngineSettings
+from guavacleat.standin.engine import Engine
+from guavacleat.standin.sequences import EngineSettings
 
 
 def run_until_done(clock, engine, limit=10_000):
