Gateways that stop tell each other, and callers when one is back

Cause: a stopping gateway sent every caller on after 0.1 s, also when all the others were stopping; the caller was refused again and had used up its retry. Change: reports carry how long the sender still runs; the refusal names when the first gateway is expected back.

--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -13,6 +13,7 @@
 from guavacleat.http1.messages import end_to_end_headers
 from guavacleat.http1.server import CallerExchange
 from guavacleat.lengths import LengthForecast
+from guavacleat.peers.book import RESTART_SECONDS
 from guavacleat.routes import Account, RequestKind, Route, RouteTable, ServiceTraits
 
 __all__ = ["Dispatch", "LAST_STREAM_SECONDS"]
@@ -36,13 +37,15 @@
     :param holder: the :class:`~guavacleat.routes.holder.RouteHolder`.
     :param parts: the :class:`~guavacleat.forwarding.parts.ForwardingParts`.
     :param held_bytes_bound: bytes of request bodies that may be held at a time.
+    :param peers: the :class:`~guavacleat.peers.PeerBook`.
     """
 
-    def __init__(self, holder, parts, metrics, held_bytes_bound: int, seed=None):
+    def __init__(self, holder, parts, metrics, held_bytes_bound: int, peers, seed=None):
         self.holder = holder
         self.parts = parts
         self.metrics = metrics
         self.held_bytes_bound = held_bytes_bound
+        self.peers = peers
         self.held_bytes = 0
         self.in_flight = 0
         self.pace = Pace()
@@ -125,7 +128,17 @@
             output = request.expected_tokens() - request.prompt_tokens
             needed = request.route.latency_goal + self.pace.seconds(output)
         if needed > self._stops_at - now:
-            raise RefusalError(Verdict.STOPPING, RETRY_AFTER_STOPPING)
+            raise RefusalError(Verdict.STOPPING, self._retry_after_stop(now))
+
+    def _retry_after_stop(self, now: float) -> float:
+        """Seconds until a gateway is there that is not being stopped.
+
+        Where all are stopped in turn, a caller that comes back at once is refused again by the
+        next one, and has used up its retry.
+        """
+        own = self._stops_at - now + RESTART_SECONDS
+        peer = self.peers.ready_in()
+        return own if peer is None else max(RETRY_AFTER_STOPPING, min(own, peer))
 
     def _match(self, exchange: CallerExchange, arrived: float) -> ForwardedRequest:
         """Find the route and the account, or raise :class:`RefusalError`."""
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -86,7 +86,7 @@
         )
         self.parts = parts
         bodies = int(settings.limits.memory_bytes * BODIES_SHARE)
-        self.dispatch = Dispatch(self.holder, parts, self.metrics, bodies)
+        self.dispatch = Dispatch(self.holder, parts, self.metrics, bodies, self.peers)
         self.evacuator = Evacuator(parts, self.dispatch.sessions)
         self.callers = CallerListener(reactor, self.dispatch.handle, self._caller_limits)
         self.questions = CallerListener(reactor, self._answer_question, CallerLimits)
@@ -162,6 +162,7 @@
         log_message(message_type="process:stopping", in_flight=self.dispatch.in_flight)
         grace = self.settings.bounds.stop_grace - STOP_RESERVE_SECONDS
         self.dispatch.stop_at(began + grace)
+        self.source.announce_stop(began + grace)
         while True:
             waited = self.reactor.seconds() - began
             if waited >= grace or (waited >= STOP_NOTICE_SECONDS and not self.dispatch.in_flight):
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -70,6 +70,10 @@
         host, port = self.address
         self.port = self.reactor.listenUDP(port, self.exchange, interface=host)
 
+    def announce_stop(self, stops_at: float) -> None:
+        """Tell the other gateways that this one ends at a clock time at the latest."""
+        self.exchange.announce_stop(stops_at)
+
     def stop(self) -> None:
         self.exchange.stop()
         for watch in self.watches:
@@ -126,6 +130,9 @@
             self.registry.observe(entry)
         self.registry.listed({entry.id for entry in found.endpoints})
 
+    def announce_stop(self, stops_at: float) -> None:
+        """There is nobody to tell."""
+
     def stop(self) -> None:
         """Nothing is followed."""
 
--- a/src/guavacleat/peers/book.py
+++ b/src/guavacleat/peers/book.py
@@ -6,11 +6,14 @@
 from guavacleat.peers.report import GatewayReport
 from guavacleat.placement import EndpointLoad, sum_loads
 
-__all__ = ["PeerBook", "SILENCE_SECONDS"]
+__all__ = ["PeerBook", "RESTART_SECONDS", "SILENCE_SECONDS"]
 
 # A peer not heard for so long counts as gone, and its runs with it: three reports in a row were
 # lost, which on a link that loses three in a hundred happens once in 37,000.
 SILENCE_SECONDS = 1.6
+# From the end of a gateway's process until its next start takes callers: 0.3 s to start, then its
+# configuration and the balancer's next question.
+RESTART_SECONDS = 1.0
 
 
 class _Peer:
@@ -53,6 +56,22 @@
         oldest = self.clock.seconds() - SILENCE_SECONDS
         return [peer.report for peer in self.peers_by_instance.values() if peer.heard_at >= oldest]
 
+    def ready_in(self) -> float | None:
+        """Seconds until a peer takes callers: 0 if one does; None if none was heard of lately.
+
+        One that is being stopped is expected back after its end, as it told that.
+        """
+        now = self.clock.seconds()
+        waits = [self._ready_at(peer) - now for peer in self.peers_by_instance.values()]
+        lately = [max(0.0, wait) for wait in waits if wait >= -SILENCE_SECONDS]
+        return min(lately, default=None)
+
+    @staticmethod
+    def _ready_at(peer: _Peer) -> float:
+        """When the peer takes callers, or last said that it does."""
+        stops_in = peer.report.stops_in
+        return peer.heard_at if stops_in is None else peer.heard_at + stops_in + RESTART_SECONDS
+
     def total(self, endpoint_id: str) -> EndpointLoad:
         """All peers' runs on the endpoint."""
         loads = (report.loads_by_endpoint.get(endpoint_id) for report in self.alive())
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -54,6 +54,7 @@
         self.gathering = None
         self.bad_reports = 0
         self.stopped = False
+        self.stops_at: float | None = None
         self._heartbeat = task.LoopingCall(self.report)
         self._heartbeat.clock = reactor
         load.listeners.append(self.change)
@@ -69,6 +70,11 @@
         if self._heartbeat.running:
             self._heartbeat.stop()
 
+    def announce_stop(self, stops_at: float) -> None:
+        """Tell the peers that this process ends at a clock time at the latest."""
+        self.stops_at = stops_at
+        self.report()
+
     def gateway_count(self) -> int:
         """This gateway and all that it has heard of."""
         return 1 + len(set(self.addresses_by_instance) | set(self.book.peers_by_instance))
@@ -93,6 +99,7 @@
                 self.sequence,
                 self.load.generations(),
                 self.registry.recent_changes(),
+                None if self.stops_at is None else self.stops_at - self.reactor.seconds(),
             )
         )
         for address in self.addresses_by_instance.values():
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -23,9 +23,17 @@
 
     :param incarnation: drawn at each start of the sender.
     :param sequence: grows with each report of an incarnation.
+    :param stops_in: seconds until its process ends at the latest; None unless it is being stopped.
     """
 
-    __slots__ = ("instance", "incarnation", "sequence", "loads_by_endpoint", "changes")
+    __slots__ = (
+        "instance",
+        "incarnation",
+        "sequence",
+        "loads_by_endpoint",
+        "changes",
+        "stops_in",
+    )
 
     def __init__(
         self,
@@ -34,12 +42,14 @@
         sequence: int,
         loads_by_endpoint: dict[str, EndpointLoad],
         changes: tuple[EndpointChange, ...] = (),
+        stops_in: float | None = None,
     ):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
         self.loads_by_endpoint = loads_by_endpoint
         self.changes = tuple(changes)
+        self.stops_in = stops_in
 
 
 def encode_report(report: GatewayReport) -> bytes:
@@ -50,7 +60,7 @@
     buffer = TMemoryBuffer()
     changes = [_encode_change(change) for change in report.changes]
     message = ttypes.PeerReport(
-        report.instance, report.incarnation, report.sequence, loads, changes
+        report.instance, report.incarnation, report.sequence, loads, changes, report.stops_in
     )
     message.write(TCompactProtocolAccelerated(buffer))
     return buffer.getvalue()
@@ -70,7 +80,12 @@
     except Exception as exc:  # noqa: BLE001 - thrift raises many kinds on bytes it cannot read
         raise BadReportError(repr(exc)) from exc
     return GatewayReport(
-        message.instance, message.incarnation, message.sequence, loads_by_endpoint, changes
+        message.instance,
+        message.incarnation,
+        message.sequence,
+        loads_by_endpoint,
+        changes,
+        message.stops_in,
     )
 
 
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -292,6 +292,7 @@
      - sequence
      - loads
      - changes
+     - stops_in
 
     """
 
@@ -301,15 +302,17 @@
         'sequence',
         'loads',
         'changes',
+        'stops_in',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None,):
+    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
         self.loads = loads
         self.changes = changes
+        self.stops_in = stops_in
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -357,6 +360,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.stops_in = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -393,6 +401,10 @@
                 iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.stops_in is not None:
+            oprot.writeFieldBegin('stops_in', TType.DOUBLE, 6)
+            oprot.writeDouble(self.stops_in)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -452,6 +464,7 @@
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 4
     (5, TType.LIST, 'changes', (TType.STRUCT, [EndpointChange, None], False), None, ),  # 5
+    (6, TType.DOUBLE, 'stops_in', None, None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/admission/test_dispatcher.py
+++ b/tests/admission/test_dispatcher.py
@@ -194,7 +194,7 @@
 
 def test_a_dispatch_may_ask_for_a_service_that_had_no_queue(dispatcher):
     """
-    Symptom: a round of looking at all queues ends with an error, and later queues wait for the next.
+    Symptom: a round of looking at all queues ends with an error; later queues wait for the next.
     Sequence: a request is dispatched in the round; whoever gets it asks for another service.
     Cause: that adds a queue to those being looked at.
     """
--- a/tests/ingress/test_dispatch.py
+++ b/tests/ingress/test_dispatch.py
@@ -7,9 +7,20 @@
 from guavacleat.http1.server import CallerExchange
 from guavacleat.ingress.dispatch import LAST_STREAM_SECONDS, Dispatch
 from guavacleat.ingress.metrics import IngressMetrics
-from guavacleat.routes import Account, Backend, CallerLimits, RequestKind, Route, RouteTable
+from guavacleat.peers import PeerBook
+from guavacleat.peers.book import RESTART_SECONDS
+from guavacleat.peers.report import GatewayReport
+from guavacleat.routes import (
+    Account,
+    Backend,
+    CallerLimits,
+    RequestKind,
+    Route,
+    RouteTable,
+    ServiceTraits,
+)
 from guavacleat.routes.holder import RouteHolder
-from tests.forwarding.harness import CallerSide, PlainWire, World, event
+from tests.forwarding.harness import ENGINE, CallerSide, PlainWire, World, event
 
 
 class KeyedWire(PlainWire):
@@ -42,7 +53,7 @@
 def dispatch(world):
     holder = RouteHolder()
     holder.offer(table())
-    return Dispatch(holder, world.parts, IngressMetrics(), held_bytes_bound=100)
+    return Dispatch(holder, world.parts, IngressMetrics(), 100, PeerBook(world.clock))
 
 
 def ask(dispatch, path="/keyed/x", key=b"k1", host=b"h:80", body=b""):
@@ -84,7 +95,7 @@
     Sequence: a gateway starts while the store is away; a request for a known route comes.
     Cause: a gateway that knows no configuration can only ask the caller to come back.
     """
-    dispatch = Dispatch(RouteHolder(), world.parts, IngressMetrics(), held_bytes_bound=100)
+    dispatch = Dispatch(RouteHolder(), world.parts, IngressMetrics(), 100, PeerBook(world.clock))
     caller = ask(dispatch)
     assert caller.head[0] == 503
     assert float(caller.head[1][b"retry-after"]) > 0
@@ -205,3 +216,30 @@
     caller.send_end = lambda: setattr(caller, "open", False)
     world.pool.connections[0].answer(body=b"ok")
     assert [line["outcome"] for line in ends] == ["ANSWERED"]
+
+
+STOPS = [
+    # (seconds until each peer's process ends, None: it is not being stopped; what is told)
+    ([], 7.5 + RESTART_SECONDS),
+    ([None], 0.1),
+    ([2.0, None], 0.1),
+    ([2.0, 5.0], 2.0 + RESTART_SECONDS),
+    ([20.0], 7.5 + RESTART_SECONDS),
+]
+
+
+@pytest.mark.parametrize("stops, retry_after", STOPS)
+def test_a_caller_is_told_when_a_gateway_is_back(dispatch, world, monkeypatch, stops, retry_after):
+    """
+    Symptom: callers are refused twice and give up while gateways are stopped in turn.
+    Sequence: all gateways are being stopped; each refuses a long stream and sends it on at once.
+    Cause: a stopping gateway did not know that the others were stopping too.
+    """
+    for number, stops_in in enumerate(stops):
+        dispatch.peers.observe(GatewayReport(f"g{number}", 1, 1, {}, stops_in=stops_in))
+    dispatch.stop_at(world.clock.seconds() + 7.5)
+    monkeypatch.setattr(dispatch.pace, "seconds_per_token", 60.0)
+    dispatch.holder.table.services_by_name["svc"] = ServiceTraits("svc", 10, ENGINE)
+    caller = ask(dispatch, path="/stream/x")
+    assert caller.head[0] == 503
+    assert float(caller.head[1][b"retry-after"]) == pytest.approx(retry_after)
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -9,7 +9,7 @@
 
 from guavacleat.membership.registry import EndpointChange, EndpointRegistry, EndpointState
 from guavacleat.peers import PeerBook, PeerExchange
-from guavacleat.peers.book import SILENCE_SECONDS
+from guavacleat.peers.book import RESTART_SECONDS, SILENCE_SECONDS
 from guavacleat.peers.report import BadReportError, GatewayReport, decode_report, encode_report
 from guavacleat.placement import EndpointLoad, LoadBook, Run
 from guavacleat.store import ConflictError, StoredObject, StoreUnavailableError, WatchBatch
@@ -31,6 +31,12 @@
     }
 
 
+@pytest.mark.parametrize("stops_in", [None, 0.0, 7.5])
+def test_a_stop_survives_the_wire(stops_in):
+    report = GatewayReport("g1", 1, 1, {}, stops_in=stops_in)
+    assert decode_report(encode_report(report)).stops_in == stops_in
+
+
 @given(st.binary(max_size=100))
 def test_any_datagram_is_a_report_or_refused(data):
     with contextlib.suppress(BadReportError):
@@ -197,3 +203,16 @@
     load.begin("e1", Run("r1"))
     clock.advance(0.1)
     assert len(found.transport.sent) == sent
+
+
+def test_a_peer_that_is_being_stopped_is_expected_back_after_its_end(book, clock):
+    assert book.ready_in() is None
+    book.observe(GatewayReport("g2", 1, 1, {}, stops_in=4.0))
+    clock.advance(3.0)
+    assert book.ready_in() == 1.0 + RESTART_SECONDS
+    clock.advance(1.0 + RESTART_SECONDS)
+    assert book.ready_in() == 0.0
+    clock.advance(SILENCE_SECONDS + 0.1)
+    assert book.ready_in() is None, "it did not come back"
+    book.observe(GatewayReport("g3", 1, 1, {}))
+    assert book.ready_in() == 0.0
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -34,4 +34,6 @@
   3: required i64 sequence,
   4: required list<EndpointLoad> loads,
   5: optional list<EndpointChange> changes,
+  // Seconds until the sender's process ends at the latest; only while it is being stopped.
+  6: optional double stops_in,
 }
