No number that a caller sends spoils what others get

Found by fuzzing the decoders for the headers' numbers. Change: numbers must be finite, counts of tokens lie between 0 and 10^9, hints that say nothing are left out.

--- a/src/guavacleat/forwarding/native.py
+++ b/src/guavacleat/forwarding/native.py
@@ -6,6 +6,8 @@
 that they did not run the request.
 """
 
+import math
+
 from guavacleat.forwarding.messages import AnswerFacts, CallerFacts, EndpointOrder, MoveAnswer
 from guavacleat.forwarding.wire import Headers, Wire
 
@@ -22,14 +24,19 @@
 NOT_RUN = b"x-not-run"
 OWNED = {KEY, DEADLINE, ACCOUNT, PRIORITY, ENDPOINT}
 NO_MOVES = 501
+# No engine holds a millionth of this; a caller may write any number.
+MAX_TOKENS = 10**9
 
 
-def _number(value: bytes | None) -> float | None:
+def _number(value: bytes | None, most: float = MAX_TOKENS) -> float | None:
     """A header's number; None if it is absent or not one, as callers may send anything."""
     try:
-        return None if value is None else max(0.0, float(value))
+        number = None if value is None else float(value)
     except ValueError:
         return None
+    if number is None or not math.isfinite(number):
+        return None
+    return min(max(0.0, number), most)
 
 
 class NativeWire(Wire):
--- a/src/guavacleat/lengths.py
+++ b/src/guavacleat/lengths.py
@@ -104,8 +104,8 @@
     def finished(self, length: int, hint: float | None) -> None:
         """Learn from a generation that ran to its end."""
         self.lengths.append(max(1.0, length))
-        if hint:
-            self.squares.append(math.log(max(1.0, hint) / max(1.0, length)) ** 2)
+        if _usable(hint):
+            self.squares.append(math.log(hint / max(1.0, length)) ** 2)
 
     def length(self, emitted: int, hint: float | None) -> int:
         """Expected tokens at its end of a generation that has produced ``emitted`` so far."""
@@ -122,7 +122,12 @@
 
     def _weight(self, length: float, hint: float | None) -> float:
         """How likely the hint is for a generation of this length, up to a factor."""
-        if not hint:
+        if not _usable(hint):
             return 1.0
         variance = max(LEAST_HINT_SPREAD**2, math.fsum(self.squares) / len(self.squares))
-        return math.exp(-(math.log(max(1.0, hint) / length) ** 2) / (2 * variance))
+        return math.exp(-(math.log(hint / length) ** 2) / (2 * variance))
+
+
+def _usable(hint: float | None) -> bool:
+    """Whether a hint says anything: one caller's ``inf`` would spoil everybody's forecasts."""
+    return hint is not None and math.isfinite(hint) and hint >= 1.0
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -7,7 +7,10 @@
 from hypothesis import strategies as st
 
 from guavacleat.forwarding.messages import EndpointOrder, ResumePoint
+from guavacleat.lengths import LengthForecast
 from guavacleat.membership.registry import EndpointState
+from guavacleat.peers.report import GatewayReport, decode_report, encode_report
+from guavacleat.placement import EndpointLoad
 from guavacleat.platform.decode import decode_configuration, decode_endpoint
 from guavacleat.platform.engines import decode_move, encode_move
 from guavacleat.platform.headers import (
@@ -182,6 +185,26 @@
     decode_move(status, body)
 
 
+ODD_NUMBERS = [b"inf", b"-inf", b"nan", b"1e400", b"9" * 40, b"-7", b"", b"x", b"1e30"]
+
+
+@pytest.mark.parametrize("number", ODD_NUMBERS)
+@pytest.mark.parametrize("name", [b"token-usage", b"length-hint", b"deadline-ms", b"prompt-prefix"])
+def test_no_callers_number_breaks_what_gateways_tell_each_other(name, number):
+    """
+    Symptom: gateways no longer know of each other's load, after one caller's request.
+    Sequence: a caller says that its prompt has 10^40 tokens.
+    Cause: the sum went beyond what a report can carry, and writing reports ended with an error.
+    """
+    value = number + b"," + number if name == b"token-usage" else number
+    facts = caller_facts([(name, b"ab:" + number if name == b"prompt-prefix" else value)])
+    held = LengthForecast(facts.max_output_tokens or 1).length(0, facts.expected_output_tokens)
+    load = EndpointLoad(1, facts.prompt_tokens + held, facts.prompt_tokens)
+    decoded = decode_report(encode_report(GatewayReport("g", 1, 1, {"e": load})))
+    assert decoded.loads_by_endpoint["e"].expected == facts.prompt_tokens + held >= 0
+    assert facts.patience is None or 0 <= facts.patience < float("inf")
+
+
 @given(
     st.lists(
         st.tuples(
--- a/tests/test_lengths.py
+++ b/tests/test_lengths.py
@@ -3,6 +3,7 @@
 import math
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -62,12 +63,25 @@
 
 @given(
     st.integers(1, 10**6),
-    st.lists(st.tuples(st.integers(0, 10**6), st.none() | st.floats(0, 1e9))),
+    st.lists(st.tuples(st.integers(0, 10**6), st.none() | st.floats())),
     st.integers(0, 10**6),
-    st.none() | st.floats(0, 1e9),
+    st.none() | st.floats(),
 )
 def test_a_forecast_is_always_more_than_what_is_out_already(longest, finished, emitted, hint):
     forecast = LengthForecast(longest)
     for length, its_hint in finished:
         forecast.finished(length, its_hint)
     assert forecast.length(emitted, hint) > emitted or emitted == 0
+
+
+@pytest.mark.parametrize("hint", [float("inf"), float("nan"), -5.0, 0.0, 1e300])
+def test_one_callers_hint_does_not_spoil_the_forecasts_of_others(hint):
+    """
+    Symptom: every stream of a route ends with 502 after one caller's request.
+    Sequence: a caller hints at an endless output (``inf``), and its generation finishes.
+    Cause: the spread of hints became infinite, and with it each length's weight not a number.
+    """
+    forecast = LengthForecast(2000)
+    forecast.finished(100, hint)
+    assert 0 < forecast.length(0, 500.0) <= 2000
+    assert 0 < forecast.length(0, hint) <= 2000
