Configurations and endpoint entries are checked as they are decoded

Change: texts, whole numbers and numbers in range are checked in platform/decode.py; what is null counts as left out. The failing example stays in tests/platform/test_fuzz.py.

--- a/src/guavacleat/platform/decode.py
+++ b/src/guavacleat/platform/decode.py
@@ -1,5 +1,7 @@
 """What operators and engines write to the store, decoded into the product's types."""
 
+import math
+
 from guavacleat.membership.registry import EndpointEntry, EndpointState
 from guavacleat.routes import (
     Account,
@@ -24,16 +26,20 @@
 
 
 def decode_configuration(spec: dict) -> RouteTable:
-    """Decode one version of the operators' configuration; raise KeyError or ValueError if bad."""
+    """Decode one version of the operators' configuration.
+
+    Raises KeyError, ValueError, TypeError or AttributeError if it is not as described: what is let
+    through here is used with every request.
+    """
     tenants = spec.get("tenants") or []
     return RouteTable(
-        version=spec["version"],
+        version=_whole(spec["version"]),
         routes=[_route(item) for item in spec.get("routes", [])],
-        services_by_name={item["name"]: _service(item) for item in spec.get("services", [])},
+        services_by_name={_text(item["name"]): _service(item) for item in spec.get("services", [])},
         accounts_by_key={
-            key: account
+            _text(key): account
             for tenant in tenants
-            for account in [Account(tenant["name"], tenant.get("priority"))]
+            for account in [_account(tenant)]
             for key in tenant.get("apiKeys", [])
         },
         limits=_limits(spec.get("limits") or {}),
@@ -41,21 +47,58 @@
     )
 
 
+def _text(value) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not a text")
+    return value
+
+
+def _whole(value) -> int:
+    """A whole number; some encoders write it as a float."""
+    if isinstance(value, float) and value.is_integer():
+        return int(value)
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise ValueError(f"{value!r} is not a whole number")
+    return value
+
+
+def _get(item: dict, key: str, default):
+    """A part that may be left out, or be null."""
+    value = item.get(key)
+    return default if value is None else value
+
+
+def _number(value) -> float:
+    """A number; a limit without end or below nothing is none."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ValueError(f"{value!r} is not a number")
+    if not 0 <= value < math.inf:
+        raise ValueError(f"{value!r} is out of range")
+    return value
+
+
+def _account(item: dict) -> Account:
+    priority = item.get("priority")
+    return Account(_text(item["name"]), None if priority is None else _whole(priority))
+
+
 def _route(item: dict) -> Route:
     backends = item.get("backends") or [{"service": item["service"], "weight": 1}]
     gap_goal = item.get("gapGoalMs")
     return Route(
-        name=item["name"],
-        host=item["host"].lower(),
-        path_prefix=item["pathPrefix"],
-        backends=tuple(Backend(backend["service"], backend["weight"]) for backend in backends),
+        name=_text(item["name"]),
+        host=_text(item["host"]).lower(),
+        path_prefix=_text(item["pathPrefix"]),
+        backends=tuple(
+            Backend(_text(backend["service"]), _number(backend["weight"])) for backend in backends
+        ),
         # A kind that is not known yet is handled like the strictest one: run once at most.
-        kind=KINDS_BY_WORD.get(item.get("kind"), RequestKind.NON_IDEMPOTENT),
-        timeout=item["timeoutMs"] / MS,
-        latency_goal=item.get("latencyGoalMs", item["timeoutMs"]) / MS,
-        gap_goal=None if gap_goal is None else gap_goal / MS,
-        max_attempts=item.get("maxAttempts", 1),
-        priority=item.get("priority", 5),
+        kind=KINDS_BY_WORD.get(_text(_get(item, "kind", "")), RequestKind.NON_IDEMPOTENT),
+        timeout=_number(item["timeoutMs"]) / MS,
+        latency_goal=_number(_get(item, "latencyGoalMs", item["timeoutMs"])) / MS,
+        gap_goal=None if gap_goal is None else _number(gap_goal) / MS,
+        max_attempts=_whole(_get(item, "maxAttempts", 1)),
+        priority=_whole(_get(item, "priority", 5)),
         public=bool(item.get("public")),
     )
 
@@ -63,20 +106,20 @@
 def _service(item: dict) -> ServiceTraits:
     engine = item.get("engine")
     return ServiceTraits(
-        name=item["name"],
-        max_connections=item.get("maxConns", 100),
+        name=_text(item["name"]),
+        max_connections=_whole(_get(item, "maxConns", 100)),
         engine=_engine(engine) if engine else None,
     )
 
 
 def _engine(item: dict) -> EngineTraits:
     return EngineTraits(
-        slots=item["slots"],
-        memory_tokens=item["kvCapacity"],
-        token_bytes=item.get("kvTokenBytes", 0),
-        link_mbps=item.get("linkMbps", 0.0),
+        slots=_whole(item["slots"]),
+        memory_tokens=_whole(item["kvCapacity"]),
+        token_bytes=_number(_get(item, "kvTokenBytes", 0)),
+        link_mbps=_number(_get(item, "linkMbps", 0.0)),
         # The page calls the tokens in one event the stride.
-        tokens_per_event=item.get("stride", 1),
+        tokens_per_event=_whole(_get(item, "stride", 1)),
         moves=bool(item.get("moves")),
         backups=bool(item.get("backups")),
     )
@@ -85,22 +128,22 @@
 def _limits(item: dict) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
-        max_header_bytes=item.get("maxHeaderBytes", defaults.max_header_bytes),
-        max_body_bytes=item.get("maxBodyBytes", defaults.max_body_bytes),
-        header_timeout=item.get("headerTimeoutMs", defaults.header_timeout * MS) / MS,
-        idle_timeout=item.get("idleTimeoutMs", defaults.idle_timeout * MS) / MS,
+        max_header_bytes=_whole(_get(item, "maxHeaderBytes", defaults.max_header_bytes)),
+        max_body_bytes=_whole(_get(item, "maxBodyBytes", defaults.max_body_bytes)),
+        header_timeout=_number(_get(item, "headerTimeoutMs", defaults.header_timeout * MS)) / MS,
+        idle_timeout=_number(_get(item, "idleTimeoutMs", defaults.idle_timeout * MS)) / MS,
     )
 
 
 def decode_endpoint(id: str, spec: dict, revision: int) -> EndpointEntry:
-    """Decode the entry that an engine keeps of itself under its id."""
-    host, _, port = spec["address"].rpartition(":")
+    """Decode the entry that an engine keeps of itself under its id; raises like the above."""
+    host, _, port = _text(spec["address"]).rpartition(":")
     return EndpointEntry(
         id=id,
-        service=spec["service"],
+        service=_text(spec["service"]),
         address=(host, int(port)),
-        data_centre=spec.get("zone", ""),
-        slots=spec.get("slots", 1),
+        data_centre=_text(_get(spec, "zone", "")),
+        slots=_whole(_get(spec, "slots", 1)),
         # Any state but ready takes no new work.
         state=EndpointState.READY if spec.get("state") == READY else EndpointState.DRAINING,
         revision=revision,
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -220,3 +220,13 @@
     facts = caller_facts(headers)
     assert facts.patience is None or facts.patience >= 0
     answer_facts(headers)
+
+
+def test_parts_that_are_null_or_written_as_floats_are_taken():
+    """What is left out, null or written as 2.0 must not make a good configuration unreadable."""
+    route = {**CONFIGURATION["routes"][1], "maxAttempts": 2.0, "priority": None}
+    limits = {"maxBodyBytes": 4096.0, "idleTimeoutMs": None}
+    table = decode_configuration({**CONFIGURATION, "routes": [route], "limits": limits})
+    found = table.match("ficu95.example", "/lohu930/pufi/x")
+    assert (found.max_attempts, found.priority) == (2, 5)
+    assert table.limits.max_body_bytes == 4096
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from twisted.internet import defer
 from twisted.internet.task import Clock
@@ -73,6 +73,8 @@
     assert entry.id == "e1" and len(entry.address) == 2
 
 
+@example([{**CONFIGURATION, "version": None}])
+@example([{**CONFIGURATION, "version": "8"}])
 @given(st.lists(spoilt(CONFIGURATION) | JSON, max_size=5))
 def test_after_any_configurations_a_good_one_comes_into_force(specs):
     """
