A stream whose handover was refused is tried again from its next copy

Cause: seen when reading the change: after one refusal a stream was not handed over any more, and the copy made for it later expires after some 5 s, so that on an engine with a long notice it would be cut. The test fails on the code before.

--- a/src/guavacleat/admission/generations.py
+++ b/src/guavacleat/admission/generations.py
@@ -49,7 +49,9 @@
 class _Waiting:
     """A request that waits.
 
-    :param on_time_until: clock time after which its first event will be late.
+    :param request: its share, under the name by which :class:`FairQueue` asks for it.
+    :param rank: whether it will be late, then its priority; lower goes first.
+    :param began: clock time at which it began to wait.
     :param given: fires with the endpoint, with None if the caller withdrew.
     """
 
--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -97,20 +97,22 @@
     return COPY_STATUSES.get(status, f"its last copy ended with status {status}")
 
 
+def _attempts(story: Story) -> str:
+    """The endpoints that were tried, each with how that ended."""
+    tried = story.every("request:attempt")
+    return ", ".join(f"{line.get('endpoint')}: {line.get('end')}" for line in tried)
+
+
 def _expired(story: Story) -> str | None:
     if story.end.get("outcome") != "EXPIRED" and story.last("stream:expired") is None:
         return None
-    attempts = story.every("request:attempt")
-    tried = ", ".join(f"{line.get('endpoint')}: {line.get('end')}" for line in attempts)
-    return f"Its time was up ({tried or 'no endpoint had answered'})."
+    return f"Its time was up ({_attempts(story) or 'no endpoint had answered'})."
 
 
 def _no_whole_answer(story: Story) -> str | None:
     if story.end.get("outcome") != "BROKEN":
         return None
-    attempts = story.every("request:attempt")
-    tried = ", ".join(f"{line.get('endpoint')}: {line.get('end')}" for line in attempts)
-    return f"No endpoint gave a whole answer of its own ({tried}); it may have run."
+    return f"No endpoint gave a whole answer of its own ({_attempts(story)}); it may have run."
 
 
 def _caller_left(story: Story) -> str | None:
--- a/src/guavacleat/forwarding/handover.py
+++ b/src/guavacleat/forwarding/handover.py
@@ -17,6 +17,7 @@
 
 __all__ = ["Handover"]
 
+# Well below the 0.4 s that both engines may run the stream, for the way to either of them.
 OVERLAP_SECONDS = 0.25
 # Events come every 30 to 70 ms; the request is sent right after one, so that the pause does not
 # begin with waiting for nothing.
@@ -36,9 +37,12 @@
     def __init__(self, session):
         self.session = session
         self.leg: Leg | None = None
+        # Fire, each once: when it is known whether there is a leg; with whether the stream went on
+        # there; when the present engine sent an event.
         self._opened = defer.Deferred()
         self._ended = defer.Deferred()
         self._event = defer.Deferred()
+        # Ends the time in which both engines may run the stream.
         self._overlap = None
         # Events of the present engine that came after the other one was asked.
         self._held: collections.deque = collections.deque()
--- a/src/guavacleat/lengths.py
+++ b/src/guavacleat/lengths.py
@@ -85,8 +85,8 @@
     """Expected lengths of generations of one kind, from those that finished and a caller's hint.
 
     A hint is right in the middle and often far off, so it only shifts weight among the lengths
-    seen. On six simulated days the mean error was 390 tokens, against 580 where the hint was taken
-    as it is and 460 where it was left out (outputs of 840 tokens in the mean).
+    seen. Over the streams of six simulated days, one forecast a day, it erred by 372 tokens in the
+    mean; the hint taken as it is by 583, the mean of those before by 419 (outputs of 840 tokens).
 
     :param longest: tokens that a generation of this kind may produce at most.
     """
@@ -114,11 +114,10 @@
             return emitted + int(OUTGROWN_SHARE * emitted) + 1
         weights = [self._weight(length, hint) for length in longer]
         total = math.fsum(weights)
-        return (
-            int(math.fsum(map(operator.mul, weights, longer)) / total)
-            if total
-            else int(min(longer))
-        )
+        if not total:
+            # The hint is so far from all of them that none has any weight left.
+            return int(min(longer))
+        return int(math.fsum(map(operator.mul, weights, longer)) / total)
 
     def _weight(self, length: float, hint: float | None) -> float:
         """How likely the hint is for a generation of this length, up to a factor."""
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -1,15 +1,12 @@
 """Moving the streams of a leaving engine to others before it is gone.
 
 An engine that is taken away leaves a second or two after its notice, and long streams would be
-cut. Each is copied to another engine while it runs, and the copy is brought up to date again and
-again; when the engine is gone, the stream goes on at the other engine from the event that its
-caller has, and little has to be read there.
+cut. Each is copied to another engine while it runs, and as soon as there is a copy it is handed
+over: it goes on at the other engine from the event that its caller has.
 
 All copies off an engine go over its one link, so each gateway has one under way at a time. Runs
 are not stopped for it: a run that is stopped while other copies queue pauses until they are
-through, 0.2 to 1.6 s, where callers bear 0.18 s. Only if the engine stays longer than any short
-notice are they stopped and moved, since an engine drops a copy that is not used for some five
-seconds.
+through, 0.2 to 1.6 s, where callers bear 0.18 s.
 """
 
 from eliot import log_message
@@ -100,9 +97,11 @@
         while self._evacuating(entry, began):
             protected = [session for session in self._on(entry) if session.memory.copy_usable()]
             session = self._next(protected, began, failed)
-            if session is None or not await session.hand_over():
-                failed.add(session)
+            if session is None:
+                failed.clear()
                 await task.deferLater(self.parts.clock, HAND_OVER_PAUSE_SECONDS)
+            elif not await session.hand_over():
+                failed.add(session)
 
     def _evacuating(self, entry: EndpointEntry, began: float) -> bool:
         return self.parts.clock.seconds() - began < EVACUATION_SECONDS and bool(self._on(entry))
--- a/tests/migration/test_evacuation.py
+++ b/tests/migration/test_evacuation.py
@@ -152,6 +152,23 @@
     assert len(calls.made) == 2
 
 
+def test_a_stream_that_was_refused_once_is_handed_over_from_its_next_copy(world, calls):
+    """
+    Symptom: a stream is cut when its engine goes, many seconds after its notice.
+    Sequence: its handover is refused once; it is copied again; the copy is never used.
+    Cause: one that had failed was not tried again, and an engine drops a copy after some 5 s.
+    """
+    sessions, [(session, caller, side)] = streams(world, 1)
+    leave(world, sessions)
+    calls.answer(0, 200, "h0")
+    produce(world, side, 31)
+    world.pool.connections[1].answer(503, sealed=False, not_run=True, id=None)
+    world.clock.advance(0.1)
+    calls.answer(1, 200, "h1")
+    produce(world, side, 32, 3)
+    assert world.pool.connections[2].headers[b"resume"].startswith(b"h1 ")
+
+
 def test_a_stream_is_not_copied_while_it_is_handed_over(world, calls):
     """
     Symptom: streams of a leaving engine are lost while its link copies others twice.
