A stopped watch tells nothing more

The watch that waited when the process stopped ended after it, and the loop told that although it had been stopped. Traced by a test without sockets that fails on the code before.

--- a/src/guavacleat/store/watch.py
+++ b/src/guavacleat/store/watch.py
@@ -76,6 +76,9 @@
         self._failed()
 
     def _failed(self) -> None:
+        if not self.running:
+            # Cut short by the stop itself: nothing that it tells is news.
+            return
         self.failures += 1
         self.on_health(False)
         self._next(min(self.backoff_max, BACKOFF_FIRST * 2 ** min(self.failures, 8)))
@@ -97,6 +100,8 @@
         except StoreUnavailableError:
             self._failed()
             return
+        if not self.running:
+            return
         self.failures = 0
         self.on_health(True)
         for stored in batch.objects:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -228,3 +228,23 @@
     for _ in range(3):
         clock.advance(1)
     assert follower.names == {"e1": {}}
+
+
+@pytest.mark.parametrize("ending", ["breaks", "answers"])
+def test_a_stopped_loop_tells_nothing_more(client, standin, clock, ending):
+    """
+    Symptom: the log says that the store was lost, after the line that the process has stopped.
+    Sequence: a process stops while its watch waits; the call then breaks off, or is answered.
+    Cause: what a call brought was told although the loop had been stopped.
+    """
+    standin.write("servers", "e1", {})
+    follower = Follower(clock, client)
+    clock.advance(0)
+    told = list(follower.health)
+    follower.loop.stop()
+    if ending == "breaks":
+        standin.waiting.pop()[2].errback(ConnectionError())
+    else:
+        standin.write("servers", "e2", {})
+    clock.advance(5)
+    assert follower.health == told and follower.names == {"e1": {}}
