Endpoints that start again under their id; entries of other writers name no endpoint to use

The registry took an entry of the same id for the same process: streams on the former one stood still where their connection was not reset, copies on it were believed to be there, a late heartbeat of the former replaced the newer one. A spoilt entry was logged with each heartbeat and the endpoint went on being used by the old one; an unknown state moved all its streams off; one object of another form, or bytes that are no text, made the watch deaf for good.

Change: entries carry the start of their process; the registry tells restarts, copies on the former process are forgotten, streams that stand still go on from their copy elsewhere, a late heartbeat of an earlier start says nothing. Unreadable entries make their endpoint unusable (no new work, not leaving) and are told once. The dialect leaves out what it cannot read.

test_an_endpoint_in_any_state_but_ready_takes_no_new_work held that an unknown state is draining; it still asserts that no new work goes there, and now that it is not taken for leaving either.

--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -65,7 +65,7 @@
         self.stopping = False
         self.holder = RouteHolder()
         self.pool = ConnectionPool(reactor)
-        self.registry = EndpointRegistry(reactor, self._endpoint_leaving)
+        self.registry = EndpointRegistry(reactor, self._endpoint_leaving, self._endpoint_restarted)
         self.load = LoadBook(reactor)
         self.peers = PeerBook(reactor)
         self.load.peers = self.peers
@@ -97,6 +97,11 @@
         self.pool.drop(entry.address)
         self.evacuator.leaving(entry)
 
+    def _endpoint_restarted(self, former) -> None:
+        self.load.forget(former.id)
+        self.pool.drop(former.address)
+        self.evacuator.restarted(former)
+
     def _caller_limits(self) -> CallerLimits:
         table = self.holder.table
         return table.limits if table is not None else CallerLimits()
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -103,7 +103,11 @@
         if stored.deleted:
             self.registry.remove(stored.name, stored.revision)
             return
-        entry = self.adapter.decode_endpoint(stored.name, stored.value, stored.revision)
+        try:
+            entry = self.adapter.decode_endpoint(stored.name, stored.value, stored.revision)
+        except (KeyError, ValueError, TypeError, AttributeError) as exc:
+            self.registry.observe_unreadable(stored.name, stored.revision, repr(exc))
+            return
         self.registry.observe(entry)
 
 
--- a/src/guavacleat/membership/registry.py
+++ b/src/guavacleat/membership/registry.py
@@ -4,6 +4,11 @@
 though, entries lapse although their endpoints live; those come back within ``RETURN_SECONDS`` of
 the store's return. Entries removed in that time are kept until it has passed: dropping them at
 once would leave a gateway without any endpoint just after an outage.
+
+An endpoint may start again under the id that it had. Its entry then tells another start, and
+nothing holds that was believed of the process before. An entry that nobody can read names no
+endpoint to use, although the endpoint may be there: it gets no new work, and what runs on it goes
+on.
 """
 
 import enum
@@ -33,18 +38,30 @@
 
     READY = "ready"
     DRAINING = "draining"
+    # The entry is not the endpoint's own or cannot be read; whether the endpoint leaves is unknown.
+    UNUSABLE = "unusable"
 
 
 class EndpointEntry:
     """One incarnation of an endpoint.
 
-    :param id: the incarnation's id; a restart has another.
+    :param id: the endpoint's id; most restarts have another.
     :param address: ``(ip, port)`` of its HTTP listener; may later belong to another service.
     :param slots: requests it processes at a time.
     :param revision: the store's revision of the entry; a later one replaces it.
+    :param started_ms: Unix millisecond at which its process started; None if it does not say.
     """
 
-    __slots__ = ("id", "service", "address", "data_centre", "slots", "state", "revision")
+    __slots__ = (
+        "id",
+        "service",
+        "address",
+        "data_centre",
+        "slots",
+        "state",
+        "revision",
+        "started_ms",
+    )
 
     def __init__(
         self,
@@ -55,6 +72,7 @@
         slots: int,
         state: EndpointState,
         revision: int = 0,
+        started_ms: int | None = None,
     ):
         self.id = id
         self.service = service
@@ -63,6 +81,30 @@
         self.slots = slots
         self.state = state
         self.revision = revision
+        self.started_ms = started_ms
+
+    def is_same_process(self, other: "EndpointEntry") -> bool:
+        """Whether both entries tell of the same start of the same endpoint."""
+        return self.id == other.id and self.started_ms == other.started_ms
+
+    def started_before(self, other: "EndpointEntry") -> bool:
+        """Whether this entry is of an earlier start; False where either does not say."""
+        if self.started_ms is None or other.started_ms is None:
+            return False
+        return self.started_ms < other.started_ms
+
+    def unusable(self, revision: int) -> "EndpointEntry":
+        """The same endpoint, of which nothing can be said since ``revision``."""
+        return EndpointEntry(
+            self.id,
+            self.service,
+            self.address,
+            self.data_centre,
+            self.slots,
+            EndpointState.UNUSABLE,
+            revision,
+            self.started_ms,
+        )
 
 
 class EndpointChange:
@@ -76,19 +118,26 @@
         self.entry = entry
         self.at = at
 
+    @property
+    def tellable(self) -> bool:
+        """Whether peers should hear of it: of an entry that cannot be read there is nothing."""
+        return self.entry is None or self.entry.state is not EndpointState.UNUSABLE
+
 
 class EndpointRegistry:
     """Entries by id; tells ``on_leaving(entry)`` once about each endpoint that will go.
 
+    ``on_restarted(entry)`` hears the former entry of an endpoint that started again under its id.
     ``on_change()`` is called when something changed that peers should hear of. A gateway that is
     cut off from the store learns from its peers (:meth:`hear`) that an endpoint is leaving or has
     come; without that it lost every stream on engines that were taken away meanwhile, and kept
     sending to them.
     """
 
-    def __init__(self, clock: IReactorTime, on_leaving=None):
+    def __init__(self, clock: IReactorTime, on_leaving=None, on_restarted=None):
         self.clock = clock
         self.on_leaving = on_leaving or (lambda entry: None)
+        self.on_restarted = on_restarted or (lambda entry: None)
         self.entries_by_id: dict[str, EndpointEntry] = {}
         self.on_change = lambda: None
         self.left_ids: set[str] = set()
@@ -96,6 +145,8 @@
         self.left_at_by_service: dict[str, float] = {}
         self.changes_by_id: dict[str, EndpointChange] = {}
         self.lapsed_ids: set[str] = set()
+        # Ids whose entries cannot be read, so that each is told once and not with each heartbeat.
+        self.unreadable_ids: set[str] = set()
         self.store_lost_at: float | None = None
         self.store_back_at: float | None = None
 
@@ -104,22 +155,54 @@
         known = self.changes_by_id.get(entry.id)
         if known is not None and known.revision > entry.revision:
             return
-        self.lapsed_ids.discard(entry.id)
         previous = self.entries_by_id.get(entry.id)
+        if previous is not None and entry.started_before(previous):
+            # A heartbeat of the former process, written late: what it says holds no more.
+            return
+        if entry.state is not EndpointState.UNUSABLE:
+            self.unreadable_ids.discard(entry.id)
+        self.lapsed_ids.discard(entry.id)
         self.entries_by_id[entry.id] = entry
-        if previous is None or previous.state is not entry.state:
+        restarted = previous is not None and previous.started_before(entry)
+        if restarted:
+            self._restarted(previous)
+        if restarted or previous is None or previous.state is not entry.state:
             self._log(entry, entry.state.value)
             self._note(entry.id, entry.revision, entry)
         if entry.state is EndpointState.DRAINING:
             self._leaving(entry)
-        else:
+        elif entry.state is EndpointState.READY:
             self.left_ids.discard(entry.id)
 
+    def observe_unreadable(self, id: str, revision: int, error: str) -> None:
+        """Take in that the store's entry of this id cannot be read."""
+        if id not in self.unreadable_ids:
+            self.unreadable_ids.add(id)
+            log_message(message_type="endpoint:unreadable", endpoint=id, error=error)
+        entry = self.entries_by_id.get(id)
+        if entry is None or entry.state is EndpointState.DRAINING or entry.revision > revision:
+            return
+        self.observe(entry.unusable(revision))
+
+    def is_current(self, entry: EndpointEntry) -> bool:
+        """Whether the process of ``entry`` is the one known under its id."""
+        current = self.entries_by_id.get(entry.id)
+        return current is not None and current.is_same_process(entry)
+
+    def _restarted(self, former: EndpointEntry) -> None:
+        self.left_ids.discard(former.id)
+        self._log(former, "restarted")
+        self.on_restarted(former)
+
     def remove(self, id: str, revision: int = 0) -> None:
         """Take in that the store holds no entry of this id any more, since ``revision``."""
+        self.unreadable_ids.discard(id)
         entry = self.entries_by_id.get(id)
         if entry is None or id in self.lapsed_ids:
             return
+        if revision and entry.revision > revision:
+            # A peer told already that the endpoint is back.
+            return
         if entry.state is EndpointState.READY and self._may_have_lapsed():
             self.lapsed_ids.add(id)
             self._log(entry, "lapsed")
@@ -147,10 +230,15 @@
         ]
         for id in old:
             del self.changes_by_id[id]
-        return [change for change in self.changes_by_id.values() if change.at >= oldest]
+        return [
+            change
+            for change in self.changes_by_id.values()
+            if change.at >= oldest and change.tellable
+        ]
 
     def listed(self, ids: set[str]) -> None:
         """Take in a whole listing: every entry not in it is gone."""
+        self.unreadable_ids &= ids
         for id in set(self.entries_by_id) - ids:
             self.remove(id)
 
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -38,6 +38,9 @@
 # per token, in place of the longest first, gave 0.756 of the worth against 0.746 (means of nine
 # simulated days of both deployments, one run each).
 OUTPUT_WORTH = 10
+# A stream that runs sends an event every 30 to 70 ms; one on an engine that started again has
+# sent none for several times that.
+RESTART_SILENCE_SECONDS = 0.3
 NO_SUCH_RUN = 404
 
 
@@ -50,13 +53,39 @@
 
     def leaving(self, entry: EndpointEntry) -> None:
         """Hear that an endpoint will soon be gone."""
-        for session in self.sessions:
-            if session.memory.copy is not None and session.memory.copy.entry.id == entry.id:
-                session.memory.drop_copy()
+        self._drop_copies_on(entry)
         if self._on(entry):
             evacuating = defer.Deferred.fromCoroutine(self._evacuate(entry))
             evacuating.addErrback(self._note_error)
 
+    def restarted(self, former: EndpointEntry) -> None:
+        """Hear that an endpoint's process is gone and another has its id and address.
+
+        A stream that ran there is lost there; without this, one whose connection was not reset
+        would wait for events that never come until its caller leaves.
+        """
+        self._drop_copies_on(former)
+        for session in self._on(former):
+            events = session.memory.events
+            self.parts.clock.callLater(
+                RESTART_SILENCE_SECONDS, self._leave_if_silent, session, former, events
+            )
+
+    def _leave_if_silent(self, session: StreamSession, former: EndpointEntry, events: int) -> None:
+        """Go on elsewhere, unless the stream's events show that it began on the new process."""
+        if events and session.memory.events == events and self._still_there(session, former):
+            log_message(
+                message_type="stream:left-behind",
+                request=session.request.facts.id,
+                endpoint=former.id,
+            )
+            session.leave_engine()
+
+    def _drop_copies_on(self, entry: EndpointEntry) -> None:
+        for session in self.sessions:
+            if session.memory.copy is not None and session.memory.copy.entry.id == entry.id:
+                session.memory.drop_copy()
+
     def _on(self, entry: EndpointEntry) -> list[StreamSession]:
         return [session for session in self.sessions if self._still_there(session, entry)]
 
@@ -120,9 +149,9 @@
 
     def _still_there(self, session: StreamSession, entry: EndpointEntry) -> bool:
         leg = session.leg
-        return (
-            leg is not None and not session.finished and not leg.ended and leg.entry.id == entry.id
-        )
+        if leg is None or session.finished or leg.ended:
+            return False
+        return leg.entry.is_same_process(entry)
 
     async def _copy_somewhere(self, session: StreamSession, entry: EndpointEntry) -> bool:
         """Copy one stream, trying two targets; return whether there is a copy now."""
@@ -140,7 +169,11 @@
             self.parts.load.begin(target.id, arriving)
             answer = await self._copy(session, entry, target)
             self._log("move:copied", session, entry, target, answer.status, began)
-            useful = answer.copied and self._still_there(session, entry)
+            useful = (
+                answer.copied
+                and self._still_there(session, entry)
+                and self.parts.registry.is_current(target)
+            )
             if useful:
                 session.memory.keep_copy(HeldCopy(target, entry, answer.handle))
             self.parts.load.end(target.id, arriving)
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -101,6 +101,7 @@
         entry.data_centre,
         entry.slots,
         entry.state is EndpointState.DRAINING,
+        entry.started_ms,
     )
 
 
@@ -116,5 +117,6 @@
         change.slots,
         state,
         change.revision,
+        change.started_ms,
     )
     return EndpointChange(change.endpoint, change.revision, entry)
--- a/src/guavacleat/platform/decode.py
+++ b/src/guavacleat/platform/decode.py
@@ -1,5 +1,6 @@
 """What operators and engines write to the store, decoded into the product's types."""
 
+import ipaddress
 import math
 
 from guavacleat.membership.registry import EndpointEntry, EndpointState
@@ -22,7 +23,8 @@
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
     "stream": RequestKind.STREAM,
 }
-READY = "ready"
+STATES_BY_WORD = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING}
+PORTS = range(1, 65536)
 
 
 def decode_configuration(spec: dict) -> RouteTable:
@@ -137,14 +139,24 @@
 
 def decode_endpoint(id: str, spec: dict, revision: int) -> EndpointEntry:
     """Decode the entry that an engine keeps of itself under its id; raises like the above."""
-    host, _, port = _text(spec["address"]).rpartition(":")
+    started = spec.get("born")
     return EndpointEntry(
         id=id,
         service=_text(spec["service"]),
-        address=(host, int(port)),
+        address=_address(_text(spec["address"])),
         data_centre=_text(_get(spec, "zone", "")),
         slots=_whole(_get(spec, "slots", 1)),
-        # Any state but ready takes no new work.
-        state=EndpointState.READY if spec.get("state") == READY else EndpointState.DRAINING,
+        # A state that is not known says neither that it takes work nor that it leaves.
+        state=STATES_BY_WORD.get(_text(spec["state"]), EndpointState.UNUSABLE),
         revision=revision,
+        started_ms=None if started is None else _whole(started),
     )
+
+
+def _address(text: str) -> tuple[str, int]:
+    """``IP:PORT``; a host's name would be looked up, which nobody here is meant to do."""
+    host, _, port = text.rpartition(":")
+    ipaddress.ip_address(host)
+    if int(port) not in PORTS:
+        raise ValueError(f"{port} is no port")
+    return host, int(port)
--- a/src/guavacleat/platform/objects.py
+++ b/src/guavacleat/platform/objects.py
@@ -2,6 +2,8 @@
 
 from urllib.parse import quote
 
+from eliot import log_message
+
 from guavacleat.store.messages import MUST_NOT_EXIST, StoredObject, WatchBatch
 
 __all__ = ["CONFIG_KIND", "CONFIG_NAME", "ENDPOINT_KIND", "PlatformDialect"]
@@ -47,13 +49,32 @@
 
     def decode_listing(self, kind: str, body: dict):
         """Return a :class:`WatchBatch` and the name to go on after, None at the end."""
-        objects = [self.decode_object(kind, item) for item in body["items"]]
-        more = body.get("hasMore") and objects
-        return WatchBatch(body["storeRevision"], objects), objects[-1].name if more else None
+        items = body["items"]
+        objects = self._readable(kind, ((item, False) for item in items))
+        more = body.get("hasMore") and items
+        return WatchBatch(body["storeRevision"], objects), _last_name(items) if more else None
 
     def decode_changes(self, kind: str, body: dict) -> WatchBatch:
-        objects = [
-            self.decode_object(kind, event["object"], deleted=bool(event.get("tombstone")))
-            for event in body["events"]
-        ]
-        return WatchBatch(body["storeRevision"], objects)
+        events = ((event.get("object"), bool(event.get("tombstone"))) for event in body["events"])
+        return WatchBatch(body["storeRevision"], self._readable(kind, events))
+
+    def _readable(self, kind: str, items) -> list[StoredObject]:
+        """Decode ``(object, deleted)`` pairs, leaving out what is not as described.
+
+        Let through as an error, one such object would fail each later call that brings it again:
+        a watch would never hear of any change after it.
+        """
+        decoded = (self._try_decode(kind, item, deleted) for item, deleted in items)
+        return [stored for stored in decoded if stored is not None]
+
+    def _try_decode(self, kind: str, item, deleted: bool) -> StoredObject | None:
+        try:
+            return self.decode_object(kind, item, deleted)
+        except (KeyError, TypeError, AttributeError) as exc:
+            log_message(message_type="store:object-unreadable", kind=kind, error=repr(exc))
+            return None
+
+
+def _last_name(items: list[dict]) -> str:
+    """The name after which a listing goes on."""
+    return items[-1]["metadata"]["name"]
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -139,6 +139,7 @@
      - data_centre
      - slots
      - draining
+     - started_ms
 
     """
 
@@ -151,10 +152,11 @@
         'data_centre',
         'slots',
         'draining',
+        'started_ms',
     )
 
 
-    def __init__(self, endpoint=None, revision=None, service_name=None, ip=None, port=None, data_centre=None, slots=None, draining=None,):
+    def __init__(self, endpoint=None, revision=None, service_name=None, ip=None, port=None, data_centre=None, slots=None, draining=None, started_ms=None,):
         self.endpoint = endpoint
         self.revision = revision
         self.service_name = service_name
@@ -163,6 +165,7 @@
         self.data_centre = data_centre
         self.slots = slots
         self.draining = draining
+        self.started_ms = started_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -213,6 +216,11 @@
                     self.draining = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -255,6 +263,10 @@
             oprot.writeFieldBegin('draining', TType.BOOL, 8)
             oprot.writeBool(self.draining)
             oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 9)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -455,6 +467,7 @@
     (6, TType.STRING, 'data_centre', 'UTF8', None, ),  # 6
     (7, TType.I32, 'slots', None, None, ),  # 7
     (8, TType.BOOL, 'draining', None, None, ),  # 8
+    (9, TType.I64, 'started_ms', None, None, ),  # 9
 )
 all_structs.append(PeerReport)
 PeerReport.thrift_spec = (
--- a/src/guavacleat/store/client.py
+++ b/src/guavacleat/store/client.py
@@ -117,8 +117,9 @@
         if response.code not in EXPECTED_STATUSES:
             raise StoreUnavailableError(f"{method} {path}: status {response.code}")
         try:
-            return response.code, json.loads(content)
-        except ValueError as exc:
+            # Bytes that are no text, in one object, must not hide all others.
+            return response.code, json.loads(content.decode("utf-8", "replace"))
+        except (ValueError, RecursionError) as exc:
             # A garbled answer tells nothing about the write; left to escape, it would end the
             # watch or lease loop that made the call.
             raise StoreUnavailableError(f"{method} {path}: the answer is not JSON") from exc
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -188,8 +188,10 @@
         return request, caller
 
 
-def entry(name, data_centre="dc", state=EndpointState.READY, service="svc", revision=0):
-    return EndpointEntry(name, service, (name, 80), data_centre, 6, state, revision)
+def entry(
+    name, data_centre="dc", state=EndpointState.READY, service="svc", revision=0, started_ms=None
+):
+    return EndpointEntry(name, service, (name, 80), data_centre, 6, state, revision, started_ms)
 
 
 def event(id, text="x"):
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -126,6 +126,162 @@
     assert "e1" not in registry.changes_by_id
 
 
+@pytest.fixture
+def restarted(registry):
+    restarted = []
+    registry.on_restarted = restarted.append
+    return restarted
+
+
+def test_an_endpoint_that_starts_again_under_its_id_is_told(registry, restarted, left):
+    """
+    Symptom: streams on an engine that crashed wait for events that never come.
+    Sequence: an engine crashes and starts again, under the id that it had, before its entry lapses.
+    Cause: its entry looks as before but for the time of its start.
+    """
+    registry.observe(entry("e1", revision=5, started_ms=1000))
+    registry.observe(entry("e1", revision=6, started_ms=2000))
+    assert [former.started_ms for former in restarted] == [1000]
+    assert ready_ids(registry) == ["e1", "e2"]
+    assert left == []
+
+
+def test_one_that_was_leaving_takes_work_after_it_started_again(registry, restarted, left):
+    registry.observe(entry("e1", revision=5, state=DRAINING, started_ms=1000))
+    registry.observe(entry("e1", revision=6, started_ms=2000))
+    assert ready_ids(registry) == ["e1", "e2"]
+    registry.observe(entry("e1", revision=7, state=DRAINING, started_ms=2000))
+    assert [found.started_ms for found in left] == [1000, 2000]
+
+
+def test_a_late_heartbeat_of_the_former_process_says_nothing(registry, restarted):
+    """
+    Symptom: an engine that just started gets no work, and its streams are moved off.
+    Sequence: its former process wrote that it drains; that write takes effect seconds later.
+    Cause: the store's revision is newer, the process that it tells of is older.
+    """
+    registry.observe(entry("e1", revision=5, started_ms=2000))
+    registry.observe(entry("e1", revision=6, state=DRAINING, started_ms=1000))
+    assert ready_ids(registry) == ["e1", "e2"]
+    assert restarted == []
+
+
+def test_a_removal_older_than_what_a_peer_told_is_passed_over(registry):
+    """
+    Symptom: an engine that is back gets no work until its next change.
+    Sequence: a gateway that hears late is told by a peer that the engine is back; then its own
+    watch brings the removal from before.
+    Cause: the removal has an older revision than the entry.
+    """
+    registry.hear(EndpointChange("e1", 9, entry("e1", revision=9, started_ms=2000)))
+    registry.remove("e1", revision=8)
+    assert ready_ids(registry) == ["e1", "e2"]
+
+
+def test_an_unreadable_entry_names_no_endpoint_to_use(registry, left, monkeypatch):
+    """
+    Symptom: requests go to an endpoint by an entry that another writer spoilt, or all its streams
+    are moved off.
+    Sequence: an entry is overwritten with something else, with every heartbeat; later the
+    endpoint writes its own again.
+    Cause: what cannot be read says neither that the endpoint takes work nor that it leaves.
+    """
+    lines = []
+    monkeypatch.setattr(
+        "guavacleat.membership.registry.log_message", lambda **fields: lines.append(fields)
+    )
+    for revision in (5, 6, 7):
+        registry.observe_unreadable("e1", revision, "KeyError('service')")
+    assert ready_ids(registry) == ["e2"]
+    assert left == []
+    unreadable = [line for line in lines if line["message_type"] == "endpoint:unreadable"]
+    assert len(unreadable) == 1
+    assert {change.id for change in registry.recent_changes()} == {"e2"}
+    registry.observe(entry("e1", revision=8))
+    assert ready_ids(registry) == ["e1", "e2"]
+
+
+def test_an_unreadable_entry_does_not_make_a_leaving_endpoint_stay(registry, left):
+    registry.observe(entry("e1", revision=5, state=DRAINING))
+    registry.observe_unreadable("e1", 6, "KeyError('service')")
+    registry.observe_unreadable("nobody", 7, "KeyError('service')")
+    assert registry.entries_by_id["e1"].state is DRAINING
+    assert [found.id for found in left] == ["e1"]
+
+
+class RestartMachine(RuleBasedStateMachine):
+    """Endpoints start again under their ids; beats come late; entries lapse, go and are spoilt.
+
+    What the store holds last decides, except that an earlier start never replaces a later one.
+    """
+
+    ids = st.sampled_from(["a", "b"])
+
+    def __init__(self):
+        super().__init__()
+        self.clock = Clock()
+        self.revision = 0
+        self.started = {"a": 1, "b": 1}
+        self.restarts = []
+        self.registry = EndpointRegistry(self.clock, on_restarted=self.restarts.append)
+
+    def _write(self, id, state, started_ms):
+        self.revision += 1
+        written = entry(id, state=state, revision=self.revision, started_ms=started_ms)
+        self.registry.observe(written)
+        return written
+
+    @rule(id=ids, state=st.sampled_from([EndpointState.READY, DRAINING]))
+    def beat(self, id, state):
+        self._write(id, state, self.started[id])
+        assert self.registry.entries_by_id[id].state is state
+
+    @rule(id=ids)
+    def start_again(self, id):
+        known = self.registry.entries_by_id.get(id)
+        before = len(self.restarts)
+        self.started[id] += 1
+        self._write(id, EndpointState.READY, self.started[id])
+        assert len(self.restarts) - before == (0 if known is None else 1)
+        assert id in ready_ids(self.registry)
+
+    @rule(id=ids, state=st.sampled_from([EndpointState.READY, DRAINING]))
+    def late_beat(self, id, state):
+        known = self.registry.entries_by_id.get(id)
+        if known is not None and known.started_ms > 1:
+            self._write(id, state, known.started_ms - 1)
+            assert self.registry.entries_by_id[id] is known
+
+    @rule(id=ids)
+    def spoil(self, id):
+        self.revision += 1
+        self.registry.observe_unreadable(id, self.revision, "unreadable")
+        assert id not in ready_ids(self.registry)
+
+    @rule(id=ids, late=st.integers(0, 3))
+    def remove(self, id, late):
+        self.registry.remove(id, self.revision - late)
+
+    @rule(ids=st.sets(ids))
+    def compacted(self, ids):
+        self.registry.listed(ids)
+
+    @rule(healthy=st.booleans(), seconds=st.floats(0, 4))
+    def store(self, healthy, seconds):
+        self.registry.store_health(healthy)
+        self.clock.advance(seconds)
+
+    @invariant()
+    def restarts_go_forward(self):
+        for id in ("a", "b"):
+            starts = [former.started_ms for former in self.restarts if former.id == id]
+            assert starts == sorted(set(starts))
+
+
+TestRestartMachine = RestartMachine.TestCase
+TestRestartMachine.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
+
+
 class RegistryMachine(RuleBasedStateMachine):
     """Whatever is observed, removed, listed or lost: draining is final for an incarnation."""
 
--- a/tests/migration/test_evacuation.py
+++ b/tests/migration/test_evacuation.py
@@ -294,3 +294,89 @@
     assert MoveAnswer(200, "h").copied
     assert not MoveAnswer(200, None).copied
     assert not MoveAnswer(503, "h").copied
+
+
+def start_again(world, evacuator, name, former_start=1000):
+    """The endpoint ``name`` crashes and is back under its id; the registry hears of it."""
+    world.registry.on_restarted = evacuator.restarted
+    world.registry.observe(entry(name, revision=9, started_ms=former_start + 500))
+
+
+@pytest.fixture
+def dated(world):
+    """The endpoint ``leaver`` tells when it started."""
+    world.registry.observe(entry("leaver", revision=1, started_ms=1000))
+    return world
+
+
+def test_a_stream_on_an_engine_that_started_again_goes_on_from_its_copy(dated, clock, calls):
+    """
+    Symptom: a stream stands still until its caller leaves.
+    Sequence: its engine crashes without resetting connections and starts again under its id.
+    Cause: the stream is lost there; its copy is on another engine.
+    """
+    _, found = streams(dated, 1)
+    session, _, side = found[0]
+    dated.ready("e1")
+    session.memory.keep_copy(HeldCopy(entry("e1"), session.leg.entry, "h0"))
+    start_again(dated, Evacuator(dated.parts, dated.sessions), "leaver")
+    clock.advance(0.5)
+    assert side.abandoned
+    assert dated.pool.to("e1")[-1].headers[b"resume"] == b"h0 30"
+
+
+def test_a_stream_that_began_on_the_new_process_stays(dated, clock, calls):
+    """
+    Symptom: a stream that runs well is moved or cut.
+    Sequence: an engine starts again; a stream begins there before the news of it arrives.
+    Cause: the stream was sent by the former entry, which has the same id and address.
+    """
+    _, found = streams(dated, 1)
+    session, caller, side = found[0]
+    start_again(dated, Evacuator(dated.parts, dated.sessions), "leaver")
+    clock.advance(0.2)
+    side.body_bytes(event(31))
+    clock.advance(1)
+    assert not side.abandoned and not caller.was_cut
+
+
+def test_without_a_copy_such_a_stream_is_cut(dated, clock, calls):
+    _, found = streams(dated, 1)
+    _, caller, side = found[0]
+    start_again(dated, Evacuator(dated.parts, dated.sessions), "leaver")
+    clock.advance(0.5)
+    assert side.abandoned and caller.was_cut
+
+
+def test_copies_on_an_engine_that_started_again_are_forgotten(dated, clock, calls):
+    """
+    Symptom: a stream is sent to go on from a copy that is not there, and pauses.
+    Sequence: the engine that holds its copy starts again under its id; then its own engine leaves.
+    Cause: a process that starts holds nothing of before.
+    """
+    _, found = streams(dated, 1)
+    session = found[0][0]
+    dated.registry.observe(entry("e1", revision=2, started_ms=1000))
+    session.memory.keep_copy(HeldCopy(entry("e1"), session.leg.entry, "h0"))
+    start_again(dated, Evacuator(dated.parts, dated.sessions), "e1")
+    assert session.memory.copy is None
+
+
+def test_a_copy_that_arrived_at_the_process_before_is_not_used(dated, clock, calls):
+    """
+    Symptom: a stream whose copy succeeded is cut.
+    Sequence: a copy to an engine is under way as that engine starts again; the call's answer says
+    that the copy is there.
+    Cause: it was there, at the former process.
+    """
+    sessions, found = streams(dated, 1)
+    session = found[0][0]
+    evacuator = Evacuator(dated.parts, sessions)
+    dated.registry.observe(entry("e1", revision=2, started_ms=1000))
+    leaver = entry("leaver", state=EndpointState.DRAINING, revision=3, started_ms=1000)
+    dated.registry.observe(leaver)
+    evacuator.leaving(leaver)
+    assert calls.targets() == ["/copy"]
+    start_again(dated, evacuator, "e1")
+    calls.answer(0, 200, "h0")
+    assert session.memory.copy is None
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -37,6 +37,13 @@
     assert decode_report(encode_report(report)).stops_in == stops_in
 
 
+@pytest.mark.parametrize("started_ms", [None, 1778085760007])
+def test_the_start_of_an_endpoint_survives_the_wire(started_ms):
+    change = EndpointChange("e1", 9, entry("e1", revision=9, started_ms=started_ms))
+    report = decode_report(encode_report(GatewayReport("g1", 1, 1, {}, [change])))
+    assert report.changes[0].entry.started_ms == started_ms
+
+
 @given(st.binary(max_size=100))
 def test_any_datagram_is_a_report_or_refused(data):
     with contextlib.suppress(BadReportError):
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -1,5 +1,6 @@
 """Wire to types: configuration, endpoint entries, headers, moves; any input, never a crash."""
 
+import contextlib
 import json
 
 import pytest
@@ -96,8 +97,74 @@
     spec = {"service": "a", "address": "10.1.2.3:80", "zone": "z", "slots": 24, "state": "ready"}
     assert decode_endpoint("i-1", spec, 1).state is EndpointState.READY
     assert decode_endpoint("i-1", spec, 1).address == ("10.1.2.3", 80)
-    for state in ("draining", "odd", None):
-        assert decode_endpoint("i-1", {**spec, "state": state}, 1).state is EndpointState.DRAINING
+    assert decode_endpoint("i-1", {**spec, "state": "draining"}, 1).state is EndpointState.DRAINING
+    # Not leaving either: streams on it need not be moved because of what another writer wrote.
+    assert decode_endpoint("i-1", {**spec, "state": "odd"}, 1).state is EndpointState.UNUSABLE
+
+
+READY_SPEC = {"service": "a", "address": "10.1.2.3:80", "zone": "z", "slots": 24, "state": "ready"}
+WITHOUT = object()
+FOREIGN_FIELDS = [
+    ("service", WITHOUT),
+    ("service", 7),
+    ("address", WITHOUT),
+    ("address", None),
+    ("address", "10.1.2.3"),
+    ("address", "10.1.2.3:none"),
+    ("address", "10.1.2.3:0"),
+    ("address", "10.1.2.3:70000"),
+    ("address", "somewhere.example:80"),
+    ("address", ["10.1.2.3", 80]),
+    ("zone", 3),
+    ("slots", "many"),
+    ("slots", True),
+    ("state", WITHOUT),
+    ("state", None),
+    ("state", ["ready"]),
+    ("born", "yesterday"),
+    ("born", 12.5),
+]
+
+
+@pytest.mark.parametrize("field,value", FOREIGN_FIELDS)
+def test_an_entry_of_another_writer_is_refused_whole(field, value):
+    """
+    Symptom: a gateway fails with every request, or looks up a host's name.
+    Sequence: somebody else writes an entry with a field missing or of another type.
+    Cause: what is let through here is used with every request.
+    """
+    spec = {**READY_SPEC, field: value}
+    if value is WITHOUT:
+        del spec[field]
+    with pytest.raises((KeyError, ValueError, TypeError, AttributeError)):
+        decode_endpoint("i-1", spec, 1)
+
+
+@pytest.mark.parametrize("spec", [None, "bytes", 5, [], [READY_SPEC]])
+def test_an_entry_that_is_no_map_is_refused(spec):
+    with pytest.raises((KeyError, ValueError, TypeError, AttributeError)):
+        decode_endpoint("i-1", spec, 1)
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=5,
+)
+
+
+@given(st.dictionaries(st.sampled_from([*READY_SPEC, "born"]), JSON_VALUES))
+def test_any_entry_is_decoded_or_refused(changed):
+    with contextlib.suppress(KeyError, ValueError, TypeError, AttributeError):
+        found = decode_endpoint("i-1", {**READY_SPEC, **changed}, 1)
+        assert found.started_ms is None or isinstance(found.started_ms, int)
+
+
+def test_the_start_of_an_endpoint_is_read():
+    assert decode_endpoint("i-1", READY_SPEC, 1).started_ms is None
+    assert decode_endpoint("i-1", {**READY_SPEC, "born": 1778085760007}, 1).started_ms == (
+        1778085760007
+    )
 
 
 FORGED = [
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -248,3 +248,37 @@
         standin.write("servers", "e2", {})
     clock.advance(5)
     assert follower.health == told and follower.names == {"e1": {}}
+
+
+def test_objects_that_cannot_be_read_hide_no_others(clock, client, standin):
+    """
+    Symptom: a gateway hears of no endpoint that comes or leaves any more.
+    Sequence: somebody writes an object whose form is not as described, or with bytes that are no
+    text; every later watch brings it again.
+    Cause: failing the whole answer for one object makes the loop ask for the same one for ever.
+    """
+    follower = Follower(clock, client)
+    spoilt = {"object": {"metadata": {"name": "s0"}, "spec": {}}, "tombstone": False}
+    standin.history.append((1, "servers", spoilt))
+    standin.history.append((1, "servers", {"tombstone": False}))
+    standin.write("servers", "s1", {"a": 1})
+    assert follower.names == {"s1": {"a": 1}}
+    assert follower.health[-1] is True
+
+
+def test_bytes_that_are_no_text_spoil_only_what_holds_them(client, standin, monkeypatch):
+    standin.write("servers", "s1", {"a": "BYTES"})
+    standin.write("servers", "s2", {"a": 2})
+    answer = standin.request
+
+    def with_bytes(*args, **kwargs):
+        return answer(*args, **kwargs).addCallback(_spoil)
+
+    def _spoil(reply):
+        reply.body = reply.body.replace(b"BYTES", b"\xff\xfe")
+        return reply
+
+    monkeypatch.setattr(standin, "request", with_bytes)
+    listed = result_of(client.list_objects("servers")).objects
+    assert [stored.name for stored in listed] == ["s1", "s2"]
+    assert listed[1].value == {"a": 2}
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -25,6 +25,8 @@
   6: optional string data_centre,
   7: optional i32 slots,
   8: optional bool draining,
+  // Unix millisecond of the endpoint's start, if it tells it.
+  9: optional i64 started_ms,
 }
 
 // ``incarnation`` is drawn at each start of the sender; ``sequence`` grows by one a report.
