guavacleat report: where a run lost worth, by cause and by engine, from the gateways' logs

The report tells every request's story, counts causes (one set with explain, now kinds with a sentence), and adds up the worth missing per route and cause so that it makes all that is owed; engines' histories tell notices, what was believed of them, how long their links were busy, what was cut. Logs now say whether an answer was late and whether a stream paused. A stream that ends with its gateway's stop is no longer put down to its engine.

--- a/src/guavacleat/cmdline.py
+++ b/src/guavacleat/cmdline.py
@@ -20,6 +20,7 @@
         "operators: `ctl apply FILE`, `ctl status`, `ctl order ...`",
     ),
     "explain": ("guavacleat.commands.explain", "a request's story and its cause, from logs"),
+    "report": ("guavacleat.commands.report", "where a run lost worth and why, from logs"),
     "standin": ("guavacleat.commands.standin", "stand-ins: `standin engine|store|services`"),
     "load": ("guavacleat.commands.load", "drive the stand-ins with traffic and compare policies"),
     "demo": ("guavacleat.commands.demo", "the main job on embedded defaults, on loopback"),
--- a/src/guavacleat/commands/explain.py
+++ b/src/guavacleat/commands/explain.py
@@ -6,9 +6,9 @@
 """
 
 import sys
-from pathlib import Path
 
-from guavacleat.explain import find_cause, read_lines, tell
+from guavacleat.explain import LogIndex, find_cause, tell
+from guavacleat.explain.lines import UnreadableLogError, read_files
 
 USAGE = "usage: guavacleat explain ID [FILE...]   (without FILE: standard input)"
 
@@ -17,7 +17,10 @@
     if len(argv) < 2:
         sys.exit(USAGE)
     request, files = argv[1], argv[2:]
-    story = tell(request, _read(files))
+    try:
+        story = tell(request, LogIndex(read_files(files)))
+    except UnreadableLogError as exc:
+        sys.exit(f"guavacleat explain: {exc}")
     if story is None:
         sys.exit(
             f"guavacleat explain: no line has the request {request}; "
@@ -27,17 +30,3 @@
     for line in story.in_order():
         print(f"{line.at - began:9.3f} s  {line.instance}  {line}")
     print(f"\n{find_cause(story)}")
-
-
-def _read(files: list[str]):
-    if not files:
-        return read_lines(sys.stdin, "stdin")
-    return [line for name in files for line in _read_file(name)]
-
-
-def _read_file(name: str):
-    try:
-        with open(name, encoding="utf-8", errors="replace") as file:
-            return read_lines(file, Path(name).stem)
-    except OSError as exc:
-        sys.exit(f"guavacleat explain: cannot read {name}: {exc}.")
--- /dev/null
+++ b/src/guavacleat/commands/report.py
@@ -0,0 +1,48 @@
+"""``guavacleat report [FILE...]``: where a run lost what its callers asked for, and why.
+
+Reads logs of the gateways (as ``guavacleat explain`` does) and prints the requests by route and
+result, the worth missing by cause (shares that add up to all that is owed), and each engine's
+history. With --plot it saves both over time as a picture.
+"""
+
+import sys
+
+from absl import flags
+
+from guavacleat.explain import LogIndex
+from guavacleat.explain.lines import UnreadableLogError, read_files
+from guavacleat.report import Worth, engine_histories, make_ledger
+from guavacleat.report.tables import engine_table, loss_table, route_table
+
+FLAGS = flags.FLAGS
+flags.DEFINE_multi_string(
+    "worth", [], "ROUTE=ON_TIME[:LATE], what an answer of a route is worth; 1:0 if not given."
+)
+flags.DEFINE_string("plot", None, "Picture (PNG) to save.")
+flags.DEFINE_float("span", 2.0, "Seconds of arrivals that the picture adds up.", lower_bound=0.1)
+
+
+def main(argv):
+    try:
+        index = LogIndex(read_files(argv[1:]))
+    except UnreadableLogError as exc:
+        sys.exit(f"guavacleat report: {exc}")
+    if not index.by_request:
+        sys.exit("guavacleat report: no line tells of a request; give the logs of the gateways.")
+    ledger = make_ledger(index, dict(map(_parse_worth, FLAGS.worth)))
+    histories = engine_histories(index)
+    print(route_table(ledger), loss_table(ledger), engine_table(histories), sep="\n\n")
+    if FLAGS.plot:
+        # Imported here only: the plotting library takes a second to load.
+        from guavacleat.report.plots import save_plots
+
+        save_plots(ledger, histories, FLAGS.plot, FLAGS.span)
+
+
+def _parse_worth(text: str) -> tuple[str, Worth]:
+    route, _, values = text.rpartition("=")
+    on_time, _, late = values.partition(":")
+    try:
+        return route, Worth(float(on_time), float(late or 0))
+    except ValueError:
+        sys.exit(f"guavacleat report: --worth={text} is not ROUTE=ON_TIME[:LATE].")
--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -1,12 +1,49 @@
-"""Naming the cause of a request's end in one sentence.
+"""Naming the cause of a request's end: its kind, to be counted, and one sentence to read.
 
-Each finder looks at one kind of end and returns a sentence, or None if it is another kind. The
-first that knows wins; :func:`find_cause` goes through :data:`FINDERS`.
+Each finder looks at one kind of end and returns a :class:`Cause`, or None if it is another kind.
+The first that knows wins; :func:`classify` goes through :data:`FINDERS`.
 """
 
+import enum
+
 from guavacleat.explain.story import Story
 
-__all__ = ["FINDERS", "find_cause"]
+__all__ = ["FINDERS", "Cause", "CauseKind", "classify", "find_cause"]
+
+
+class CauseKind(enum.Enum):
+    """What decided how a request ended; the values head the report's columns."""
+
+    ON_TIME = "on time"
+    LATE_WAITED = "waited for room"
+    LATE_FIRST = "first event late"
+    LATE_MOVED = "pause of a move"
+    LATE_PAUSE = "other pause"
+    LATE_ANSWER = "late answer"
+    ENGINE_LEFT = "engine left"
+    ENGINE_CRASHED = "engine crashed"
+    BEFORE_FIRST_EVENT = "engine gone before first event"
+    GATEWAY_STOPPED = "gateway stopped"
+    GATEWAY_GONE = "gateway gone"
+    NOT_ALLOWED = "not allowed"
+    NO_ROOM = "refused: no room"
+    REFUSED = "refused: other"
+    EXPIRED = "time up"
+    NO_WHOLE_ANSWER = "no whole answer"
+    CALLER_LEFT = "caller left"
+    ENDPOINT_FAILED = "endpoint failed"
+    UNKNOWN = "unknown"
+
+
+class Cause:
+    """A kind and a sentence."""
+
+    __slots__ = ("kind", "sentence")
+
+    def __init__(self, kind: CauseKind, sentence: str):
+        self.kind = kind
+        self.sentence = sentence
+
 
 # What a copy's status means, as an engine answers it; 0 is the gateway's own for no answer.
 COPY_STATUSES = {
@@ -16,25 +53,38 @@
     503: "the other engine had no memory for a copy",
 }
 SERVER_ERROR = 500
+# A gateway that stops lets streams run on for some seconds; sooner, the cause is another.
+STOP_GRACE_SECONDS = 5.0
+
+
+def classify(story: Story) -> Cause:
+    """Why the request ended as it did."""
+    found = (finder(story) for finder in FINDERS)
+    return next((cause for cause in found if cause), UNKNOWN)
 
 
 def find_cause(story: Story) -> str:
     """One sentence on why the request ended as it did."""
-    found = (finder(story) for finder in FINDERS)
-    return next((sentence for sentence in found if sentence), UNKNOWN)
+    return classify(story).sentence
 
 
-UNKNOWN = "The logs do not tell: look at the lines above, and at log:left-out of its gateway."
+UNKNOWN = Cause(
+    CauseKind.UNKNOWN,
+    "The logs do not tell: look at the lines above, and at log:left-out of its gateway.",
+)
 
 
-def _unfinished(story: Story) -> str | None:
+def _unfinished(story: Story) -> Cause | None:
     if story.end is not None:
         return None
     last = story.own[-1]
-    return f"Its gateway {last.instance} was gone before it ended: no line tells its outcome."
+    return Cause(
+        CauseKind.GATEWAY_GONE,
+        f"Its gateway {last.instance} was gone before it ended: no line tells its outcome.",
+    )
 
 
-def _not_allowed(story: Story) -> str | None:
+def _not_allowed(story: Story) -> Cause | None:
     end = story.end
     if end.get("outcome") not in ("UNKNOWN_KEY", "UNKNOWN_ROUTE"):
         return None
@@ -50,7 +100,7 @@
         sentence += f"; version {newer[0].get('version')} came {delay:.2f} s after it ended"
     if _store_was_lost(story):
         sentence += "; its gateway could not reach the store meanwhile"
-    return sentence + "."
+    return Cause(CauseKind.NOT_ALLOWED, sentence + ".")
 
 
 def _store_was_lost(story: Story) -> bool:
@@ -58,7 +108,7 @@
     return bool(states) and "store:lost" in states
 
 
-def _refused(story: Story) -> str | None:
+def _refused(story: Story) -> Cause | None:
     end = story.end
     sentences = {
         "NO_CONFIGURATION": "Its gateway had no configuration yet.",
@@ -69,22 +119,42 @@
     if end.get("outcome") == "NO_ROOM":
         refusals = len(story.every("stream:refused")) + len(story.every("request:attempt"))
         why = end.get("detail") or f"{refusals} endpoints would not run it"
-        return f"There was no room: {why}. It has not run."
+        return Cause(CauseKind.NO_ROOM, f"There was no room: {why}. It has not run.")
     sentence = sentences.get(end.get("outcome"))
-    return sentence and f"{sentence} It has not run."
+    return sentence and Cause(CauseKind.REFUSED, f"{sentence} It has not run.")
+
 
+def _stopped(story: Story) -> Cause | None:
+    """A stream that a stopping gateway could not finish within its grace."""
+    broken = story.last("stream:broken")
+    stops = [line for line in story.around if line.type == "process:stopping"]
+    if broken is None or not stops:
+        return None
+    waited = broken.at - stops[0].at
+    if waited < STOP_GRACE_SECONDS or story.notice(broken.get("endpoint")) is not None:
+        return None
+    return Cause(
+        CauseKind.GATEWAY_STOPPED,
+        f"Its gateway {broken.instance} ended {waited:.2f} s after it was told to stop, with the"
+        " stream unfinished.",
+    )
 
-def _stream_broken(story: Story) -> str | None:
+
+def _stream_broken(story: Story) -> Cause | None:
     broken = story.last("stream:broken")
     if broken is None:
         return None
     engine = broken.get("endpoint")
     notice = story.notice(engine)
     if notice is None or notice.at > broken.at:
+        kind = CauseKind.ENGINE_CRASHED
         sentence = f"Engine {engine} broke off without notice"
     else:
+        kind = CauseKind.ENGINE_LEFT
         sentence = f"Engine {engine} was gone {broken.at - notice.at:.2f} s after its notice"
-    return f"{sentence}, and {_why_not_elsewhere(story, engine)}."
+    if broken.get("last_event") is None:
+        kind = CauseKind.BEFORE_FIRST_EVENT
+    return Cause(kind, f"{sentence}, and {_why_not_elsewhere(story, engine)}.")
 
 
 def _why_not_elsewhere(story: Story, engine: str) -> str:
@@ -103,58 +173,77 @@
     return ", ".join(f"{line.get('endpoint')}: {line.get('end')}" for line in tried)
 
 
-def _expired(story: Story) -> str | None:
+def _expired(story: Story) -> Cause | None:
     if story.end.get("outcome") != "EXPIRED" and story.last("stream:expired") is None:
         return None
-    return f"Its time was up ({_attempts(story) or 'no endpoint had answered'})."
+    attempts = _attempts(story) or "no endpoint had answered"
+    return Cause(CauseKind.EXPIRED, f"Its time was up ({attempts}).")
 
 
-def _no_whole_answer(story: Story) -> str | None:
+def _no_whole_answer(story: Story) -> Cause | None:
     if story.end.get("outcome") != "BROKEN":
         return None
-    return f"No endpoint gave a whole answer of its own ({_attempts(story)}); it may have run."
+    return Cause(
+        CauseKind.NO_WHOLE_ANSWER,
+        f"No endpoint gave a whole answer of its own ({_attempts(story)}); it may have run.",
+    )
 
 
-def _caller_left(story: Story) -> str | None:
+def _caller_left(story: Story) -> Cause | None:
     if story.end.get("outcome") != "GONE":
         return None
-    return f"Its caller left after {story.end.get('seconds'):.2f} s."
+    seconds = story.end.get("seconds")
+    return Cause(CauseKind.CALLER_LEFT, f"Its caller left after {seconds:.2f} s.")
 
 
-def _own_failure(story: Story) -> str | None:
+def _own_failure(story: Story) -> Cause | None:
     status = story.end.get("status")
     if story.end.get("outcome") != "ANSWERED" or status is None or status < SERVER_ERROR:
         return None
-    return f"The endpoint itself answered {status}; its answer was passed on unchanged."
+    return Cause(
+        CauseKind.ENDPOINT_FAILED,
+        f"The endpoint itself answered {status}; its answer was passed on unchanged.",
+    )
 
 
-def _late(story: Story) -> str | None:
+def _late(story: Story) -> Cause | None:
     late = story.last("stream:late")
     if late is None or story.end.get("outcome") != "ANSWERED":
         return None
     waited = story.last("stream:placed")
     if late.get("moves") and late.get("gap_event") is not None:
-        return (
+        return Cause(
+            CauseKind.LATE_MOVED,
             f"On time but for a pause of {late.get('gap')} s before event {late.get('gap_event')};"
-            f" it went on at another engine {late.get('moves')} times."
+            f" it went on at another engine {late.get('moves')} times.",
         )
     if story.last("stream:waits") is not None and waited is not None:
         seconds = waited.at - story.last("stream:waits").at
-        return f"Late: it waited {seconds:.2f} s in its gateway until an engine had room."
+        return Cause(
+            CauseKind.LATE_WAITED,
+            f"Late: it waited {seconds:.2f} s in its gateway until an engine had room.",
+        )
     first, gap = late.get("first"), late.get("gap")
-    return f"Late: its first event came after {first} s, with a pause of {gap} s."
+    return Cause(
+        CauseKind.LATE_PAUSE if late.get("paused") else CauseKind.LATE_FIRST,
+        f"Late: its first event came after {first} s, with a pause of {gap} s.",
+    )
 
 
-def _on_time(story: Story) -> str | None:
+def _on_time(story: Story) -> Cause | None:
     if story.end.get("outcome") != "ANSWERED":
         return None
-    return f"It was answered with {story.end.get('status')} in {story.end.get('seconds')} s."
+    return Cause(
+        CauseKind.LATE_ANSWER if story.end.get("late") else CauseKind.ON_TIME,
+        f"It was answered with {story.end.get('status')} in {story.end.get('seconds')} s.",
+    )
 
 
 FINDERS = (
     _unfinished,
     _not_allowed,
     _refused,
+    _stopped,
     _stream_broken,
     _expired,
     _no_whole_answer,
--- a/src/guavacleat/explain/lines.py
+++ b/src/guavacleat/explain/lines.py
@@ -1,8 +1,10 @@
 """Reading log lines: one JSON object a line, with or without a time and an instance before it."""
 
 import json
+import sys
+from pathlib import Path
 
-__all__ = ["LogLine", "read_lines"]
+__all__ = ["LogLine", "UnreadableLogError", "read_files", "read_lines"]
 
 # Fields of every line that say nothing of their own.
 FRAME = {"timestamp", "task_uuid", "task_level", "message_type"}
@@ -33,6 +35,25 @@
         return " ".join([self.type, *said])
 
 
+class UnreadableLogError(Exception):
+    """A file of log lines cannot be read."""
+
+
+def read_files(names: list[str]) -> list[LogLine]:
+    """Read the lines of all files, standard input if there are none."""
+    if not names:
+        return read_lines(sys.stdin, "stdin")
+    return [line for name in names for line in _read_file(name)]
+
+
+def _read_file(name: str) -> list[LogLine]:
+    try:
+        with open(name, encoding="utf-8", errors="replace") as file:
+            return read_lines(file, Path(name).stem)
+    except OSError as exc:
+        raise UnreadableLogError(f"cannot read {name}: {exc}.") from exc
+
+
 def read_lines(source, instance: str) -> list[LogLine]:
     """Read a file's lines; what is no log line is left out."""
     parsed = (_parse(text, instance) for text in source)
--- a/src/guavacleat/explain/story.py
+++ b/src/guavacleat/explain/story.py
@@ -1,8 +1,12 @@
 """The lines that belong to one request, in order of time."""
 
+import bisect
+import operator
+from collections import defaultdict
+
 from guavacleat.explain.lines import LogLine
 
-__all__ = ["Story", "tell"]
+__all__ = ["LogIndex", "Story", "tell"]
 
 # Lines of the endpoints that a request was on count from this long before it arrived: an engine
 # that is taken away gives notice a second or two ahead.
@@ -56,26 +60,45 @@
         )
 
 
-def tell(request: str, lines: list[LogLine]) -> Story | None:
+_time = operator.attrgetter("at")
+
+
+class LogIndex:
+    """Lines of many processes in order of time, by the request and by the instance they tell of.
+
+    :param by_request: the lines that carry a request's id.
+    :param by_instance: the lines of an instance that a request's story may need.
+    """
+
+    __slots__ = ("lines", "by_request", "by_instance")
+
+    def __init__(self, lines: list[LogLine]):
+        self.lines = sorted(lines, key=_time)
+        self.by_request: dict[str, list[LogLine]] = defaultdict(list)
+        self.by_instance: dict[str, list[LogLine]] = defaultdict(list)
+        for line in self.lines:
+            request = line.get("request")
+            if request is not None:
+                self.by_request[request].append(line)
+            if line.type in ABOUT_ENDPOINTS or line.type in ABOUT_THE_GATEWAY:
+                self.by_instance[line.instance].append(line)
+
+    def around(self, instance: str, first: float, last: float) -> list[LogLine]:
+        """Lines of the instance about itself and its endpoints between two times."""
+        lines = self.by_instance.get(instance, [])
+        begin = bisect.bisect_left(lines, first, key=_time)
+        return lines[begin : bisect.bisect_right(lines, last, key=_time)]
+
+
+def tell(request: str, index: LogIndex) -> Story | None:
     """Collect the story of ``request``; None if no line has its id."""
-    own = sorted((line for line in lines if line.get("request") == request), key=_time)
+    own = index.by_request.get(request)
     if not own:
         return None
-    instance = own[-1].instance
     began, ended = _span(own)
     names = {line.get(field) for line in own for field in ("endpoint", "source", "target")}
-    around = [
-        line
-        for line in lines
-        if line.instance == instance
-        and began - BEFORE_SECONDS <= line.at <= ended + AFTER_SECONDS
-        and _concerns(line, names)
-    ]
-    return Story(request, own, sorted(around, key=_time))
-
-
-def _time(line: LogLine) -> float:
-    return line.at
+    near = index.around(own[-1].instance, began - BEFORE_SECONDS, ended + AFTER_SECONDS)
+    return Story(request, own, [line for line in near if _concerns(line, names)])
 
 
 def _span(own: list[LogLine]) -> tuple[float, float]:
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -296,6 +296,7 @@
             endpoint=self.leg.entry.id if self.leg else None,
             first=None if first is None else round(first, 3),
             gap=round(self.times.longest_gap, 3),
+            paused=paused,
             gap_event=self.times.gap_event,
             moves=self.moves,
             expected=self.request.expected_tokens(),
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -205,6 +205,7 @@
             retry_after=refusal.retry_after if refusal else None,
             detail=refusal.detail if refusal else None,
             seconds=round(seconds, 3),
+            late=bool(request) and seconds > request.route.latency_goal,
         )
 
 
--- /dev/null
+++ b/src/guavacleat/report/tables.py
@@ -0,0 +1,61 @@
+"""The report as text."""
+
+from tabulate import tabulate
+
+from guavacleat.report.engines import EngineHistory
+from guavacleat.report.ledger import Ledger, Result
+
+__all__ = ["engine_table", "loss_table", "route_table"]
+
+
+def route_table(ledger: Ledger) -> str:
+    """Requests by route and result."""
+    rows = [
+        [route, *(counts[result] for result in Result)]
+        for route, counts in sorted(ledger.counts().items())
+    ]
+    return tabulate(rows, headers=["route", *(result.value for result in Result)])
+
+
+def loss_table(ledger: Ledger) -> str:
+    """What is missing by route and cause, as shares of all that is owed; they add up to 1."""
+    owed = ledger.owed or 1.0
+    losses = sorted(ledger.losses().items(), key=lambda item: -item[1].worth)
+    rows = [[route, kind.value, loss.requests, loss.worth / owed] for (route, kind), loss in losses]
+    earned = 1.0 - sum(row[-1] for row in rows)
+    rows.append(["all", "earned", "", earned])
+    return tabulate(rows, headers=["route", "cause", "requests", "share"], floatfmt=".4f")
+
+
+def engine_table(histories: list[EngineHistory]) -> str:
+    """One row an engine; tokens expected there are what gateways believed."""
+    rows = [
+        [
+            history.id,
+            history.data_centre,
+            history.ready_at,
+            history.notice_at,
+            history.notice,
+            history.expected_at_notice(),
+            len(history.copies),
+            history.copied_tokens,
+            history.link_busy(),
+            history.handed_over,
+            history.broken,
+        ]
+        for history in histories
+    ]
+    headers = [
+        "engine",
+        "data centre",
+        "ready at",
+        "notice at",
+        "notice s",
+        "expected tokens",
+        "copies",
+        "copied tokens",
+        "link busy s",
+        "handed over",
+        "cut",
+    ]
+    return tabulate(rows, headers=headers, floatfmt=".2f", missingval="-")
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -6,7 +6,7 @@
 import pytest
 
 from guavacleat.commands import explain
-from guavacleat.explain import find_cause, read_lines, tell
+from guavacleat.explain import LogIndex, find_cause, read_lines, tell
 
 
 def line(at, type, instance="gw1", **fields):
@@ -19,7 +19,7 @@
 
 
 def story(*texts, request="r1"):
-    return tell(request, read_lines(texts, "file"))
+    return tell(request, LogIndex(read_lines(texts, "file")))
 
 
 CASES = {
