--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -205,10 +205,17 @@
             retry_after=refusal.retry_after if refusal else None,
             detail=refusal.detail if refusal else None,
             seconds=round(seconds, 3),
-            late=bool(request) and seconds > request.route.latency_goal,
+            late=_is_late(request, seconds),
         )
 
 
+def _is_late(request: ForwardedRequest | None, seconds: float) -> bool:
+    """Whether a plain answer missed its goal; a stream's counts for its first event only."""
+    if request is None or request.route.kind is RequestKind.STREAM:
+        return False
+    return seconds > request.route.latency_goal
+
+
 def _outcome(exchange: CallerExchange) -> str:
     """How an exchange ended that was not refused."""
     if exchange.was_cut:
--- a/tests/ingress/test_dispatch.py
+++ b/tests/ingress/test_dispatch.py
@@ -243,3 +243,21 @@
     caller = ask(dispatch, path="/stream/x")
     assert caller.head[0] == 503
     assert float(caller.head[1][b"retry-after"]) == pytest.approx(retry_after)
+
+
+@pytest.mark.parametrize("path, late", [("/open/x", True), ("/stream/x", False)])
+def test_an_answer_is_late_by_its_goal_and_a_stream_only_by_its_first_event(
+    dispatch, world, ends, path, late
+):
+    """
+    Symptom: a report puts most streams down as late.
+    Sequence: a stream's first event comes at once, its last one after the route's goal.
+    Cause: the goal of a stream is for its first event.
+    """
+    ask(dispatch, path)
+    side = world.pool.connections[0]
+    side.begin()
+    side.body_bytes(event(1))
+    world.clock.advance(0.5)
+    side.end()
+    assert [line["late"] for line in ends] == [late]
