--- a/src/guavacleat/membership/inquiry.py
+++ b/src/guavacleat/membership/inquiry.py
@@ -27,8 +27,9 @@
 
 # Between two questions to an engine: a quarter of the shortest notice seen, 1.5 s.
 ASK_SECONDS = 0.4
-# Watches come back every 1.2 to 2 s, two in each gateway, one of them in step with nobody: with some
-# gateways, a second without any answer to any of them is unusual. A gateway alone has to wait for its own.
+# Watches come back every 1.2 to 2 s, two in each gateway, and those of the configuration in step
+# with nobody: with some gateways, a second without any answer to any of them is unusual. A gateway
+# alone has to wait for its own.
 SILENCE_SECONDS = 1.0
 SILENCE_ALONE_SECONDS = 2.2
 # A report comes within some ms; one that does not come in time says nothing.
--- a/src/guavacleat/report/engines.py
+++ b/src/guavacleat/report/engines.py
@@ -21,7 +21,7 @@
 class CopyOff:
     """One copy off an engine, from when it was asked for until it was there or failed."""
 
-    __slots__ = ("began", "ended", "tokens", "status", "target", "standby")
+    __slots__ = ("began", "ended", "tokens", "status", "target")
 
     def __init__(self, line: LogLine):
         self.began = line.at - (line.get("seconds") or 0.0)
@@ -29,7 +29,6 @@
         self.tokens = line.get("tokens") or 0
         self.status = line.get("status")
         self.target = line.get("target")
-        self.standby = bool(line.get("standby"))
 
     @property
     def made(self) -> bool:
