--- a/tests/e2e/test_ingress.py
+++ b/tests/e2e/test_ingress.py
@@ -153,3 +153,54 @@
     done = subprocess.run(command, capture_output=True, text=True, timeout=START_SECONDS)
     assert done.returncode != 0
     assert "ip" in done.stderr and "Remedy" in done.stderr
+
+
+FOREIGN_ENTRIES = [
+    "not a map",
+    None,
+    {},
+    {"service": "svc", "address": "nowhere", "state": "ready"},
+    {"service": ["svc"], "address": "127.0.0.1:1", "state": "ready"},
+    {"service": "svc", "address": "127.0.0.1:1", "state": "resting"},
+    {"service": "nobody-knows", "address": "127.0.0.1:1", "state": "ready"},
+    {"service": "svc", "address": "127.0.0.1:1", "state": "ready", "born": "yesterday"},
+]
+
+
+def test_entries_of_other_writers_name_no_endpoint_and_the_others_hold(ingress, store_state):
+    """
+    Symptom: requests fail, or the gateway hears of no change any more.
+    Sequence: another writer puts entries of other forms beside the engine's own, at the start and
+    while the gateway runs; then the configuration changes.
+    Cause: what cannot be read must name no endpoint, and hide nothing else.
+    """
+    for number, spec in enumerate(FOREIGN_ENTRIES):
+        store_state.write("servers", f"foreign-{number}", spec)
+    ingress.wait_ready()
+    for number, spec in enumerate(FOREIGN_ENTRIES):
+        store_state.write("servers", f"late-{number}", spec)
+    for _ in range(6):
+        assert ingress.ask("/plain/x", body=b"hello")[:2] == (200, b"echo:hello")
+    lines = ingress.stop()
+    unreadable = [line for line in lines if line["message_type"] == "endpoint:unreadable"]
+    assert {line["endpoint"] for line in unreadable} >= {"foreign-0", "foreign-1", "late-0"}
+    assert not [line for line in lines if line["message_type"] == "watch:error"]
+
+
+def test_an_engine_that_starts_again_under_its_id_is_used_again(ingress, store_state):
+    """
+    Symptom: a service has no endpoint although its engine is back.
+    Sequence: an engine drains, and starts again under its id; its former process's last heartbeat
+    takes effect late.
+    Cause: that heartbeat has the newer revision and the older start.
+    """
+    own = store_state.objects["servers", "i-1"]["spec"]
+    store_state.write("servers", "i-1", {**own, "born": 1000, "state": "draining"})
+    store_state.write("servers", "i-1", {**own, "born": 2000})
+    ingress.wait_ready()
+    store_state.write("servers", "i-1", {**own, "born": 1000, "state": "draining"})
+    time.sleep(0.5)
+    assert ingress.ask("/plain/x", body=b"hello")[:2] == (200, b"echo:hello")
+    lines = ingress.stop()
+    states = [line["state"] for line in lines if line["message_type"] == "endpoint:changed"]
+    assert states == ["ready"]
