A gateway without a store asks no endpoint for its state

Cause, found reading the change once more: with a routes file no store is ever heard, which looked like one that had fallen silent; after 2.2 s the gateway asked its endpoints every 0.4 s in a form that they do not speak, an error line each time. Test first (it failed). A store that was never heard is not silent.

--- a/src/guavacleat/membership/registry.py
+++ b/src/guavacleat/membership/registry.py
@@ -147,7 +147,8 @@
         self.lapsed_ids: set[str] = set()
         # Ids whose entries cannot be read, so that each is told once and not with each heartbeat.
         self.unreadable_ids: set[str] = set()
-        self.store_heard_at = clock.seconds()
+        # None until it is heard: a gateway with a routes file has no store to hear.
+        self.store_heard_at: float | None = None
         self.store_lost_at: float | None = None
         self.store_back_at: float | None = None
 
@@ -199,7 +200,9 @@
         return self.store_lost_at is not None
 
     def store_silence(self) -> float:
-        """Seconds since the store last answered."""
+        """Seconds since the store last answered; 0 while it never did."""
+        if self.store_heard_at is None:
+            return 0.0
         return self.clock.seconds() - self.store_heard_at
 
     def is_current(self, entry: EndpointEntry) -> bool:
--- a/tests/membership/test_inquiry.py
+++ b/tests/membership/test_inquiry.py
@@ -154,6 +154,18 @@
     assert fleet.asked == []
 
 
+def test_a_gateway_without_a_store_asks_nobody(fleet):
+    """
+    Symptom: a gateway that serves a routes file logs an error every 0.4 s while a stream runs.
+    Sequence: it has no store, so it never hears one; after some seconds it asks its endpoints in a
+    form that they do not speak.
+    Cause: a store that was never heard was taken for one that fell silent.
+    """
+    fleet.registry.store_heard_at = None
+    pass_time(fleet, 2 * SILENCE_ALONE_SECONDS)
+    assert fleet.asked == []
+
+
 def test_a_gateway_alone_waits_for_its_own_watches(fleet):
     pass_time(fleet, SILENCE_ALONE_SECONDS - 0.3)
     assert fleet.asked == []
