Failing watches are told, with what they had received; version in force as a metric

Six gateways took no configuration for half a minute without a line in their logs: a watch that fails was counted for the endpoint watch alone, and its error said only the class. watch:failed names kind, failures in a row (1st, 2nd, 4th, ...) and bytes received, which tells an answer that was cut off from a store that is silent; gauges show the version in force and the failures in a row.

--- a/src/guavacleat/http1/calls.py
+++ b/src/guavacleat/http1/calls.py
@@ -13,7 +13,16 @@
 
 
 class CallBrokenError(Exception):
-    """A call got no whole answer; it may have taken effect."""
+    """A call got no whole answer; it may have taken effect.
+
+    :param reason: how it ended.
+    :param received: bytes of the answer's body that had arrived; many tell that the answer was
+        cut off by the call's own time, none that nobody answered.
+    """
+
+    def __init__(self, reason: str, received: int = 0):
+        super().__init__(f"{reason}, {received} bytes of the body received")
+        self.received = received
 
 
 class WholeAnswer:
@@ -49,7 +58,8 @@
         self.done.callback(WholeAnswer(self.head, b"".join(self.pieces)))
 
     def answer_broken(self, reason: BreakReason):
-        self.done.errback(CallBrokenError(reason.value))
+        received = sum(map(len, self.pieces))
+        self.done.errback(CallBrokenError(reason.value, received))
 
 
 async def call(reactor, pool: ConnectionPool, address, method, target, headers, body, timeout):
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -1,6 +1,6 @@
 """Counters and latency histograms of forwarded requests."""
 
-from aioprometheus import Counter, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 __all__ = ["IngressMetrics"]
@@ -25,12 +25,28 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS,
         )
+        self.configuration = Gauge(
+            "guavacleat_configuration_version",
+            "Version of the routing configuration in force; 0 while there is none.",
+            registry=self.registry,
+        )
+        self.watch_failures = Gauge(
+            "guavacleat_watch_failures",
+            "Calls in a row that brought a watch no answer, by kind of object.",
+            registry=self.registry,
+        )
 
     def ended(self, request, outcome: str, seconds: float) -> None:
         kind = request.route.kind.value if request else "unmatched"
         self.requests.inc({"kind": kind, "outcome": outcome})
         self.latency.observe({"kind": kind}, seconds)
 
+    def believes(self, version: int, failures_by_kind: dict[str, int]) -> None:
+        """Take in the configuration in force and how the watches fare."""
+        self.configuration.set({}, version)
+        for kind, failures in failures_by_kind.items():
+            self.watch_failures.set({"kind": kind}, failures)
+
     def exposition(self) -> bytes:
         """The Prometheus text."""
         body, _ = render(self.registry, [])
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -155,10 +155,15 @@
         if path == self.readiness_path:
             exchange.answer(OK if self.ready else NOT_READY, [], b"")
         elif path == METRICS_PATH:
-            exchange.answer(OK, [(b"content-type", b"text/plain")], self.metrics.exposition())
+            exchange.answer(OK, [(b"content-type", b"text/plain")], self._exposition())
         else:
             exchange.answer(NOT_FOUND, [], b"")
 
+    def _exposition(self) -> bytes:
+        table = self.holder.table
+        self.metrics.believes(table.version if table else 0, self.source.failures_by_kind())
+        return self.metrics.exposition()
+
     def reload(self, settings: ProcessSettings) -> None:
         """Take in changed settings: the bounds; addresses stay until the next start."""
         self.settings = settings
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -93,6 +93,10 @@
             watch.stop()
         self.port.stopListening()
 
+    def failures_by_kind(self) -> dict[str, int]:
+        """For each kind of object that is followed, calls in a row that brought no answer."""
+        return {watch.kind: watch.failures for watch in self.watches}
+
     def gateway_count(self) -> int:
         """Gateways that share the retry budget, this one included."""
         return self.exchange.gateway_count() if self.exchange else 1
@@ -162,6 +166,10 @@
     def stop(self) -> None:
         """Nothing is followed."""
 
+    def failures_by_kind(self) -> dict[str, int]:
+        """No store is followed."""
+        return {}
+
     def gateway_count(self) -> int:
         """A gateway with a file knows of no others."""
         return 1
--- a/src/guavacleat/store/client.py
+++ b/src/guavacleat/store/client.py
@@ -113,7 +113,8 @@
             content = yield response.content()
             self.bytes += len(data or b"") + len(content)
         except Exception as exc:  # noqa: BLE001 - every transport failure means "no answer"
-            raise StoreUnavailableError(f"{method} {path}: {exc.__class__.__name__}") from exc
+            detail = f"{exc.__class__.__name__}: {exc}"
+            raise StoreUnavailableError(f"{method} {path}: {detail}") from exc
         if response.code not in EXPECTED_STATUSES:
             raise StoreUnavailableError(f"{method} {path}: status {response.code}")
         try:
--- a/src/guavacleat/store/watch.py
+++ b/src/guavacleat/store/watch.py
@@ -79,13 +79,22 @@
         # Left to end the loop, an answer of an unknown shape would make the daemon deaf to every
         # later change; it is treated like no answer instead.
         log_message(message_type="watch:error", kind=self.kind, error=repr(failure.value))
-        self._failed()
+        self._failed(failure.value)
 
-    def _failed(self) -> None:
+    def _failed(self, error: Exception) -> None:
         if not self.running:
             # Cut short by the stop itself: nothing that it tells is news.
             return
         self.failures += 1
+        if self.failures.bit_count() == 1:
+            # The 1st, 2nd, 4th, 8th in a row: a watch that never succeeds again is told for as
+            # long as it lasts, and an outage of minutes takes ten lines.
+            log_message(
+                message_type="watch:failed",
+                kind=self.kind,
+                failures=self.failures,
+                error=str(error),
+            )
         self.on_health(False)
         self._next(min(self.backoff_max, BACKOFF_FIRST * 2 ** min(self.failures, 8)))
 
@@ -105,11 +114,13 @@
             self.revision = None
             self._next(0)
             return
-        except StoreUnavailableError:
-            self._failed()
+        except StoreUnavailableError as exc:
+            self._failed(exc)
             return
         if not self.running:
             return
+        if self.failures:
+            log_message(message_type="watch:answered", kind=self.kind, failures=self.failures)
         self.failures = 0
         self.on_health(True)
         for stored in batch.objects:
