Calls through treq give up an answer that pauses, and wait for one that arrives

Cause: treq's time-out ends with the answer's head; a store that was cut off in the middle of an answer left a watch waiting without end. Change: TreqHttp reads bodies with a read timeout; the store's client and the sidecar's clients use it.

--- a/src/guavacleat/sidecar/engine_client.py
+++ b/src/guavacleat/sidecar/engine_client.py
@@ -2,9 +2,10 @@
 
 import json
 
-import treq
 from twisted.internet import defer
 
+from guavacleat.treq_http import TreqHttp
+
 __all__ = ["EngineClient", "EngineBatch"]
 
 CALL_TIMEOUT = 5.0
@@ -27,9 +28,9 @@
 class EngineClient:
     """Calls one engine at ``base_url`` (``http://host:port``)."""
 
-    def __init__(self, base_url: str, http=treq):
+    def __init__(self, base_url: str, http=None):
         self.base_url = base_url.rstrip("/")
-        self.http = http
+        self.http = http or TreqHttp()
 
     @defer.inlineCallbacks
     def generate(self, request_id: str, prompt: str, max_tokens: int, priority: int, resume=()):
@@ -62,8 +63,8 @@
         """Fire with True if the engine applied the order, False if it refused it as stale."""
         body = {"kind": kind, "target": target, "fencing": fencing}
         data = json.dumps(body).encode()
-        response = yield self.http.post(
-            self.base_url + "/v1/orders", data=data, timeout=CALL_TIMEOUT
+        response = yield self.http.request(
+            "POST", self.base_url + "/v1/orders", data=data, timeout=CALL_TIMEOUT
         )
         yield response.content()
         return response.code == 200
--- a/src/guavacleat/sidecar/plain_client.py
+++ b/src/guavacleat/sidecar/plain_client.py
@@ -8,10 +8,10 @@
 import itertools
 import json
 
-import treq
 from twisted.internet import defer
 
 from guavacleat.sidecar.engine_client import EngineBatch
+from guavacleat.treq_http import TreqHttp
 
 __all__ = ["PlainClient"]
 
@@ -23,9 +23,9 @@
 class PlainClient:
     """Calls the service at ``base_url`` (``http://host:port``) with ``POST /v1/call``."""
 
-    def __init__(self, base_url: str, http=treq):
+    def __init__(self, base_url: str, http=None):
         self.base_url = base_url.rstrip("/")
-        self.http = http
+        self.http = http or TreqHttp(read_timeout=CALL_TIMEOUT)
         # Generation and answer of each call.
         self.answers_by_id: dict[str, tuple[str, str]] = {}
         self.numbers = itertools.count(1)
@@ -38,10 +38,13 @@
         failure it may have run.
         """
         body = json.dumps({"request_id": request_id, "body": prompt}).encode()
-        response = yield self.http.post(self.base_url + "/v1/call", data=body, timeout=CALL_TIMEOUT)
-        answer = yield response.json()
+        response = yield self.http.request(
+            "POST", self.base_url + "/v1/call", data=body, timeout=CALL_TIMEOUT
+        )
+        content = yield response.content()
         if response.code != 200:
             raise LookupError(f"the service answered {response.code}")
+        answer = json.loads(content)
         stream_id = f"call-{next(self.numbers)}"
         generation = f"{request_id}/{stream_id}"
         self._keep(stream_id, generation, answer["answer"])
--- a/src/guavacleat/store/client.py
+++ b/src/guavacleat/store/client.py
@@ -12,7 +12,6 @@
 from twisted.internet import defer
 
 from guavacleat.store.dialect import NativeDialect
-from guavacleat.store.http import TreqHttp
 from guavacleat.store.messages import ConflictError, HistoryLostError, StoreUnavailableError
 
 __all__ = ["StoreClient", "WATCH_WAIT"]
@@ -26,7 +25,7 @@
 class StoreClient:
     """Calls the object API at ``base_url`` (``http://host:port``); counts calls and bytes.
 
-    :param http: anything with :class:`TreqHttp`'s ``request``, which is used if None.
+    :param http: what makes the calls, :class:`~guavacleat.treq_http.TreqHttp` if None.
     :param dialect: what calls and answers look like.
     :param call_timeout: seconds until an answer begins, beyond a watch's wait; how long it may then
         take is ``http``'s to say.
@@ -34,7 +33,7 @@
 
     def __init__(self, base_url: str, http=None, dialect=None, call_timeout: float = CALL_TIMEOUT):
         self.base_url = base_url.rstrip("/")
-        self.http = http or TreqHttp()
+        self.http = http or _treq_http()
         self.dialect = dialect or NativeDialect()
         self.call_timeout = call_timeout
         self.calls_by_type: dict[str, int] = {"read": 0, "write": 0, "watch": 0}
@@ -131,3 +130,10 @@
 def _require_found(status: int, what: str) -> None:
     if status != 200:
         raise StoreUnavailableError(f"{what}: status {status}")
+
+
+def _treq_http():
+    """Import treq only where it is used: it takes some 9 MB of a process's memory."""
+    from guavacleat.treq_http import TreqHttp
+
+    return TreqHttp()
--- a/tests/sidecar/test_plain_client.py
+++ b/tests/sidecar/test_plain_client.py
@@ -15,7 +15,7 @@
 
 
 class RefusingHttp:
-    def post(self, *args, **kwargs):
+    def request(self, *args, **kwargs):
         return defer.fail(ConnectionRefusedError())
 
 
--- a/tests/store/test_stalled_answer.py
+++ b/tests/store/test_stalled_answer.py
@@ -8,7 +8,7 @@
 from guavacleat.platform.objects import PlatformDialect
 from guavacleat.store import StoreClient, StoreUnavailableError
 from guavacleat.store.client import CALL_TIMEOUT
-from guavacleat.store.http import TreqHttp
+from guavacleat.treq_http import TreqHttp
 from tests.conftest import result_of
 from tests.ingress.slow_link import LinkReactor
 from tests.platform.store_standin import StoreStandin
