--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -75,6 +75,8 @@
 
 @example([{**CONFIGURATION, "version": None}])
 @example([{**CONFIGURATION, "version": "8"}])
+# A whole number written as a float is that number, here above the one that follows.
+@example([{**CONFIGURATION, "version": 1099511627777.0}])
 @given(st.lists(spoilt(CONFIGURATION) | JSON, max_size=5))
 def test_after_any_configurations_a_good_one_comes_into_force(specs):
     """
