The same cases in each run; versions as floats only where exact; older offers are told

The platform's bodies may be JSON, where 7.0 is the number 7, so a whole float stays a version, but only up to 2**53 - 1: beyond, a float also stands for its neighbours and may be read too high. Order by version stays: by the store's revision, an operator's write of an older version that the store does late, or that races a newer one, would revert what was confirmed. Profile 'repeat' (derandomized, no database, no deadline) is the default, 'fresh' is make fuzz; the settings repeated in seven modules and in test_queues.py go.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	$(PY) -m pip install -q --upgrade pip
 	$(PY) -m pip install -q -e '.[test]'
 
-.PHONY: setup demo test lint format thrift
+.PHONY: setup demo test fuzz format thrift
 setup: $(PY)
 
 demo: $(PY)
@@ -18,6 +18,10 @@
 	$(VENV)/bin/ruff check src tests benchmarks
 	$(PY) -m pytest
 
+# New cases for the tests that draw them, ten times as many; by hand, some minutes.
+fuzz: $(PY)
+	$(PY) -m pytest -m hypothesis --hypothesis-profile=fresh --hypothesis-show-statistics
+
 format: $(PY)
 	$(VENV)/bin/black src tests benchmarks
 	$(VENV)/bin/ruff check --fix src tests benchmarks
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -3,6 +3,8 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from guavacleat.routes.holder import RouteHolder
+
 __all__ = ["IngressMetrics"]
 
 # Seconds; from a plain answer within one data centre to a stream of a minute.
@@ -30,6 +32,11 @@
             "Version of the routing configuration in force; 0 while there is none.",
             registry=self.registry,
         )
+        self.configurations_older = Gauge(
+            "guavacleat_configurations_older",
+            "Configurations offered so far that were older than the one in force.",
+            registry=self.registry,
+        )
         self.watch_failures = Gauge(
             "guavacleat_watch_failures",
             "Calls in a row that brought a watch no answer, by kind of object.",
@@ -41,9 +48,10 @@
         self.requests.inc({"kind": kind, "outcome": outcome})
         self.latency.observe({"kind": kind}, seconds)
 
-    def believes(self, version: int, failures_by_kind: dict[str, int]) -> None:
+    def believes(self, holder: RouteHolder, failures_by_kind: dict[str, int]) -> None:
         """Take in the configuration in force and how the watches fare."""
-        self.configuration.set({}, version)
+        self.configuration.set({}, holder.table.version if holder.table else 0)
+        self.configurations_older.set({}, holder.older)
         for kind, failures in failures_by_kind.items():
             self.watch_failures.set({"kind": kind}, failures)
 
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -160,8 +160,7 @@
             exchange.answer(NOT_FOUND, [], b"")
 
     def _exposition(self) -> bytes:
-        table = self.holder.table
-        self.metrics.believes(table.version if table else 0, self.source.failures_by_kind())
+        self.metrics.believes(self.holder, self.source.failures_by_kind())
         return self.metrics.exposition()
 
     def reload(self, settings: ProcessSettings) -> None:
--- a/src/guavacleat/platform/decode.py
+++ b/src/guavacleat/platform/decode.py
@@ -25,6 +25,8 @@
 }
 STATES_BY_WORD = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING}
 PORTS = range(1, 65536)
+# Up to here each whole number has a float of its own (53 bits of mantissa).
+LARGEST_EXACT_FLOAT = 2**53 - 1
 
 
 def decode_configuration(spec: dict) -> RouteTable:
@@ -35,7 +37,7 @@
     """
     tenants = spec.get("tenants") or []
     return RouteTable(
-        version=_whole(spec["version"]),
+        version=_version(spec["version"]),
         routes=[_route(item) for item in spec.get("routes", [])],
         services_by_name={_text(item["name"]): _service(item) for item in spec.get("services", [])},
         accounts_by_key={
@@ -64,6 +66,18 @@
     return value
 
 
+def _version(value) -> int:
+    """A configuration's version; as a float only where floats tell whole numbers apart.
+
+    Beyond that, a float stands for other numbers too: taken for one of them, it could be above
+    versions that are newer, and each gateway that took it would ignore those for good.
+    """
+    version = _whole(value)
+    if isinstance(value, float) and abs(value) > LARGEST_EXACT_FLOAT:
+        raise ValueError(f"version {value!r} is not exact; write it as a whole number")
+    return version
+
+
 def _get(item: dict, key: str, default):
     """A part that may be left out, or be null."""
     value = item.get(key)
--- a/tests/admission/test_queues.py
+++ b/tests/admission/test_queues.py
@@ -3,7 +3,7 @@
 import itertools
 from collections import Counter
 
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from guavacleat.admission.queues import get_queue_by_name
@@ -86,7 +86,6 @@
 ACCOUNTS = st.lists(st.integers(1, 9), min_size=2, max_size=6)
 
 
-@settings(derandomize=True, database=None, deadline=None)
 @given(weights=ACCOUNTS, seed=st.integers(0, 99))
 def test_backlogged_accounts_get_their_shares_whatever_the_lengths(weights, seed):
     """Each account is within two of the largest requests of its weighted share."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
 from treq.testing import StubTreq
 from twisted.internet.task import Clock
 
@@ -12,6 +13,15 @@
 from guavacleat.store import StoreClient
 from guavacleat.streams import CompletionRequest
 
+# Hypothesis draws the same cases in each run, so that the same code gets the same verdict. `make
+# fuzz` draws new ones, and more of them; a case that fails there becomes an example.
+EXAMPLES = 100
+settings.register_profile(
+    "repeat", max_examples=EXAMPLES, derandomize=True, database=None, deadline=None
+)
+settings.register_profile("fresh", max_examples=10 * EXAMPLES, database=None, deadline=None)
+settings.load_profile("repeat")
+
 REQUEST_NUMBERS = itertools.count(1)
 # One line each: a test's node id, then cause, command and seed, issue.
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
@@ -37,6 +47,11 @@
         items[:] = [item for item in items if item.nodeid not in named]
 
 
+def examples(number: int) -> int:
+    """Cases for a test that draws another number by default: more where the profile draws more."""
+    return number * settings.default.max_examples // EXAMPLES
+
+
 @pytest.fixture
 def clock():
     return Clock()
--- a/tests/forwarding/test_plain_machine.py
+++ b/tests/forwarding/test_plain_machine.py
@@ -7,6 +7,7 @@
 
 from guavacleat.forwarding.plain import PlainForwarder
 from guavacleat.routes import RequestKind
+from tests.conftest import examples
 from tests.forwarding.harness import World
 
 ENDPOINTS = ("e1", "e2", "e3", "e4")
@@ -25,7 +26,7 @@
 }
 
 
-@settings(max_examples=200, deadline=None)
+@settings(max_examples=examples(200))
 @given(
     kind=st.sampled_from([RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT]),
     attempts=st.integers(1, 3),
--- a/tests/gateway/test_config_machine.py
+++ b/tests/gateway/test_config_machine.py
@@ -23,6 +23,7 @@
 from guavacleat.standin.store import StoreApp, StoreState
 from guavacleat.store import StoreClient
 from guavacleat.store.watch import BACKOFF_MAX, WatchLoop
+from tests.conftest import examples
 
 NILE = json.loads(
     json.dumps(
@@ -100,7 +101,5 @@
         self.watch.stop()
 
 
-ConfigMachine.TestCase.settings = settings(
-    max_examples=100, stateful_step_count=25, derandomize=True, database=None, deadline=None
-)
+ConfigMachine.TestCase.settings = settings(max_examples=examples(100), stateful_step_count=25)
 test_config_under_races_and_faults = ConfigMachine.TestCase
--- a/tests/idempotency/test_claims_machine.py
+++ b/tests/idempotency/test_claims_machine.py
@@ -17,6 +17,7 @@
 from guavacleat.idempotency import AlreadyAcceptedError, CallRecords
 from guavacleat.standin.store import StoreApp, StoreState
 from guavacleat.store import StoreClient
+from tests.conftest import examples
 
 KEYS = ("connect-1", "connect-2")
 OUTAGE_RETRIES = 4
@@ -124,7 +125,5 @@
         raise ConnectionError("this gateway is dead")
 
 
-CallsMachine.TestCase.settings = settings(
-    max_examples=200, stateful_step_count=30, derandomize=True, database=None, deadline=None
-)
+CallsMachine.TestCase.settings = settings(max_examples=examples(200), stateful_step_count=30)
 test_calls_under_faults = CallsMachine.TestCase
--- a/tests/membership/test_lease.py
+++ b/tests/membership/test_lease.py
@@ -11,7 +11,7 @@
 from guavacleat.membership import EndpointRecord, Lease
 from guavacleat.standin.store import StoreApp, StoreState
 from guavacleat.store import StoreClient
-from tests.conftest import result_of
+from tests.conftest import examples, result_of
 
 
 def make_lease(clock, store, session):
@@ -76,7 +76,5 @@
         assert not leases or not all(lease.superseded for lease in leases)
 
 
-LeaseMachine.TestCase.settings = settings(
-    max_examples=200, stateful_step_count=30, derandomize=True, database=None, deadline=None
-)
+LeaseMachine.TestCase.settings = settings(max_examples=examples(200), stateful_step_count=30)
 test_lease_under_pauses_and_faults = LeaseMachine.TestCase
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -13,6 +13,7 @@
     EndpointRegistry,
     EndpointState,
 )
+from tests.conftest import examples
 from tests.forwarding.harness import entry
 
 DRAINING = EndpointState.DRAINING
@@ -279,7 +280,7 @@
 
 
 TestRestartMachine = RestartMachine.TestCase
-TestRestartMachine.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
+TestRestartMachine.settings = settings(max_examples=examples(60), stateful_step_count=30)
 
 
 class RegistryMachine(RuleBasedStateMachine):
@@ -330,4 +331,4 @@
 
 
 TestRegistryMachine = RegistryMachine.TestCase
-TestRegistryMachine.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
+TestRegistryMachine.settings = settings(max_examples=examples(60), stateful_step_count=30)
--- a/tests/orders/test_orders_machine.py
+++ b/tests/orders/test_orders_machine.py
@@ -18,6 +18,7 @@
 from guavacleat.sidecar.handler import SidecarHandler
 from guavacleat.standin.store import StoreApp, StoreState
 from guavacleat.store import StoreClient
+from tests.conftest import examples
 
 
 class OrdersMachine(RuleBasedStateMachine):
@@ -82,7 +83,5 @@
         return self.machine.order(*args)
 
 
-OrdersMachine.TestCase.settings = settings(
-    max_examples=200, stateful_step_count=30, derandomize=True, database=None, deadline=None
-)
+OrdersMachine.TestCase.settings = settings(max_examples=examples(200), stateful_step_count=30)
 test_orders_under_races_and_faults = OrdersMachine.TestCase
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import math
 
 import pytest
 from hypothesis import given
@@ -62,6 +63,19 @@
 }
 
 
+def test_a_version_may_be_a_float_where_floats_are_exact():
+    """
+    Symptom: every later configuration is ignored.
+    Sequence: a version comes as a float that also stands for its neighbours, and is read too high.
+    Cause: beyond 2**53 - 1 a float does not say which whole number was written.
+    """
+    for version in (7.0, float(2**53 - 1), 2**53 + 1):
+        assert decode_configuration({**CONFIGURATION, "version": version}).version == version
+    for version in (float(2**53), 1e300, 7.5, math.inf, True, "7", None):
+        with pytest.raises(ValueError):
+            decode_configuration({**CONFIGURATION, "version": version})
+
+
 def test_configuration_in_seconds_and_types():
     table = decode_configuration(CONFIGURATION)
     stream = table.match("ficu95.example", "/lohu930/2f")
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -81,17 +81,21 @@
 def test_after_any_configurations_a_good_one_comes_into_force(specs):
     """
     Symptom: a gateway stays with an old configuration for good.
-    Sequence: versions that cannot be read are written, then a good one.
+    Sequence: versions that cannot be read are written, then a good one, newer than all that came
+    into force.
     Cause: an object that nobody can read must not end the watch.
     """
     clock, standin, holder = Clock(), StoreStandin(), RouteHolder()
     client = StoreClient("http://store", http=standin, dialect=PlatformDialect())
     offer = lambda stored: holder.offer(decode_configuration(stored.value))  # noqa: E731
     WatchLoop(clock, client, "config", offer).start()
-    for spec in [*specs, {**CONFIGURATION, "version": 1 << 40}]:
+    for spec in specs:
         standin.write("config", "main", spec)
         clock.advance(1)
-    assert holder.table.version == 1 << 40
+    good = holder.table.version + 1 if holder.table else 1
+    standin.write("config", "main", {**CONFIGURATION, "version": good})
+    clock.advance(1)
+    assert holder.table.version == good
 
 
 @given(st.lists(spoilt(ENDPOINT) | JSON, max_size=5))
--- a/tests/routes/test_routes.py
+++ b/tests/routes/test_routes.py
@@ -48,3 +48,25 @@
         seen.append(holder.table.version)
     assert seen == sorted(seen)
     assert seen[-1] == max(versions)
+
+
+def test_an_older_version_that_the_store_holds_is_told_and_not_taken(monkeypatch):
+    """
+    Symptom: a gateway ignores every configuration that operators apply, without a sign of it.
+    Sequence: a version that is far too high by mistake is taken; the right one follows.
+    Cause: versions only move forward; what is left behind by that was not told.
+    """
+    lines = []
+    monkeypatch.setattr("guavacleat.routes.holder.log_message", lambda **line: lines.append(line))
+    holder = RouteHolder()
+    for version in (1 << 40, 8, 1 << 40):
+        holder.offer(table(version=version))
+    assert (holder.table.version, holder.older, holder.ignored) == (1 << 40, 1, 2)
+    older = [line for line in lines if line["message_type"] == "config:older"]
+    assert older == [{"message_type": "config:older", "version": 8, "in_force": 1 << 40}]
+
+
+def test_above_the_highest_version_there_is_always_another():
+    holder = RouteHolder()
+    for version in (1 << 64, (1 << 64) + 1):
+        assert holder.offer(table(version=version))
--- a/tests/streams/test_relay_machine.py
+++ b/tests/streams/test_relay_machine.py
@@ -24,6 +24,7 @@
 from guavacleat.streams import CompletionRequest, Relay
 from guavacleat.streams.relay import MAX_RESUMES
 from guavacleat.streams.serving import PULL_TIMEOUT_MARGIN, PULL_WAIT_MS
+from tests.conftest import examples
 
 LIMITS = Limits(queue_per_account=4, in_flight_per_endpoint=4, retry_after=1.0)
 LENGTH = 12
@@ -174,7 +175,5 @@
         pass
 
 
-RelayMachine.TestCase.settings = settings(
-    max_examples=150, stateful_step_count=30, derandomize=True, database=None, deadline=None
-)
+RelayMachine.TestCase.settings = settings(max_examples=examples(150), stateful_step_count=30)
 test_relay_under_random_faults = RelayMachine.TestCase
