A gateway that knows of a newer configuration refuses no caller for good

Cause: gateways on thin links or cut off from the store answer 404 and 401 by their older version, which ends a request, although their peers hold the version with the route or key. Change: reports tell the version in force (some 4 bytes each); what the own version does not allow is answered 503 with 0.1 s to come back while a peer heard of lately has a newer one.

--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -112,6 +112,7 @@
     end = story.end
     sentences = {
         "NO_CONFIGURATION": "Its gateway had no configuration yet.",
+        "BEHIND": "Its gateway had an older configuration than another one, which may allow it.",
         "NO_ENDPOINT": "No endpoint of its service took work.",
         "NO_MEMORY": "Its gateway held too many bytes of request bodies.",
         "STOPPING": "Its gateway was stopping and could not have finished it.",
--- a/src/guavacleat/forwarding/answers.py
+++ b/src/guavacleat/forwarding/answers.py
@@ -14,6 +14,7 @@
     UNKNOWN_ROUTE = 404
     UNKNOWN_KEY = 401
     NO_CONFIGURATION = (503, "no configuration yet")
+    BEHIND = (503, "not allowed here, but a newer configuration is in force elsewhere")
     NO_ENDPOINT = (503, "no endpoint takes work")
     NO_ROOM = (503, "no room before the deadline")
     NO_MEMORY = (503, "too many bytes of requests held")
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -14,7 +14,7 @@
 from guavacleat.http1.server import CallerExchange
 from guavacleat.lengths import LengthForecast
 from guavacleat.peers.book import RESTART_SECONDS
-from guavacleat.routes import Account, RequestKind, Route, RouteTable, ServiceTraits
+from guavacleat.routes import RequestKind, Route, RouteTable, ServiceTraits
 
 __all__ = ["Dispatch", "LAST_STREAM_SECONDS"]
 
@@ -22,6 +22,7 @@
 RETRY_AFTER_NO_MEMORY = 0.5
 # A caller's next connection goes to another gateway.
 RETRY_AFTER_STOPPING = 0.1
+RETRY_AFTER_BEHIND = 0.1
 # After a stop began, streams are still taken for this long: the balancer needs two questions, a
 # second apart, to notice.
 LAST_STREAM_SECONDS = 2.5
@@ -149,10 +150,14 @@
             raise RefusalError(Verdict.NO_MEMORY, RETRY_AFTER_NO_MEMORY)
         route = table.match(_host_name(exchange.head.host), exchange.head.path)
         if route is None:
-            raise RefusalError(Verdict.UNKNOWN_ROUTE)
+            raise self._not_allowed(Verdict.UNKNOWN_ROUTE, table)
         headers = end_to_end_headers(exchange.head.headers)
         facts = self.parts.wire.caller_facts(headers)
-        account = _account(table, route, facts.key)
+        account = None
+        if table.keyed and not route.public:
+            account = table.accounts_by_key.get(facts.key)
+            if account is None:
+                raise self._not_allowed(Verdict.UNKNOWN_KEY, table)
         service = route.pick_service(self.random)
         traits = table.services_by_name.get(service)
         if traits is None:
@@ -170,6 +175,20 @@
             self._forecast(route, facts),
         )
 
+    def _not_allowed(self, verdict: Verdict, table: RouteTable) -> RefusalError:
+        """The refusal of what ``table`` does not allow.
+
+        A version takes seconds to reach a gateway on a thin link, and longer one that is cut off
+        from the store. Where a peer has a newer one, which may have the route or the key, a final
+        "no" would turn away callers whom the other gateways serve; told that their request has not
+        run, they come back to another one.
+        """
+        newest = self.peers.newest_configuration()
+        if newest is not None and newest > table.version:
+            detail = f"version {newest} is in force elsewhere"
+            return RefusalError(Verdict.BEHIND, RETRY_AFTER_BEHIND, detail)
+        return RefusalError(verdict)
+
     def _refuse(self, exchange: CallerExchange, refusal: RefusalError) -> None:
         if exchange.gone or exchange.began:
             return
@@ -199,7 +218,7 @@
             request=request.facts.id if request else self._request_id(exchange),
             route=request.route.name if request else exchange.head.target.decode("latin-1"),
             account=request.account_name if request else None,
-            config=self.holder.table.version if self.holder.table else None,
+            config=self.holder.version,
             outcome=outcome,
             status=exchange.status,
             retry_after=refusal.retry_after if refusal else None,
@@ -227,12 +246,3 @@
     """The host header without a port."""
     name, colon, port = host.rpartition(":")
     return name if colon and port.isdigit() else host
-
-
-def _account(table: RouteTable, route: Route, key: str) -> Account | None:
-    if route.public or not table.keyed:
-        return None
-    account = table.accounts_by_key.get(key)
-    if account is None:
-        raise RefusalError(Verdict.UNKNOWN_KEY)
-    return account
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -50,7 +50,7 @@
 
     def believes(self, holder: RouteHolder, failures_by_kind: dict[str, int]) -> None:
         """Take in the configuration in force and how the watches fare."""
-        self.configuration.set({}, holder.table.version if holder.table else 0)
+        self.configuration.set({}, holder.version or 0)
         self.configurations_older.set({}, holder.older)
         for kind, failures in failures_by_kind.items():
             self.watch_failures.set({"kind": kind}, failures)
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -80,6 +80,7 @@
             self.registry,
             self.instance,
             self.address,
+            lambda: self.holder.version,
         )
         host, port = self.address
         self.port = self.reactor.listenUDP(port, self.exchange, interface=host)
--- a/src/guavacleat/peers/book.py
+++ b/src/guavacleat/peers/book.py
@@ -56,6 +56,11 @@
         oldest = self.clock.seconds() - SILENCE_SECONDS
         return [peer.report for peer in self.peers_by_instance.values() if peer.heard_at >= oldest]
 
+    def newest_configuration(self) -> int | None:
+        """The highest version in force at a peer that was heard of lately; None if none tells."""
+        versions = (report.configuration for report in self.alive())
+        return max((version for version in versions if version is not None), default=None)
+
     def store_silence(self) -> float:
         """Seconds since a peer last heard from the store, as far as they told."""
         now = self.clock.seconds()
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -36,6 +36,7 @@
     so that no watch is needed.
 
     :param address: ``(ip, port)`` of this gateway's own datagram port.
+    :param configuration: returns the version in force here, None while there is none.
     """
 
     def __init__(
@@ -47,7 +48,9 @@
         registry: EndpointRegistry,
         instance: str,
         address: tuple[str, int],
+        configuration=lambda: None,
     ):
+        self.configuration = configuration
         self.registry = registry
         self.reactor = reactor
         self.store = store
@@ -110,6 +113,7 @@
                 None if self.stops_at is None else self.stops_at - self.reactor.seconds(),
                 self.registry.store_away,
                 self.registry.store_silence(),
+                self.configuration(),
             )
         )
         for address in self.addresses_by_instance.values():
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -26,6 +26,7 @@
     :param stops_in: seconds until its process ends at the latest; None unless it is being stopped.
     :param store_away: whether the store did not answer its last call.
     :param store_silence: seconds since the store last answered it.
+    :param configuration: version in force there; None while it has none.
     """
 
     __slots__ = (
@@ -37,6 +38,7 @@
         "stops_in",
         "store_away",
         "store_silence",
+        "configuration",
     )
 
     def __init__(
@@ -49,6 +51,7 @@
         stops_in: float | None = None,
         store_away: bool = False,
         store_silence: float = 0.0,
+        configuration: int | None = None,
     ):
         self.instance = instance
         self.incarnation = incarnation
@@ -58,6 +61,7 @@
         self.stops_in = stops_in
         self.store_away = store_away
         self.store_silence = store_silence
+        self.configuration = configuration
 
 
 def encode_report(report: GatewayReport) -> bytes:
@@ -76,11 +80,20 @@
         report.stops_in,
         report.store_away,
         report.store_silence,
+        _fitting(report.configuration),
     )
     message.write(TCompactProtocolAccelerated(buffer))
     return buffer.getvalue()
 
 
+def _fitting(version: int | None) -> int | None:
+    """A version that the message's 64 bits hold; any other is not told.
+
+    Versions have no bound. Failing to encode one would end all reports of this gateway.
+    """
+    return version if version is not None and abs(version) < 1 << 63 else None
+
+
 def decode_report(data: bytes) -> GatewayReport:
     """Decode a datagram; raise BadReportError if it is no report."""
     message = ttypes.PeerReport()
@@ -103,6 +116,7 @@
         message.stops_in,
         bool(message.store_away),
         message.store_silence or 0.0,
+        message.configuration,
     )
 
 
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -307,6 +307,7 @@
      - stops_in
      - store_away
      - store_silence
+     - configuration
 
     """
 
@@ -319,10 +320,11 @@
         'stops_in',
         'store_away',
         'store_silence',
+        'configuration',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None,):
+    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
@@ -331,6 +333,7 @@
         self.stops_in = stops_in
         self.store_away = store_away
         self.store_silence = store_silence
+        self.configuration = configuration
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -393,6 +396,11 @@
                     self.store_silence = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.configuration = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -441,6 +449,10 @@
             oprot.writeFieldBegin('store_silence', TType.DOUBLE, 8)
             oprot.writeDouble(self.store_silence)
             oprot.writeFieldEnd()
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.I64, 9)
+            oprot.writeI64(self.configuration)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -504,6 +516,7 @@
     (6, TType.DOUBLE, 'stops_in', None, None, ),  # 6
     (7, TType.BOOL, 'store_away', None, None, ),  # 7
     (8, TType.DOUBLE, 'store_silence', None, None, ),  # 8
+    (9, TType.I64, 'configuration', None, None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/guavacleat/routes/holder.py
+++ b/src/guavacleat/routes/holder.py
@@ -28,6 +28,11 @@
         self.ignored = 0
         self.older = 0
 
+    @property
+    def version(self) -> int | None:
+        """The version in force, None while there is none."""
+        return None if self.table is None else self.table.version
+
     def offer(self, table: RouteTable) -> bool:
         """Take in a configuration; return True if it is now in force."""
         if self.table is not None and table.version <= self.table.version:
@@ -40,7 +45,7 @@
                     in_force=self.table.version,
                 )
             return False
-        before = self.table.version if self.table else None
+        before = self.version
         self.table = table
         log_message(
             message_type="config:accepted",
--- a/tests/ingress/test_dispatch.py
+++ b/tests/ingress/test_dispatch.py
@@ -63,6 +63,25 @@
     return caller
 
 
+@pytest.mark.parametrize("path,key", [("/added/x", b"k1"), ("/keyed/x", b"added")])
+def test_a_gateway_that_is_behind_turns_nobody_away_for_good(dispatch, clock, path, key):
+    """
+    Symptom: callers of a route or with a key that a confirmed version added get 404 or 401 now and
+    then, which ends their request for good.
+    Sequence: one gateway, on a thin link or cut off from the store, still has the version before;
+    the balancer sends it a caller.
+    Cause: it answered by its own version, although its peers had told a newer one.
+    """
+    dispatch.peers.observe(GatewayReport("g2", 1, 1, {}, configuration=2))
+    caller = ask(dispatch, path, key)
+    assert caller.head[0] == 503
+    dispatch.holder.offer(table(version=2))
+    assert ask(dispatch, path, key).head[0] in (404, 401)
+    dispatch.peers.observe(GatewayReport("g2", 1, 2, {}, configuration=3))
+    clock.advance(60)
+    assert ask(dispatch, path, key).head[0] in (404, 401), "of a peer that is gone"
+
+
 def test_a_known_key_reaches_an_endpoint(dispatch, world):
     caller = ask(dispatch)
     world.pool.connections[0].answer(body=b"ok")
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -121,6 +121,14 @@
         self.sent.append((decode_report(data), address))
 
 
+@pytest.mark.parametrize(
+    "version,told", [(7, 7), (None, None), ((1 << 63) - 1, (1 << 63) - 1), (1 << 63, None)]
+)
+def test_a_report_tells_the_configuration_in_force_whatever_its_version(version, told):
+    sent = GatewayReport("g1", 1, 1, {}, configuration=version)
+    assert decode_report(encode_report(sent)).configuration == told
+
+
 def exchange(clock, store):
     load = LoadBook(clock)
     registry = EndpointRegistry(clock)
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -42,4 +42,6 @@
   7: optional bool store_away,
   // Seconds since the sender last heard from the store.
   8: optional double store_silence,
+  // Version of the configuration in force at the sender; left out while it has none.
+  9: optional i64 configuration,
 }
