--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -100,9 +100,23 @@
         sentence += f"; version {newer[0].get('version')} came {delay:.2f} s after it ended"
     if _store_was_lost(story):
         sentence += "; its gateway could not reach the store meanwhile"
+    sentence += _failed_watches(story)
     return Cause(CauseKind.NOT_ALLOWED, sentence + ".")
 
 
+def _failed_watches(story: Story) -> str:
+    """What its gateway got no whole answer about, as the end of a sentence."""
+    failures_by_kind = {
+        line.get("kind"): line.get("failures")
+        for line in story.around
+        if line.type == "watch:failed"
+    }
+    return "".join(
+        f"; its gateway's watch of {kind} got no whole answer, {failures} times in a row"
+        for kind, failures in failures_by_kind.items()
+    )
+
+
 def _store_was_lost(story: Story) -> bool:
     states = [line.type for line in story.around if line.type in ("store:lost", "store:back")]
     return bool(states) and "store:lost" in states
--- a/src/guavacleat/explain/story.py
+++ b/src/guavacleat/explain/story.py
@@ -13,7 +13,13 @@
 BEFORE_SECONDS = 3.0
 AFTER_SECONDS = 1.0
 ABOUT_ENDPOINTS = ("endpoint:changed", "move:began")
-ABOUT_THE_GATEWAY = ("config:accepted", "store:lost", "store:back", "process:stopping")
+ABOUT_THE_GATEWAY = (
+    "config:accepted",
+    "process:stopping",
+    "store:back",
+    "store:lost",
+    "watch:failed",
+)
 
 
 class Story:
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -14,7 +14,7 @@
 from guavacleat.http1.server import CallerExchange
 from guavacleat.lengths import LengthForecast
 from guavacleat.peers.book import RESTART_SECONDS
-from guavacleat.routes import RequestKind, Route, RouteTable, ServiceTraits
+from guavacleat.routes import Account, RequestKind, Route, RouteTable, ServiceTraits
 
 __all__ = ["Dispatch", "LAST_STREAM_SECONDS"]
 
@@ -153,11 +153,7 @@
             raise self._not_allowed(Verdict.UNKNOWN_ROUTE, table)
         headers = end_to_end_headers(exchange.head.headers)
         facts = self.parts.wire.caller_facts(headers)
-        account = None
-        if table.keyed and not route.public:
-            account = table.accounts_by_key.get(facts.key)
-            if account is None:
-                raise self._not_allowed(Verdict.UNKNOWN_KEY, table)
+        account = self._account(table, route, facts.key)
         service = route.pick_service(self.random)
         traits = table.services_by_name.get(service)
         if traits is None:
@@ -175,6 +171,15 @@
             self._forecast(route, facts),
         )
 
+    def _account(self, table: RouteTable, route: Route, key: str) -> Account | None:
+        """Whose key it is, None where none is needed."""
+        if route.public or not table.keyed:
+            return None
+        account = table.accounts_by_key.get(key)
+        if account is None:
+            raise self._not_allowed(Verdict.UNKNOWN_KEY, table)
+        return account
+
     def _not_allowed(self, verdict: Verdict, table: RouteTable) -> RefusalError:
         """The refusal of what ``table`` does not allow.
 
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -70,6 +70,19 @@
         "Version 7 of the configuration has no such key; version 8 came 0.50 s after it ended;"
         " its gateway could not reach the store meanwhile.",
     ),
+    "route not known yet, for no whole answer came": (
+        [
+            line(4.0, "watch:failed", kind="config", failures=8),
+            ended(5.0, "UNKNOWN_ROUTE", config=7, status=404),
+        ],
+        "Version 7 of the configuration has no such route; its gateway's watch of config got no"
+        " whole answer, 8 times in a row.",
+    ),
+    "not allowed by an older version": (
+        [ended(5.0, "BEHIND", config=7, status=503)],
+        "Its gateway had an older configuration than another one, which may allow it."
+        " It has not run.",
+    ),
     "key taken away": (
         [
             line(3.0, "config:accepted", version=7),
