Known red: a key refused by a gateway that dies before the release is recorded

Found by the fresh profile in test_claims_machine.py (2,000 histories): store slow by 0.5 s, one refused call, the gateway dies a second later, and the key stays held. The call never ran and runs never; its caller was told that it may come back with the key and cannot.

--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -5,8 +5,23 @@
 from guavacleat.errors import NotRunError
 from guavacleat.idempotency import AlreadyAcceptedError, CallRecords, KeyReusedError, call_name
 from guavacleat.idempotency.records import OUTCOME_UNKNOWN_SECONDS, RECORD_RETRY_SECONDS
+from guavacleat.store import StoreClient
 from tests.conftest import result_of
 
+
+class Dying:
+    """The store as a gateway reaches it that may die: from then on nothing of it arrives."""
+
+    def __init__(self, http):
+        self.http = http
+        self.dead = False
+
+    def request(self, *args, **kwargs):
+        if self.dead:
+            raise ConnectionError("this gateway is dead")
+        return self.http.request(*args, **kwargs)
+
+
 CLAIM_FAULTS = [
     # (faults during the create, outcome for the claiming request)
     ({}, None),
@@ -90,6 +105,24 @@
     result_of(records.claim("slot-1", "request-b"), stub_http.flush)
 
 
+def test_a_key_refused_by_a_gateway_that_then_died_can_be_called_again(store, stub_http, clock):
+    """
+    Symptom: a call told "not run, come back" is told "already accepted" when it comes back, and
+    after a minute that it may have run; nobody ran it.
+    Sequence: a claims the key; every endpoint refuses; its caller is told so while the release is
+    under way to a slow store; the gateway dies before the store has it; b retries.
+    Cause: the refusal is told before the release is recorded. Found by the state machine with fresh
+    draws: store slow by 0.5 s, one refused call, the gateway dies a second later.
+    """
+    dying = CallRecords(StoreClient("http://store", http=Dying(stub_http)), clock)
+    result_of(dying.claim("slot-1", "request-a"), stub_http.flush)
+    dying.store.http.dead = True
+    dying.release("slot-1", "request-a")
+    clock.advance(OUTCOME_UNKNOWN_SECONDS)
+    stub_http.flush()
+    result_of(CallRecords(store, clock).claim("slot-1", "request-b"), stub_http.flush)
+
+
 def test_create_applied_after_its_refusal_does_not_hold_the_key(store, store_app, stub_http, clock):
     """
     Symptom: a call told "not run, come back" is told "already accepted" when it comes back.
