Known red: a lease that goes back once after an unanswered first write

A session's create is done and its answer lost; another displaces it; the first does not know that it held the record and writes over it, until the next heartbeat of the other steps down. Telling the sessions displaced in the record would mend it.

--- a/tests/membership/test_lease.py
+++ b/tests/membership/test_lease.py
@@ -33,6 +33,25 @@
     assert paused.superseded and not replacement.superseded
 
 
+def test_a_session_that_was_displaced_after_an_unanswered_write_does_not_come_back(
+    clock, store, store_app, stub_http
+):
+    """
+    Symptom: requests go to a replacement, back to the session before it, and to it again.
+    Sequence: the first session creates the record and gets no answer; another one displaces it; the
+    first one, which does not know that it ever held the record, writes over it.
+    Cause: a record does not tell which sessions it displaced, so that a session cannot know that
+    its unanswered write had been done. Found by the state machine with fresh draws.
+    """
+    first, second = make_lease(clock, store, "first"), make_lease(clock, store, "second")
+    store_app.faults.lose_acks = 1
+    result_of(first.renew(), stub_http.flush)
+    store_app.faults.lose_acks = 0
+    for lease in (second, first):
+        result_of(lease.renew(), stub_http.flush)
+    assert store_app.state.get("endpoints", "e1").value["session"] == "second"
+
+
 class LeaseMachine(RuleBasedStateMachine):
     """Sessions start, renew, pause (by not being chosen) and meet lost answers and outages."""
 
