--- a/src/guavacleat/http1/calls.py
+++ b/src/guavacleat/http1/calls.py
@@ -74,7 +74,7 @@
         self._check_size(self.received)
 
     def _check_size(self, size: int) -> None:
-        if self.most_bytes is not None and size > self.most_bytes and not self.too_large:
+        if self.most_bytes is not None and size > self.most_bytes:
             self.too_large = True
             self.give_up()
 
@@ -155,7 +155,7 @@
             headers,
             data or b"",
             timeout,
-            self.read_timeout,
-            most_bytes,
+            read_timeout=self.read_timeout,
+            most_bytes=most_bytes,
         )
         return defer.Deferred.fromCoroutine(coroutine)
--- a/src/guavacleat/store/watch.py
+++ b/src/guavacleat/store/watch.py
@@ -122,12 +122,10 @@
                     wait = min(self.wait, RECOVERY_WAIT)
                 batch = yield self.store.watch(self.kind, self.revision, wait, self.most_bytes)
         except HistoryLostError:
-            log_message(message_type="watch:history-lost", kind=self.kind, since=self.revision)
-            self._list_next()
+            self._list_next("watch:history-lost")
             return
         except ChangesTooLargeError:
-            log_message(message_type="watch:many-versions", kind=self.kind, since=self.revision)
-            self._list_next()
+            self._list_next("watch:many-versions")
             return
         except StoreUnavailableError as exc:
             self._failed(exc)
@@ -145,7 +143,8 @@
         self.revision = max([batch.revision, self.revision or 0])
         self._next(self.pause())
 
-    def _list_next(self) -> None:
+    def _list_next(self, reason: str) -> None:
+        log_message(message_type=reason, kind=self.kind, since=self.revision)
         self.revision = None
         self._next(0)
 
