A refusal of a call with a key waits until the key is free

Cause: the refusal was told while the release of its key was under way; if the gateway died before the store had it, the key stayed held by a call that never ran, and its caller, told to come back, was told that it was accepted.

Change: the refusal waits for the record of the release, 2 s at most; beyond that it says to come back with a new key, which is safe as the call has not run.

--- a/src/guavacleat/gateway/app.py
+++ b/src/guavacleat/gateway/app.py
@@ -80,9 +80,10 @@
         try:
             progress = yield gateway.relay.run(completion, deployment.limits, sink, call.claim)
         except NotRunError as exc:
-            call.not_run()
+            released = yield call.not_run()
             gateway.metrics.outcome(account, klass, "not_run")
-            return _refuse(request, exc, kind=_refusal_kind(completion))
+            told = exc if released else _with_new_key(exc)
+            return _refuse(request, told, kind=_refusal_kind(completion))
         except AlreadyAcceptedError as exc:
             gateway.metrics.outcome(account, klass, "duplicate")
             return _already_accepted(request, completion, exc)
@@ -109,6 +110,12 @@
         return body
 
 
+def _with_new_key(exc: NotRunError) -> NotRunError:
+    """The refusal of a call whose key may stay held: the object API did not record its release."""
+    remedy = f"retry after {exc.retry_after} s with a new idempotency key: this call has not run."
+    return NotRunError(exc.problem, remedy, exc.retry_after)
+
+
 def _outcome(progress) -> str:
     return "cancelled" if progress.finish_reason == CALLER_LEFT else "completed"
 
--- a/src/guavacleat/idempotency/guard.py
+++ b/src/guavacleat/idempotency/guard.py
@@ -1,10 +1,13 @@
 """The record of one request's call over its life, for requests that carry an idempotency key."""
 
-from twisted.internet import defer
+from twisted.internet import defer, task
 
 from guavacleat.idempotency.records import CallRecords
 
-__all__ = ["CallGuard"]
+__all__ = ["CallGuard", "RELEASE_WAIT_SECONDS"]
+
+# How long a refusal waits for its key to be free in the store.
+RELEASE_WAIT_SECONDS = 2.0
 
 
 class CallGuard:
@@ -28,10 +31,39 @@
         )
         self.claimed = True
 
-    def not_run(self) -> None:
-        """The call was refused by every endpoint: let a retry have the key."""
-        if self.claimed:
-            self.records.release(self.completion.call, self.completion.request_id)
+    @defer.inlineCallbacks
+    def not_run(self):
+        """The call was refused by every endpoint: fire with whether a retry may have the key.
+
+        A caller told to come back before the release is recorded would, if this gateway then dies,
+        find its key held for good by a call that never ran. A store that does not answer is not
+        waited for beyond ``RELEASE_WAIT_SECONDS``; the release goes on after that.
+        """
+        if not self.claimed:
+            return True
+        releasing = self.records.release(self.completion.call, self.completion.request_id)
+        waiting = self._first_of(
+            releasing, task.deferLater(self.records.clock, RELEASE_WAIT_SECONDS)
+        )
+        released = yield waiting
+        return released
+
+    @staticmethod
+    def _first_of(releasing: defer.Deferred, waiting: defer.Deferred) -> defer.Deferred:
+        """Fire with True once released, with False if the wait is over before."""
+        outcome = defer.Deferred()
+
+        def released(recorded):
+            if waiting.called:
+                return
+            waiting.cancel()
+            outcome.callback(recorded)
+
+        releasing.addCallback(released)
+        waiting.addCallbacks(
+            lambda _: outcome.callback(False), lambda failure: failure.trap(defer.CancelledError)
+        )
+        return outcome
 
     def broken(self) -> None:
         """The call may have run and its answer is lost."""
--- a/src/guavacleat/idempotency/records.py
+++ b/src/guavacleat/idempotency/records.py
@@ -186,7 +186,10 @@
         return self._until_recorded(key, request_id, changes)
 
     def release(self, key: str, request_id: str) -> defer.Deferred:
-        """Give up a claim whose call was refused as not run, so that a retry may take it."""
+        """Give up a claim whose call was refused as not run, so that a retry may take it.
+
+        Fires with whether that was recorded.
+        """
         return self._until_recorded(key, request_id, {"state": RELEASED})
 
     def mark_unknown(self, key: str, request_id: str) -> defer.Deferred:
@@ -195,14 +198,15 @@
 
     @defer.inlineCallbacks
     def _until_recorded(self, key: str, request_id: str, changes: dict):
-        """Apply ``changes`` to this request's claim, through store outages."""
+        """Apply ``changes`` to this request's claim, through outages; fire with whether it did."""
         for _ in range(RECORD_ATTEMPTS):
             try:
                 yield self._record_once(key, request_id, changes)
-                return
+                return True
             except (StoreUnavailableError, ConflictError):
                 yield task.deferLater(self.clock, RECORD_RETRY_SECONDS)
         log_message(message_type="idempotency:not-recorded", state=changes["state"])
+        return False
 
     @defer.inlineCallbacks
     def _record_once(self, key: str, request_id: str, changes: dict):
--- a/tests/gateway/test_app.py
+++ b/tests/gateway/test_app.py
@@ -11,6 +11,7 @@
 from guavacleat.config import load_settings
 from guavacleat.errors import NotRunError
 from guavacleat.gateway.app import GatewayApp
+from guavacleat.idempotency import CallGuard
 from guavacleat.metrics import StreamMetrics
 from guavacleat.streams.messages import ResumePoint
 from tests.conftest import result_of
@@ -59,3 +60,29 @@
     answer = result_of(response.json(), http.flush)
     assert (response.code, answer["error"]["type"]) == (429, kind)
     assert response.headers.getRawHeaders("retry-after") == ["2"]
+
+
+class HeldKey(CallGuard):
+    """A claim whose release the store never records."""
+
+    def claim(self):
+        self.claimed = True
+        return defer.succeed(None)
+
+    def not_run(self):
+        return defer.succeed(False)
+
+
+def test_a_caller_is_told_to_use_a_new_key_where_its_own_stays_held(clock, monkeypatch):
+    """
+    Symptom: a caller comes back with its key as told, and is told that its call was accepted.
+    Sequence: its call is refused; the store does not record that its key is free.
+    Cause: the refusal told it to come back with the same key.
+    """
+    monkeypatch.setattr("guavacleat.gateway.app.CallGuard", HeldKey)
+    http = StubTreq(GatewayApp(Gateway(clock)).resource())
+    posting = http.post("http://gateway/v1/completions", data=json.dumps(BODY).encode())
+    response = result_of(posting, http.flush)
+    answer = result_of(response.json(), http.flush)
+    assert (response.code, answer["error"]["type"]) == (429, "not_run")
+    assert "new idempotency key" in answer["error"]["message"]
