Comments on constants: a reason, no tuning story

A constant's comment says what it is for; how its value was found stands in the commits that set it. Comments and docstrings only.

--- a/src/guavacleat/config/loader.py
+++ b/src/guavacleat/config/loader.py
@@ -69,8 +69,7 @@
     """Check settings already parsed into plain JSON values (as the object API holds them).
 
     Daemons call this on every configuration they are offered; parsing with json5 again would
-    cost them about a thousand times more CPU than the checks (35.6 s against 34 ms for a file
-    of 44,000 client accounts, benchmarks in docs/CAPACITY.md).
+    cost them about a thousand times more CPU than the checks.
     """
     if not isinstance(raw, dict):
         return Error(["file: the top level is not an object. Remedy: wrap settings in { }."])
--- a/src/guavacleat/forwarding/handover.py
+++ b/src/guavacleat/forwarding/handover.py
@@ -17,14 +17,13 @@
 
 __all__ = ["Handover"]
 
-# Well below the 0.4 s that both engines may run the stream, for the way to either of them.
+# Well below the time that both engines may run the stream, for the way to either of them.
 OVERLAP_SECONDS = 0.25
-# Events come every 30 to 70 ms; the request is sent right after one, so that the pause does not
+# Longest wait for the next event: the request is sent right after one, so that the pause does not
 # begin with waiting for nothing.
 NEXT_EVENT_SECONDS = 0.08
-# The other engine is behind by what it takes to begin there, 0.1 to 0.2 s. Events of the present
-# one are passed on later by this much meanwhile, which takes it off the pause in the end. An event
-# may reach its caller 0.12 s late at most.
+# The other engine is behind by what it takes to begin there. Events of the present one are passed
+# on later by this much meanwhile, which takes it off the pause in the end.
 HOLD_SECONDS = 0.09
 
 
--- a/src/guavacleat/forwarding/memory.py
+++ b/src/guavacleat/forwarding/memory.py
@@ -72,8 +72,8 @@
     def expected_tokens(self) -> int:
         """Memory that the run will hold at its end, by what it has produced so far.
 
-        Left at the first estimate, engines looked free while runs outgrew it and their memory ran
-        out; first tokens came up to 5 s late there.
+        Left at the first estimate, an engine would look free while runs outgrow it and its memory
+        runs out, and first tokens would come seconds late there.
         """
         return self.request.expected_tokens(self.output_tokens)
 
--- a/src/guavacleat/forwarding/times.py
+++ b/src/guavacleat/forwarding/times.py
@@ -5,7 +5,7 @@
 
 # Weight of the newest stream in the moving average.
 SMOOTHING = 0.1
-# Before any stream ended: some 30 ms for an event of four tokens, with a margin.
+# Before any stream ended.
 FIRST_GUESS_SECONDS_PER_TOKEN = 0.01
 
 
--- a/src/guavacleat/http1/calls.py
+++ b/src/guavacleat/http1/calls.py
@@ -126,8 +126,7 @@
 
     :param read_timeout: longest pause in seconds within an answer. An answer is never given up
         while it arrives: asked again it begins with its first byte, so that one which takes longer
-        than any fixed time never ends. A configuration of 895 KB needs 1.45 s of a 5 Mbit/s link,
-        and gateways that gave up after 1.1 s took none for as long as they ran.
+        than any fixed time never ends: on a thin link a large configuration would never be taken.
     """
 
     def __init__(self, reactor, pool: ConnectionPool, read_timeout: float):
--- a/src/guavacleat/lengths.py
+++ b/src/guavacleat/lengths.py
@@ -69,11 +69,10 @@
 # Before anything has finished, lengths are taken to be spread evenly on a log scale up to the
 # longest allowed; these give a mean of 0.39 of it.
 FIRST_LENGTHS = (1 / 16, 1 / 8, 1 / 4, 1 / 2, 1.0)
-# Finished lengths kept: enough for a mean to within some 10 %, few enough to weigh anew for each
-# estimate (30 us).
+# Finished lengths kept: enough for a mean, few enough to weigh anew for each estimate.
 FORECAST_KEPT = 64
 # Standard deviation of log(hint / length) before any was seen, and how many observations that
-# counts for: 1.0 to 1.4 in six simulated days of two deployments.
+# counts for.
 FIRST_HINT_SPREAD = 1.2
 FIRST_HINT_WEIGHT = 8
 LEAST_HINT_SPREAD = 0.2
@@ -85,8 +84,7 @@
     """Expected lengths of generations of one kind, from those that finished and a caller's hint.
 
     A hint is right in the middle and often far off, so it only shifts weight among the lengths
-    seen. Over the streams of six simulated days, one forecast a day, it erred by 372 tokens in the
-    mean; the hint taken as it is by 583, the mean of those before by 419 (outputs of 840 tokens).
+    seen.
 
     :param longest: tokens that a generation of this kind may produce at most.
     """
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -22,8 +22,7 @@
 
 __all__ = ["Evacuator"]
 
-# A copy takes at most some 0.8 s when others queue before it; one not done by then is not worth
-# waiting for.
+# A copy takes less even when others queue before it; one not done by then is not worth waiting for.
 COPY_SECONDS = 3.0
 # A request that the engine has not begun to run cannot be moved yet.
 RETRY_SECONDS = 0.1
@@ -31,15 +30,13 @@
 HAND_OVER_PAUSE_SECONDS = 0.02
 # How long after its notice an engine's streams are still worth moving.
 EVACUATION_SECONDS = 6.0
-# Runs that seemed short at the notice are moved too if they still run after this long: the
-# shortest notice seen is 1.5 s, and a copy takes up to 0.4 s.
+# Runs that seemed short at the notice are moved too if they still run after this long: a copy has
+# to be made within what is then left of the notice.
 SHORT_RUNS_SECONDS = 0.8
-# The users weigh a token of output like so many of the prompt. Copying first what is worth most
-# per token, in place of the longest first, gave 0.756 of the worth against 0.746 (means of nine
-# simulated days of both deployments, one run each).
+# The users weigh a token of output like so many of the prompt; what is worth most per token is
+# copied first.
 OUTPUT_WORTH = 10
-# A stream that runs sends an event every 30 to 70 ms; one on an engine that started again has
-# sent none for several times that.
+# Several times the pause between events of a stream that runs.
 RESTART_SILENCE_SECONDS = 0.3
 NO_SUCH_RUN = 404
 
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -31,16 +31,14 @@
 USABLE_MEMORY = 0.92
 # Memory share up to which generations are begun. Beyond it the engine would preempt the newest.
 FULL_MEMORY = 1.0
-# Prompt tokens that may wait to be read on an engine when it is given another: about 0.3 s of
-# reading, so that it never idles, and what is lost with an engine that leaves is little.
+# Prompt tokens that may wait to be read on an engine when it is given another: so many that it
+# never idles, so few that little is lost with an engine that leaves.
 READ_AHEAD_TOKENS = 2000
 # Backups go only where memory stays below this share with them: the rest is for generations that
 # come, and for those of an engine that is taken away.
 BACKUP_MEMORY = 0.6
 # No backups for so long after an engine left: while engines are taken away one after the other,
-# their links are needed for the copies off them, and the memory for what arrives. With engines
-# taken away every 3.3 s, backups wherever memory allowed lost 247 and 190 of 3,280 long streams
-# (gap or first event late, or cut) where none at all lost 142; 36 simulated days each.
+# their links are needed for the copies off them, and the memory for what arrives.
 BACKUP_QUIET_SECONDS = 5.0
 
 
