A long listing goes on where it was refused

Cause: a listing of many pages began anew after each refused page.

Change: the pages read are kept over failures; changes since the first page are watched for as before. Test: fails when each listing begins anew.

--- a/src/guavacleat/store/client.py
+++ b/src/guavacleat/store/client.py
@@ -17,7 +17,9 @@
     ChangesTooLargeError,
     ConflictError,
     HistoryLostError,
+    Listing,
     StoreUnavailableError,
+    WatchBatch,
 )
 
 __all__ = ["StoreClient", "WATCH_WAIT"]
@@ -72,22 +74,19 @@
         return self.dialect.decode_object(kind, answer)
 
     @defer.inlineCallbacks
-    def list_objects(self, kind: str):
-        """Fire with a :class:`WatchBatch` of every object of ``kind``."""
-        objects, after = [], None
-        revision = None
+    def list_objects(self, kind: str, begun: Listing | None = None):
+        """Fire with a :class:`WatchBatch` of every object of ``kind``.
+
+        :param begun: pages read before, by a call that failed; this one goes on after them.
+        """
+        listing = Listing() if begun is None else begun
         while True:
             self.calls_by_type["read"] += 1
-            status, body = yield self._call("GET", self.dialect.list_path(kind, after))
+            status, body = yield self._call("GET", self.dialect.list_path(kind, listing.after))
             _require_found(status, f"listing {kind}")
-            batch, after = self.dialect.decode_listing(kind, body)
-            objects += batch.objects
-            # The first page's revision: what changes while the later ones are read is then
-            # watched for, where the last page's would skip it.
-            revision = batch.revision if revision is None else revision
-            if after is None:
-                batch.objects, batch.revision = objects, revision
-                return batch
+            listing.add(*self.dialect.decode_listing(kind, body))
+            if listing.after is None:
+                return WatchBatch(listing.revision, listing.objects)
 
     @defer.inlineCallbacks
     def instances(self):
--- a/src/guavacleat/store/messages.py
+++ b/src/guavacleat/store/messages.py
@@ -6,6 +6,7 @@
     "ChangesTooLargeError",
     "ConflictError",
     "HistoryLostError",
+    "Listing",
     "StoreUnavailableError",
     "StoredObject",
     "WatchBatch",
@@ -56,6 +57,28 @@
         self.objects = objects
 
 
+class Listing:
+    """The pages of a listing that were read so far.
+
+    :param after: the name after which it goes on.
+    :param revision: the first page's: what changes while the later ones are read is then watched
+        for, where the last page's would skip it.
+    """
+
+    __slots__ = ("objects", "after", "revision")
+
+    def __init__(self):
+        self.objects: list[StoredObject] = []
+        self.after: str | None = None
+        self.revision: int | None = None
+
+    def add(self, page: WatchBatch, after: str | None) -> None:
+        self.objects += page.objects
+        self.after = after
+        if self.revision is None:
+            self.revision = page.revision
+
+
 class ConflictError(StoreError):
     """A conditional update lost: the object is at ``current_version``, not the one expected."""
 
--- a/src/guavacleat/store/watch.py
+++ b/src/guavacleat/store/watch.py
@@ -17,6 +17,7 @@
     LARGEST_OBJECT_BYTES,
     ChangesTooLargeError,
     HistoryLostError,
+    Listing,
     StoreUnavailableError,
 )
 
@@ -82,8 +83,13 @@
         self.refused = 0
         self.revision: int | None = None
         self.failures = 0
+        # Clock time of the last call.
+        self.called_at = float("-inf")
         self.running = False
         self._waiting = None
+        # Pages of a listing under way. Begun anew after each failure, a long one would never end
+        # while the store refuses some of its pages, as it does while all gateways list at once.
+        self._listing = Listing()
 
     def start(self) -> None:
         self.running = True
@@ -93,8 +99,11 @@
         self.running = False
 
     def wake(self) -> None:
-        """Look at once whether to rest any longer; something newer is known to exist."""
-        if self.resting and self._waiting.active():
+        """Look at once whether to rest any longer; something newer is known to exist.
+
+        Not after a failure: what is told again and again would be asked for as often.
+        """
+        if self.resting and not self.failures and self._waiting.active():
             if self.newest_only:
                 # A watch would bring the versions since the loop last asked one by one.
                 self.list_next()
@@ -108,6 +117,7 @@
     def list_next(self) -> None:
         """Read the objects themselves next, not their changes."""
         self.revision = None
+        self._listing = Listing()
 
     def _next(self, delay: float) -> None:
         if self.running:
@@ -125,6 +135,7 @@
         if resting:
             self._next(REST_LOOK_SECONDS)
             return
+        self.called_at = self.clock.seconds()
         self._once().addErrback(self._unforeseen)
 
     def _unforeseen(self, failure) -> None:
@@ -155,7 +166,7 @@
         try:
             listing = self.revision is None
             if listing:
-                batch = yield self.store.list_objects(self.kind)
+                batch = yield self.store.list_objects(self.kind, self._listing)
             else:
                 wait = self.wait * self.random.uniform(LEAST_WAIT_SHARE, 1.0)
                 if self.failures:
@@ -175,6 +186,7 @@
         if self.failures:
             log_message(message_type="watch:answered", kind=self.kind, failures=self.failures)
         self.failures = 0
+        self._listing = Listing()
         self.on_health(True)
         self.revision = max([batch.revision, self.revision or 0])
         for stored in batch.objects:
@@ -186,7 +198,7 @@
 
     def _list_next(self, reason: str) -> None:
         log_message(message_type=reason, kind=self.kind, since=self.revision)
-        self.revision = None
+        self.list_next()
         self._next(0)
 
     def _offer(self, stored) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,7 @@
 """Contract of the platform's store as the product's client and watch loop meet it."""
 
+import itertools
+
 import pytest
 from twisted.internet import defer
 
@@ -7,7 +9,7 @@
 from guavacleat.store import ConflictError, StoreClient, StoreUnavailableError
 from guavacleat.store.client import CALL_TIMEOUT, WATCH_WAIT
 from guavacleat.store.messages import MUST_NOT_EXIST
-from guavacleat.store.watch import LEAST_WAIT_SHARE, RECOVERY_WAIT, WatchLoop
+from guavacleat.store.watch import BACKOFF_MAX, LEAST_WAIT_SHARE, RECOVERY_WAIT, WatchLoop
 from tests.conftest import result_of
 from tests.platform.store_standin import PAGE, StoreStandin
 
@@ -120,6 +122,31 @@
     assert [stored.name for stored in batch.objects] == names
 
 
+def test_a_long_listing_goes_on_where_it_was_refused(client, standin, clock):
+    """
+    Symptom: hundreds of gateways that start together before thousands of endpoints take none for
+    half a minute.
+    Sequence: all list at once; the store refuses what is beyond its rate, some page of each one.
+    Cause: a listing of many pages that begins anew after each refusal hardly ever ends.
+    """
+    names = [f"e{number:02}" for number in range(4 * PAGE)]
+    for name in names:
+        standin.write("servers", name, {})
+    answer = standin.request
+    tries = itertools.count()
+
+    def every_other_refused(*args, **kwargs):
+        standin.fault = "busy" if next(tries) % 2 else None
+        return answer(*args, **kwargs)
+
+    standin.request = every_other_refused
+    follower = Follower(clock, client)
+    for _ in range(10):
+        clock.advance(BACKOFF_MAX)
+    assert sorted(follower.names) == names
+    assert follower.listings == [set(names)]
+
+
 def test_a_change_between_two_pages_is_not_missed(client, standin, clock):
     """
     Symptom: an endpoint that registered while a gateway started gets no work.
