Fewer calls of the store: at a start, between watches, during outages

Change: in its first 0.6 s a gateway leaves listening to others, as it has just read everything; it does not write an address that is registered as it is; listeners pause up to 1 s (was 0.5) between watches of endpoints; while the store does not answer, those that are not listeners try each 1.5 s (was 0.5), and hear from those when it is back.

--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -24,9 +24,11 @@
 # Longest pause between attempts to reach the store: within the time in which a configuration must
 # be in force after an outage.
 STORE_BACKOFF_SECONDS = 0.5
+# The same for a gateway that leaves trying to others, who tell when the store is back.
+UNREACHED_RETRY_SECONDS = 1.5
 # Longest pause of a gateway that shares listening with others, between hearing of endpoints and
 # asking for more: short against an engine's notice, and some other listener hears meanwhile.
-SHARED_PAUSE_SECONDS = 0.5
+SHARED_PAUSE_SECONDS = 1.0
 # So few gateways listen without a pause.
 FEW_GATEWAYS = 8
 
@@ -71,16 +73,21 @@
         self.endpoints = EndpointsKnown(self.reactor)
         self.configuration = ConfigurationKnown(self.reactor, lambda: self.holder.version)
         self.duty = ListeningDuty(
-            self.instance, self.peers, self.registry, lambda: self.exchange.data_centre_count()
+            self.reactor,
+            self.instance,
+            self.peers,
+            self.registry,
+            lambda: self.exchange.data_centre_count(),
         )
         configuration_watch = self._watch(
             self.adapter.config_kind,
             self._configuration_changed,
             on_health=self.registry.store_called,
             on_revision=lambda revision: self.configuration.answered(),
-            rests=lambda: not self.configuration.must_ask() and not self.duty(),
+            rests=self._configuration_watch_rests,
             newest_only=True,
         )
+        self.configuration_watch = configuration_watch
         self.configuration.on_newer = configuration_watch.wake
         self.endpoint_watch = self._watch(
             self.adapter.endpoint_kind,
@@ -110,12 +117,30 @@
         host, port = self.address
         self.port = self.reactor.listenUDP(port, self.exchange, interface=host)
 
+    def _configuration_watch_rests(self) -> bool:
+        """Whether peers tell enough of the configuration for now."""
+        if self.duty():
+            return False
+        return not self.configuration.must_ask() or self._others_try(self.configuration_watch)
+
+    def _others_try(self, watch: WatchLoop) -> bool:
+        """Whether the store did not answer lately, so that trying again is left to listeners."""
+        since = self.reactor.seconds() - watch.called_at
+        return watch.failures > 0 and since < UNREACHED_RETRY_SECONDS
+
     def _endpoint_watch_rests(self) -> bool:
         """Whether peers tell enough of the endpoints for now."""
         silence = min(self.registry.store_silence(), self.peers.store_silence())
         if silence > SILENCE_SECONDS:
             self.registry.store_silent()
-        if self.endpoints.must_ask() or self.duty():
+        if self.duty():
+            return False
+        if self._others_try(self.endpoint_watch):
+            return True
+        if self.endpoints.must_ask():
+            return False
+        if not self.registry.entries_by_id:
+            # Nothing to serve callers with yet.
             return False
         if self.registry.lapsed_ids:
             # That one is back is no news to peers that never missed it.
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -328,8 +328,7 @@
         """Write this gateway's address to the store and read the others', until both worked."""
         while not self.stopped:
             try:
-                yield self._write_address()
-                listing = yield self.store.list_objects(GATEWAY_KIND)
+                listing = yield self._write_address()
             except StoreUnavailableError as exc:
                 log_message(message_type="peer:not-registered", error=str(exc))
                 yield task.deferLater(self.reactor, REGISTER_RETRY_SECONDS)
@@ -350,6 +349,7 @@
 
     @defer.inlineCallbacks
     def _write_address(self):
+        """Write this gateway's address; fire with a listing made after that."""
         value = {
             "ip": self.address[0],
             "port": self.address[1],
@@ -359,7 +359,13 @@
             yield self.store.put(GATEWAY_KIND, self.instance, value, MUST_NOT_EXIST)
         except ConflictError as exc:
             # Registered by an earlier start; its address may have been another.
+            listing = yield self.store.list_objects(GATEWAY_KIND)
+            known = {stored.name: stored.value for stored in listing.objects}
+            if known.get(self.instance) == value:
+                return listing
             yield self.store.put(GATEWAY_KIND, self.instance, value, exc.current_version)
+        listing = yield self.store.list_objects(GATEWAY_KIND)
+        return listing
 
     def _note_error(self, failure) -> None:
         log_message(message_type="peer:error", error=failure.getTraceback())
--- a/src/guavacleat/peers/hearing.py
+++ b/src/guavacleat/peers/hearing.py
@@ -28,6 +28,9 @@
 # Listeners of a deployment, spread evenly over its data centres, at least one in each: with one
 # alone, all would be deaf while it falls silent.
 LISTENERS = 6
+# So long after its start a gateway leaves listening to others: it has just read everything, and
+# does not know yet whom it has for peers.
+SETTLE_SECONDS = 0.6
 # Knowledge older than this is not relied on; each gateway draws its own limit. A listener whose
 # watch brings nothing knows more every two seconds, and half a second later it is told.
 STALE_SECONDS = (2.6, 4.0)
@@ -44,13 +47,24 @@
     :param data_centres: returns how many data centres have gateways.
     """
 
-    def __init__(self, instance: str, book: PeerBook, registry: EndpointRegistry, data_centres):
+    def __init__(
+        self,
+        clock: IReactorTime,
+        instance: str,
+        book: PeerBook,
+        registry: EndpointRegistry,
+        data_centres,
+    ):
+        self.clock = clock
+        self.settled_at = clock.seconds() + SETTLE_SECONDS
         self.instance = instance
         self.book = book
         self.registry = registry
         self.data_centres = data_centres
 
     def __call__(self) -> bool:
+        if self.clock.seconds() < self.settled_at:
+            return False
         alive = self.book.alive()
         reaching = [report.instance for report in alive if not report.store_away]
         if not self.registry.store_unreachable():
