--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -9,6 +9,7 @@
 from guavacleat.http1.pool import ConnectionPool
 from guavacleat.membership.inquiry import SILENCE_SECONDS
 from guavacleat.peers import PeerExchange
+from guavacleat.peers.directory import GatewayDirectory
 from guavacleat.peers.hearing import ConfigurationKnown, EndpointsKnown, ListeningDuty
 from guavacleat.settings import ProcessSettings
 from guavacleat.store import StoreClient
@@ -72,12 +73,15 @@
         self.holder, self.registry, self.peers = ingress.holder, ingress.registry, ingress.peers
         self.endpoints = EndpointsKnown(self.reactor)
         self.configuration = ConfigurationKnown(self.reactor, lambda: self.holder.version)
+        directory = GatewayDirectory(
+            self.reactor, self.store, self.instance, self.address, self.data_centre
+        )
         self.duty = ListeningDuty(
             self.reactor,
             self.instance,
             self.peers,
             self.registry,
-            lambda: self.exchange.data_centre_count(),
+            directory.data_centre_count,
         )
         configuration_watch = self._watch(
             self.adapter.config_kind,
@@ -100,13 +104,10 @@
         )
         self.exchange = PeerExchange(
             self.reactor,
-            self.store,
+            directory,
             self.peers,
             ingress.load,
             self.registry,
-            self.instance,
-            self.address,
-            self.data_centre,
             self.configuration,
             self.endpoints,
             self._heard_peer,
--- a/tests/peers/test_hearing.py
+++ b/tests/peers/test_hearing.py
@@ -159,7 +159,9 @@
     Cause: which gateways do so has to follow from which ones are heard.
     """
     forwarders = [
-        gateway for gateway in fleet.gateways.values() if gateway.source.exchange._forwards(1)
+        gateway
+        for gateway in fleet.gateways.values()
+        if gateway.source.exchange.summaries.forwards(1)
     ]
     for gateway in forwarders:
         gateway.stop()
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -10,6 +10,7 @@
 from guavacleat.membership.registry import EndpointChange, EndpointRegistry, EndpointState
 from guavacleat.peers import PeerBook, PeerExchange
 from guavacleat.peers.book import RESTART_SECONDS, SILENCE_SECONDS
+from guavacleat.peers.directory import GatewayDirectory
 from guavacleat.peers.exchange import NEWS_SECONDS, RETELL_SECONDS
 from guavacleat.peers.hearing import ConfigurationKnown, EndpointsKnown
 from guavacleat.peers.report import BadReportError, GatewayReport, decode_report, encode_report
@@ -135,13 +136,10 @@
     registry = EndpointRegistry(clock)
     found = PeerExchange(
         clock,
-        store,
+        GatewayDirectory(clock, store, "g1", ("10.0.0.1", 7200), "dc1"),
         PeerBook(clock),
         load,
         registry,
-        "g1",
-        ("10.0.0.1", 7200),
-        "dc1",
         ConfigurationKnown(clock, lambda: None),
         EndpointsKnown(clock),
     )
@@ -175,6 +173,47 @@
     assert [version for _, _, version in store.written] == [5]
 
 
+class Registered(FakeStore):
+    """Holds this gateway's address already, as an earlier start wrote it."""
+
+    def list_objects(self, kind):
+        value = {"ip": "10.0.0.1", "port": 7200, "data_centre": "dc1"}
+        return defer.succeed(WatchBatch(5, [StoredObject(kind, "g1", 5, 5, value)]))
+
+
+def test_an_address_that_is_registered_as_it_is_is_not_written_again(clock):
+    store = Registered(taken=True)
+    exchange(clock, store)
+    assert store.written == []
+
+
+def summary(instance, sequence=1, gateways=3, expected=100):
+    load = EndpointLoad(1, expected, 0)
+    return GatewayReport(instance, 1, sequence, {"e1": load}, data_centre="dc2", gateways=gateways)
+
+
+def test_one_summary_of_a_data_centre_counts_the_fuller_one(book, clock):
+    """
+    Symptom: engines look twice as full as they are, or empty by turns.
+    Sequence: both forwarders of a data centre send its sums; one of them hears half of it.
+    Cause: summaries of one data centre must not be added, and the emptier one knows less.
+    """
+    book.observe(summary("f1", gateways=3, expected=100))
+    book.observe(summary("f2", gateways=2, expected=60))
+    assert book.total("e1").expected == 100
+    clock.advance(SILENCE_SECONDS - 0.1)
+    book.observe(summary("f2", sequence=2, gateways=2, expected=70))
+    clock.advance(0.2)
+    assert book.total("e1").expected == 70, "the first one is silent"
+
+
+def test_a_neighbours_report_and_its_data_centres_summary_are_kept_apart(book):
+    book.observe(report(expected=100))
+    book.observe(summary("f1", expected=60))
+    assert book.total("e1").expected == 160
+    assert [near.instance for near in book.alive()] == ["g2"]
+
+
 def test_whoever_sends_is_known_from_then_on(clock):
     """
     Symptom: a gateway never hears of one that started after it.
@@ -183,7 +222,7 @@
     """
     found, _ = exchange(clock, FakeStore())
     found.datagramReceived(encode_report(report("g9")), ("10.0.0.9", 7200))
-    assert found.addresses_by_instance["g9"] == ("10.0.0.9", 7200)
+    assert found.directory.near_by_instance["g9"] == ("10.0.0.9", 7200)
 
 
 CHANGES = [
