--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -144,7 +144,7 @@
             # Nothing to serve callers with yet.
             return False
         if self.registry.lapsed_ids:
-            # That one is back is no news to peers that never missed it.
+            # Peers that kept an endpoint tell nothing when it registers again.
             return False
         if self.endpoints.audit_is_due():
             self.endpoint_watch.list_next()
--- a/src/guavacleat/store/watch.py
+++ b/src/guavacleat/store/watch.py
@@ -111,7 +111,7 @@
 
     def advance(self, revision: int) -> None:
         """Everything up to ``revision`` is known already."""
-        if self.resting:
+        if self.resting and self.revision is not None:
             self.revision = max(revision, self.revision)
 
     def list_next(self) -> None:
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -310,3 +310,28 @@
     news = round(NEWS_SECONDS / 0.1)
     assert all(sent[:news])
     assert 2 <= sum(sent[news + 1 :]) <= 80 * 0.1 / RETELL_SECONDS + 1
+
+
+# What one datagram can carry.
+DATAGRAM_BYTES = 65_507
+
+
+def test_a_summary_of_400_gateways_fits_a_datagram():
+    """
+    Pattern: 400 gateways in 7 data centres before 1,700 engines, all of them in use by each data
+    centre, 100 of which changed lately.
+    """
+    ids = [f"i-{number:010x}" for number in range(1700)]
+    loads = {id: EndpointLoad(24, 34_000, 3_000) for id in ids}
+    changes = [EndpointChange(id, 10**6, entry(id, revision=10**6)) for id in ids[:100]]
+    told = GatewayReport(
+        "front-heliopolis-57",
+        1 << 61,
+        10**6,
+        loads,
+        changes,
+        data_centre="heliopolis",
+        gateways=57,
+        endpoints_revision=10**6,
+    )
+    assert len(encode_report(told)) <= DATAGRAM_BYTES
