--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -108,14 +108,16 @@
 
     def gateway_count(self) -> int:
         """This gateway and all that it has heard of."""
-        told = {report.data_centre: report.gateways for report in self.book.summaries()}
-        listed = {
+        told_by_data_centre = {
+            report.data_centre: report.gateways for report in self.book.summaries()
+        }
+        listed_by_data_centre = {
             data_centre: len(addresses)
             for data_centre, addresses in self.directory.far_by_data_centre.items()
         }
         far = sum(
-            max(told.get(data_centre, 0), listed.get(data_centre, 0))
-            for data_centre in told.keys() | listed.keys()
+            max(told_by_data_centre.get(name, 0), listed_by_data_centre.get(name, 0))
+            for name in told_by_data_centre.keys() | listed_by_data_centre.keys()
         )
         return self._near_count() + far
 
--- a/src/guavacleat/peers/summaries.py
+++ b/src/guavacleat/peers/summaries.py
@@ -43,7 +43,7 @@
         self.send_near = send_near
         self.send_far = send_far
         # The newest summary that came from each other data centre, as it was received.
-        self.to_pass_on: dict[str, bytes] = {}
+        self.datagrams_by_data_centre: dict[str, bytes] = {}
         self.stopped = False
         self._gathering = None
 
@@ -62,7 +62,7 @@
 
     def received(self, data_centre: str, data: bytes) -> None:
         """Take in a summary that came from another data centre itself, not through a neighbour."""
-        self.to_pass_on[data_centre] = data
+        self.datagrams_by_data_centre[data_centre] = data
         if self.forwards(1):
             self._pass_on()
 
@@ -89,9 +89,9 @@
                 self.send_far(data, address)
 
     def _pass_on(self) -> None:
-        for data in self.to_pass_on.values():
+        for data in self.datagrams_by_data_centre.values():
             self.send_near(data)
-        self.to_pass_on.clear()
+        self.datagrams_by_data_centre.clear()
 
     def _contacts(self, data_centre: str) -> list[tuple[str, int]]:
         """Whom to send to: those that send summaries here, else any gateways that are known.
