--- a/src/guavacleat/forwarding/request.py
+++ b/src/guavacleat/forwarding/request.py
@@ -3,6 +3,7 @@
 from guavacleat.forwarding.messages import CallerFacts
 from guavacleat.http1.server import CallerExchange
 from guavacleat.lengths import LengthForecast
+from guavacleat.quarantine import fingerprint
 from guavacleat.routes import Account, Route, ServiceTraits
 
 __all__ = ["ForwardedRequest"]
@@ -31,6 +32,7 @@
         "deadline",
         "headers",
         "forecast",
+        "_fingerprint",
     )
 
     def __init__(
@@ -58,6 +60,21 @@
         self.deadline = arrived + min(patience, route.timeout)
         self.headers = headers
         self.forecast = forecast or LengthForecast(facts.max_output_tokens or UNKNOWN_LENGTH)
+        self._fingerprint: int | None = None
+
+    @property
+    def fingerprint(self) -> int:
+        """The same whenever this caller asks for the same again, whatever the request's id."""
+        if self._fingerprint is None:
+            head = self.exchange.head
+            self._fingerprint = fingerprint(
+                head.method,
+                head.host.encode("latin-1"),
+                head.target,
+                (self.account_name or "").encode("latin-1"),
+                self.exchange.body,
+            )
+        return self._fingerprint
 
     @property
     def account_name(self) -> str | None:
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -14,6 +14,7 @@
 from guavacleat.http1.server import CallerExchange
 from guavacleat.lengths import LengthForecast
 from guavacleat.peers.book import RESTART_SECONDS
+from guavacleat.quarantine import format_fingerprint
 from guavacleat.routes import Account, RequestKind, Route, RouteTable, ServiceTraits
 
 __all__ = ["Dispatch", "LAST_STREAM_SECONDS"]
@@ -230,6 +231,7 @@
             detail=refusal.detail if refusal else None,
             seconds=round(seconds, 3),
             late=_is_late(request, seconds),
+            fingerprint=format_fingerprint(request.fingerprint) if request else None,
         )
 
 
--- /dev/null
+++ b/src/guavacleat/quarantine/fingerprint.py
@@ -0,0 +1,21 @@
+"""What a request is recognised by when its caller sends it again, under another id."""
+
+import hashlib
+
+__all__ = ["fingerprint", "format_fingerprint"]
+
+FINGERPRINT_BYTES = 8
+
+
+def fingerprint(*parts: bytes) -> int:
+    """A signed 64-bit hash of what a request asks for and for whom, without ids or deadlines."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in parts:
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return int.from_bytes(digest.digest(), "big", signed=True)
+
+
+def format_fingerprint(value: int) -> str:
+    """As logs and operators write it: 16 hexadecimal digits."""
+    return value.to_bytes(FINGERPRINT_BYTES, "big", signed=True).hex()
