--- a/src/guavacleat/commands/standin.py
+++ b/src/guavacleat/commands/standin.py
@@ -29,6 +29,7 @@
 flags.DEFINE_enum(
     "fault", "none", [fault.value for fault in RoutedFault], "Routed: what it does wrong."
 )
+flags.DEFINE_float("restart_seconds", 1.0, "Routed: time until it is back after a crash.")
 
 KINDS = ("engine", "store", "services", "routed")
 
@@ -43,7 +44,9 @@
         )
     if kind == "routed":
         endpoint = RoutedEndpoint(reactor, FLAGS.name or "routed", RoutedFault(FLAGS.fault))
-        return HttpListener(reactor, endpoint.listener, listen)
+        listener = HttpListener(reactor, endpoint.listener, listen)
+        endpoint.on_crash = lambda: listener.crash(FLAGS.restart_seconds)
+        return listener
     settings = EngineSettings(
         name=FLAGS.name or "engine",
         step_seconds=FLAGS.step_ms / 1000,
--- a/src/guavacleat/standin/routed.py
+++ b/src/guavacleat/standin/routed.py
@@ -1,7 +1,8 @@
 """Stand-in endpoint for the ingress with a routes file: plain answers and streams, with faults.
 
 Any path is answered. The fault in force decides how: see :class:`RoutedFault`. Runs are counted by
-request id, so that a test can tell what ran twice.
+request id, so that a test can tell what ran twice. Whatever the fault, a request whose body is
+``CRASH_BODY`` crashes the endpoint that has begun to run it.
 """
 
 import enum
@@ -13,7 +14,11 @@
 from guavacleat.http1.server import CallerExchange, CallerListener
 from guavacleat.routes import CallerLimits
 
-__all__ = ["RoutedEndpoint", "RoutedFault"]
+__all__ = ["CRASH_BODY", "RoutedEndpoint", "RoutedFault"]
+
+CRASH_BODY = b"crash"
+# From the beginning of such a request to the crash.
+CRASH_SECONDS = 0.05
 
 EVENTS = 5
 EVENT_SECONDS = 0.02
@@ -40,12 +45,16 @@
 
 
 class RoutedEndpoint:
-    """One endpoint; ``listener`` is the Twisted factory that serves it."""
+    """One endpoint; ``listener`` is the Twisted factory that serves it.
+
+    :ivar on_crash: called when a request crashes the endpoint.
+    """
 
     def __init__(self, clock: IReactorTime, id: str, fault: RoutedFault = RoutedFault.NONE):
         self.clock = clock
         self.id = id
         self.fault = fault
+        self.on_crash = lambda: None
         self.runs_by_request: Counter[str] = Counter()
         self.listener = CallerListener(clock, self._handle, CallerLimits)
 
@@ -58,6 +67,9 @@
             return
         request_id = dict(exchange.head.headers).get(REQUEST_ID, b"")
         self.runs_by_request[request_id.decode("latin-1")] += 1
+        if exchange.body == CRASH_BODY:
+            self.clock.callLater(CRASH_SECONDS, self.on_crash)
+            return
         if self.fault is RoutedFault.HANG:
             return
         if self.fault is RoutedFault.RESET:
--- /dev/null
+++ b/tests/network.py
@@ -0,0 +1,151 @@
+"""Instances on one paused clock, whose connections and datagrams are delivered in memory."""
+
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionAborted, ConnectionDone, ConnectionRefusedError
+from twisted.internet.error import ConnectionLost as Lost
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+__all__ = ["Network"]
+
+# One way between two instances.
+DELAY_SECONDS = 0.001
+STEP_SECONDS = 0.005
+FIRST_FREE_PORT = 20000
+
+
+class _Listening:
+    """A port that accepts connections until it is closed."""
+
+    def __init__(self, network, address, factory):
+        self.network, self.address, self.factory = network, address, factory
+
+    def getHost(self):  # noqa: N802 - Twisted's name
+        return IPv4Address("TCP", *self.address)
+
+    def stopListening(self):  # noqa: N802 - Twisted's name
+        if self.network.listening.get(self.address) is self:
+            del self.network.listening[self.address]
+
+
+class _DatagramPort:
+    """A port that datagrams arrive at; also the protocol's transport."""
+
+    def __init__(self, network, address, protocol):
+        self.network, self.address, self.protocol = network, address, protocol
+
+    def write(self, data, address):
+        self.network.carry(self, data, tuple(address))
+
+    def stopListening(self):  # noqa: N802 - Twisted's name
+        self.network.datagram_ports.pop(self.address, None)
+
+
+class _Transport:
+    """One end of a connection."""
+
+    def __init__(self, network):
+        self.network = network
+        self.other = None
+        self.protocol = None
+        self.connected = True
+
+    def write(self, data):
+        if self.connected:
+            self.network.callLater(DELAY_SECONDS, self.other.arrive, bytes(data))
+
+    def writeSequence(self, data):  # noqa: N802 - Twisted's name
+        self.write(b"".join(data))
+
+    def arrive(self, data):
+        if self.connected:
+            self.protocol.dataReceived(data)
+
+    def loseConnection(self):  # noqa: N802 - Twisted's name
+        self._close(ConnectionDone(), ConnectionDone())
+
+    def abortConnection(self):  # noqa: N802 - Twisted's name
+        self._close(ConnectionAborted(), Lost())
+
+    def _close(self, own, others):
+        if self.connected:
+            self.network.callLater(0, self.lose, own)
+            self.network.callLater(DELAY_SECONDS, self.other.lose, others)
+
+    def lose(self, error):
+        if self.connected:
+            self.connected = False
+            self.protocol.connectionLost(Failure(error))
+
+    def registerProducer(self, producer, streaming):  # noqa: N802 - Twisted's name
+        """Nothing is ever held back."""
+
+    def unregisterProducer(self):  # noqa: N802 - Twisted's name
+        """See registerProducer."""
+
+    def pauseProducing(self):  # noqa: N802 - Twisted's name
+        """See registerProducer."""
+
+    def resumeProducing(self):  # noqa: N802 - Twisted's name
+        """See registerProducer."""
+
+
+class Network(Clock):
+    """The reactor of every instance.
+
+    :ivar cuts: pairs of ips of which the second receives no datagram of the first.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.listening = {}
+        self.datagram_ports = {}
+        self.cuts = set()
+        self.datagram_bytes = 0
+        self._next_port = FIRST_FREE_PORT
+
+    def listenTCP(self, port, factory, backlog=50, interface=""):  # noqa: N802 - Twisted's name
+        if not port:
+            self._next_port += 1
+            port = self._next_port
+        address = (interface, port)
+        assert address not in self.listening, f"{address} is in use"
+        self.listening[address] = _Listening(self, address, factory)
+        return self.listening[address]
+
+    def listenUDP(self, port, protocol, interface=""):  # noqa: N802 - Twisted's name
+        opened = _DatagramPort(self, (interface, port), protocol)
+        self.datagram_ports[opened.address] = opened
+        protocol.transport = opened
+        protocol.startProtocol()
+        return opened
+
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):  # noqa: N802, N803
+        self.callLater(DELAY_SECONDS, self._connect, (host, port), factory)
+
+    def _connect(self, address, factory):
+        listening = self.listening.get(address)
+        if listening is None:
+            factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+            return
+        near, far = _Transport(self), _Transport(self)
+        near.other, far.other = far, near
+        near.protocol = factory.buildProtocol(IPv4Address("TCP", *address))
+        far.protocol = listening.factory.buildProtocol(None)
+        near.protocol.makeConnection(near)
+        far.protocol.makeConnection(far)
+
+    def carry(self, sender, data, address):
+        """Bring a datagram to its address, unless the way is cut."""
+        self.datagram_bytes += len(data)
+        if (sender.address[0], address[0]) not in self.cuts:
+            self.callLater(DELAY_SECONDS, self._arrive, data, sender.address, address)
+
+    def _arrive(self, data, source, address):
+        port = self.datagram_ports.get(address)
+        if port is not None:
+            port.protocol.datagramReceived(data, source)
+
+    def pass_time(self, seconds):
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.advance(STEP_SECONDS)
