--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -27,6 +27,7 @@
     GATEWAY_GONE = "gateway gone"
     NOT_ALLOWED = "not allowed"
     NO_ROOM = "refused: no room"
+    QUARANTINED = "refused: crashes endpoints"
     REFUSED = "refused: other"
     EXPIRED = "time up"
     NO_WHOLE_ANSWER = "no whole answer"
@@ -131,6 +132,12 @@
         "NO_MEMORY": "Its gateway held too many bytes of request bodies.",
         "STOPPING": "Its gateway was stopping and could not have finished it.",
     }
+    if end.get("outcome") == "QUARANTINED":
+        return Cause(
+            CauseKind.QUARANTINED,
+            f"Requests for the same had crashed what ran them: {end.get('detail')}. It has not run"
+            f" and may come back in {end.get('retry_after')} s.",
+        )
     if end.get("outcome") == "NO_ROOM":
         refusals = len(story.every("stream:refused")) + len(story.every("request:attempt"))
         why = end.get("detail") or f"{refusals} endpoints would not run it"
@@ -175,6 +182,8 @@
 def _why_not_elsewhere(story: Story, engine: str) -> str:
     if story.last("stream:broken").get("last_event") is None:
         return "it had sent nothing yet, so that the request may have run and cannot run elsewhere"
+    if story.last("stream:not-resumed") is not None:
+        return "it does not go on from its copy, as endpoints ended under such requests before"
     copies = [line for line in story.every("move:copied") if line.get("source") == engine]
     if not copies:
         return "the stream had no copy elsewhere and none was tried"
--- a/src/guavacleat/explain/story.py
+++ b/src/guavacleat/explain/story.py
@@ -12,7 +12,8 @@
 # that is taken away gives notice a second or two ahead.
 BEFORE_SECONDS = 3.0
 AFTER_SECONDS = 1.0
-ABOUT_ENDPOINTS = ("endpoint:changed", "move:began")
+ABOUT_ENDPOINTS = ("endpoint:changed", "endpoint:crashed", "move:began")
+ABOUT_REQUESTS_ALIKE = ("quarantine:began", "quarantine:cleared", "quarantine:trial")
 ABOUT_THE_GATEWAY = (
     "config:accepted",
     "process:stopping",
@@ -86,7 +87,7 @@
             request = line.get("request")
             if request is not None:
                 self.by_request[request].append(line)
-            if line.type in ABOUT_ENDPOINTS or line.type in ABOUT_THE_GATEWAY:
+            if line.type in (*ABOUT_ENDPOINTS, *ABOUT_THE_GATEWAY, *ABOUT_REQUESTS_ALIKE):
                 self.by_instance[line.instance].append(line)
 
     def around(self, instance: str, first: float, last: float) -> list[LogLine]:
@@ -103,8 +104,9 @@
         return None
     began, ended = _span(own)
     names = {line.get(field) for line in own for field in ("endpoint", "source", "target")}
+    alike = {line.get("fingerprint") for line in own} - {None}
     near = index.around(own[-1].instance, began - BEFORE_SECONDS, ended + AFTER_SECONDS)
-    return Story(request, own, [line for line in near if _concerns(line, names)])
+    return Story(request, own, [line for line in near if _concerns(line, names, alike)])
 
 
 def _span(own: list[LogLine]) -> tuple[float, float]:
@@ -114,7 +116,9 @@
     return min([own[0].at, *arrivals]), ended
 
 
-def _concerns(line: LogLine, endpoints: set) -> bool:
+def _concerns(line: LogLine, endpoints: set, alike: set) -> bool:
     if line.type in ABOUT_ENDPOINTS:
         return line.get("endpoint") in endpoints
+    if line.type in ABOUT_REQUESTS_ALIKE:
+        return line.get("fingerprint") in alike
     return line.type in ABOUT_THE_GATEWAY
--- a/src/guavacleat/forwarding/answer.py
+++ b/src/guavacleat/forwarding/answer.py
@@ -72,6 +72,7 @@
 class CheckedAnswer(AnswerListener):
     """Fires ``done`` with an :class:`AttemptEnd`; the answer is then in ``head`` and ``body``.
 
+    ``broke_off`` tells whether the endpoint ended the connection before its answer was whole.
     ``source`` must be set to the connection before an answer can come, for backpressure.
     """
 
@@ -86,6 +87,7 @@
         self.pieces: list[bytes] = []
         self.size = 0
         self.passing = False
+        self.broke_off = False
 
     @property
     def body(self) -> bytes:
@@ -130,6 +132,7 @@
         self._finish(CHECK_ENDS.get(self.check, AttemptEnd.ANSWERED))
 
     def answer_broken(self, reason: BreakReason):
+        self.broke_off = reason.by_endpoint
         if self.passing:
             self.caller.cut()
         if self.check in (AnswerCheck.NOT_RUN, AnswerCheck.WRONG_INCARNATION):
--- a/src/guavacleat/forwarding/answers.py
+++ b/src/guavacleat/forwarding/answers.py
@@ -19,6 +19,7 @@
     NO_ROOM = (503, "no room before the deadline")
     NO_MEMORY = (503, "too many bytes of requests held")
     STOPPING = (503, "this gateway stops before it could finish")
+    QUARANTINED = (503, "requests alike have ended the endpoints that ran them")
     EXPIRED = (504, "time is up")
     BROKEN = (502, "the endpoint gave no whole answer")
 
--- a/src/guavacleat/forwarding/leg.py
+++ b/src/guavacleat/forwarding/leg.py
@@ -51,11 +51,15 @@
         # How the session counts its memory, and the backup that was asked for with it.
         self.run: Run | None = None
         self.backup: HeldCopy | None = None
+        # Clock time at which the request was sent.
+        self.began = float("-inf")
         self.head: ResponseHead | None = None
         self.check: AnswerCheck | None = None
         self.splitter = EventSplitter()
         self.failure_body: list[bytes] = []
         self.ended = False
+        # Whether the endpoint ended the connection before its answer was whole.
+        self.broke_off = False
 
     @property
     def streaming(self) -> bool:
@@ -105,7 +109,7 @@
             self._end(LegEnd.BROKEN if self.splitter.rest.strip() else LegEnd.COMPLETE)
 
     def answer_broken(self, reason: BreakReason):
-        del reason
+        self.broke_off = reason.by_endpoint and not self.ended
         self._end(REFUSALS.get(self.check, LegEnd.BROKEN))
 
     def _end(self, end: LegEnd) -> None:
--- a/src/guavacleat/forwarding/opening.py
+++ b/src/guavacleat/forwarding/opening.py
@@ -46,8 +46,10 @@
             return None
         backup = self._place_backup(entry) if protect else None
         self._log_placed(entry, backup, resume)
+        self.parts.quarantine.sent(self.request, entry.id)
         leg = Leg(entry, self.request.facts.id, self.parts.wire, self.session)
         leg.connection, leg.run, leg.backup = connection, run, backup
+        leg.began = self.parts.clock.seconds()
         leg.done.addBoth(self._leg_over, leg)
         self._send(leg, resume)
         return leg
@@ -71,6 +73,11 @@
         if end is LegEnd.BROKEN:
             # It may have crashed: for some seconds nothing new goes there, nor a backup.
             self.parts.load.failed(leg.entry.id)
+        if leg.broke_off:
+            self.parts.quarantine.broken(self.request, leg.entry.id, leg.began)
+        elif end is LegEnd.COMPLETE:
+            self.parts.quarantine.completed(self.request)
+        self.parts.quarantine.over(self.request)
         return end
 
     def _place_backup(self, entry: EndpointEntry) -> HeldCopy | None:
@@ -78,6 +85,8 @@
         engine = self.request.traits.engine
         if engine is None or not engine.backups or not self.memory.worth_moving():
             return None
+        if not self.parts.quarantine.may_share(self.request):
+            return None
         expected = self.memory.expected_tokens()
         keeper = self.parts.placement.for_backup(entry, expected, engine)
         if keeper is None:
--- a/src/guavacleat/forwarding/parts.py
+++ b/src/guavacleat/forwarding/parts.py
@@ -14,11 +14,22 @@
     :param placement: :class:`~guavacleat.placement.Placement`.
     :param budget: :class:`~guavacleat.retries.RetryBudget`.
     :param queue: :class:`~guavacleat.admission.generations.GenerationQueue`.
+    :param quarantine: :class:`~guavacleat.quarantine.QuarantineGuard`.
     """
 
-    __slots__ = ("clock", "pool", "wire", "registry", "load", "placement", "budget", "queue")
+    __slots__ = (
+        "clock",
+        "pool",
+        "wire",
+        "registry",
+        "load",
+        "placement",
+        "budget",
+        "queue",
+        "quarantine",
+    )
 
-    def __init__(self, clock, pool, wire, registry, load, placement, budget, queue):
+    def __init__(self, clock, pool, wire, registry, load, placement, budget, queue, quarantine):
         self.clock = clock
         self.pool = pool
         self.wire = wire
@@ -27,3 +38,4 @@
         self.placement = placement
         self.budget = budget
         self.queue = queue
+        self.quarantine = quarantine
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -9,9 +9,12 @@
 
 from guavacleat.forwarding.answer import AttemptEnd, CheckedAnswer, pass_head_on
 from guavacleat.forwarding.answers import RefusalError, Verdict
+from guavacleat.forwarding.apart import place_apart
 from guavacleat.forwarding.messages import EndpointOrder
 from guavacleat.forwarding.request import ForwardedRequest
+from guavacleat.membership.registry import EndpointEntry
 from guavacleat.placement import Run
+from guavacleat.quarantine import StandingKind
 from guavacleat.routes import RequestKind
 
 __all__ = ["PlainForwarder"]
@@ -40,7 +43,9 @@
         for sends in range(MAX_SENDS):
             if sends and not self._may_send_again(request, runs):
                 break
-            entry = self.parts.placement.for_call(request.service, tried)
+            if runs and self.parts.quarantine.standing(request).kind is StandingKind.REFUSED:
+                break
+            entry = self._place(request, tried)
             if entry is None and runs == 0 and not tried:
                 raise RefusalError(Verdict.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT)
             if entry is None:
@@ -60,6 +65,11 @@
                 return
         self._give_up(request, runs)
 
+    def _place(self, request: ForwardedRequest, tried: set[str]) -> EndpointEntry | None:
+        if self.parts.quarantine.may_share(request):
+            return self.parts.placement.for_call(request.service, tried)
+        return place_apart(self.parts, request, tried)
+
     def _may_send_again(self, request: ForwardedRequest, runs: int) -> bool:
         if runs and request.route.kind is not RequestKind.IDEMPOTENT:
             return False
@@ -104,9 +114,11 @@
         patience = time_left
         if not last:
             patience = min(time_left, PATIENCE_GOALS * request.route.latency_goal)
+        parts.quarantine.sent(request, entry.id)
         end = await self._exchange(request, entry, connection, answer, time_left, patience)
         latency = parts.clock.seconds() - began
         self._note_health(entry, end, answer, latency)
+        self._note_run(request, entry, end, answer, began)
         self._log_attempt(request, entry, end, answer)
         return end, answer
 
@@ -144,6 +156,17 @@
         elif end is not AttemptEnd.PASSED_ON:
             self.parts.load.failed(entry.id)
 
+    def _note_run(self, request, entry, end, answer, began: float) -> None:
+        """Tell whether the endpoint survived the request."""
+        quarantine = self.parts.quarantine
+        if answer.broke_off:
+            quarantine.broken(request, entry.id, began)
+        elif end is AttemptEnd.ANSWERED or (
+            end is AttemptEnd.PASSED_ON and not request.exchange.was_cut
+        ):
+            quarantine.completed(request)
+        quarantine.over(request)
+
     def _deliver(self, request: ForwardedRequest, answer: CheckedAnswer) -> None:
         if request.exchange.gone:
             return
--- a/src/guavacleat/forwarding/request.py
+++ b/src/guavacleat/forwarding/request.py
@@ -32,7 +32,7 @@
         "deadline",
         "headers",
         "forecast",
-        "_fingerprint",
+        "_content_key",
     )
 
     def __init__(
@@ -60,21 +60,21 @@
         self.deadline = arrived + min(patience, route.timeout)
         self.headers = headers
         self.forecast = forecast or LengthForecast(facts.max_output_tokens or UNKNOWN_LENGTH)
-        self._fingerprint: int | None = None
+        self._content_key: int | None = None
 
     @property
-    def fingerprint(self) -> int:
+    def content_key(self) -> int:
         """The same whenever this caller asks for the same again, whatever the request's id."""
-        if self._fingerprint is None:
+        if self._content_key is None:
             head = self.exchange.head
-            self._fingerprint = fingerprint(
+            self._content_key = fingerprint(
                 head.method,
                 head.host.encode("latin-1"),
                 head.target,
                 (self.account_name or "").encode("latin-1"),
                 self.exchange.body,
             )
-        return self._fingerprint
+        return self._content_key
 
     @property
     def account_name(self) -> str | None:
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -10,6 +10,7 @@
 
 from guavacleat.forwarding.answer import pass_head_on
 from guavacleat.forwarding.answers import RefusalError, Verdict
+from guavacleat.forwarding.apart import check_quarantine, may_go_on_at, place_apart
 from guavacleat.forwarding.copies import free_copy
 from guavacleat.forwarding.handover import Handover
 from guavacleat.forwarding.leg import Leg, LegEnd
@@ -143,13 +144,20 @@
     async def _place(self, tried: set[str]) -> EndpointEntry | None:
         """The endpoint to send to; None if there is none, or the caller left meanwhile."""
         request = self.request
+        if not self.parts.quarantine.may_share(request):
+            entry = place_apart(self.parts, request, tried)
+            if entry is not None or request.traits.engine is None:
+                return entry
         if request.traits.engine is None:
             return self.parts.placement.for_call(request.service, tried)
         self.placing = self.parts.queue.acquire(request, tried)
         try:
-            return await self.placing
+            entry = await self.placing
         finally:
             self.placing = None
+        # What became known while it waited counts too.
+        check_quarantine(self.parts, request)
+        return entry
 
     async def _send(self, entry: EndpointEntry, resume: ResumePoint | None) -> bool:
         """Send the request to ``entry``; return False if no connection came about."""
@@ -168,6 +176,8 @@
         """Go on where the copy is, though the present engine still runs; return whether it does."""
         if self.handover is not None or self.memory.copy is None or self.last_event is None:
             return False
+        if not self.parts.quarantine.may_share(self.request):
+            return False
         self.handover = Handover(self)
         try:
             taken = await self.handover.run()
@@ -227,6 +237,9 @@
         self.memory.drop_copy()
         if copy is None or self.last_event is None or self.finished:
             return False
+        if not may_go_on_at(self.parts, self.request, copy.entry):
+            self._log("stream:not-resumed", endpoint=copy.entry.id)
+            return False
         self.parts.budget.repeat(self.request.service)
         point = ResumePoint(copy.source.address, copy.handle, self.last_event)
         self.moves += 1
--- a/src/guavacleat/http1/client.py
+++ b/src/guavacleat/http1/client.py
@@ -27,6 +27,11 @@
     GARBLED = "not HTTP"
     ABANDONED = "abandoned by this gateway"
 
+    @property
+    def by_endpoint(self) -> bool:
+        """Whether the endpoint ended the connection, as one that crashes does."""
+        return self in (BreakReason.CLOSED, BreakReason.RESET)
+
 
 class AnswerListener:
     """Hears one answer. Exactly one of ``answer_ended`` and ``answer_broken`` comes last."""
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer
 
 from guavacleat.forwarding.answers import RefusalError, Verdict
+from guavacleat.forwarding.apart import check_quarantine
 from guavacleat.forwarding.plain import PlainForwarder
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.session import StreamSession
@@ -76,6 +77,7 @@
         request = None
         try:
             request = self._match(exchange, arrived)
+            check_quarantine(self.parts, request)
             self._check_time_to_stop(request)
             await self._forward(request)
             self._log_end(request, exchange, arrived, None)
@@ -231,7 +233,7 @@
             detail=refusal.detail if refusal else None,
             seconds=round(seconds, 3),
             late=_is_late(request, seconds),
-            fingerprint=format_fingerprint(request.fingerprint) if request else None,
+            fingerprint=_fingerprint(request, outcome),
         )
 
 
@@ -242,6 +244,13 @@
     return seconds > request.route.latency_goal
 
 
+def _fingerprint(request: ForwardedRequest | None, outcome: str) -> str | None:
+    """What to look for in other requests' lines; left out where all went well."""
+    if request is None or outcome == "ANSWERED":
+        return None
+    return format_fingerprint(request.content_key)
+
+
 def _outcome(exchange: CallerExchange) -> str:
     """How an exchange ended that was not refused."""
     if exchange.was_cut:
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -3,6 +3,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from guavacleat.quarantine import CrashBook
 from guavacleat.routes.holder import RouteHolder
 
 __all__ = ["IngressMetrics"]
@@ -39,6 +40,14 @@
             "guavacleat_watch_failures",
             "Calls in a row that brought a watch no answer, by kind of object.",
         )
+        self.crashes = self._gauge(
+            "guavacleat_endpoint_crashes",
+            "Ends of endpoints, without notice and with requests in flight, that are remembered.",
+        )
+        self.quarantined = self._gauge(
+            "guavacleat_requests_quarantined",
+            "Requests, by what they ask for, that are refused as endpoints ended under them.",
+        )
         self.store_calls = self._gauge(
             "guavacleat_store_calls",
             "Calls of the store so far, by type.",
@@ -63,6 +72,11 @@
         for kind, failures in failures_by_kind.items():
             self.watch_failures.set({"kind": kind}, failures)
 
+    def suspects(self, book: CrashBook) -> None:
+        """Take in what is known of requests that crash endpoints."""
+        self.crashes.set({}, sum(end.confirmed for end in book.ends))
+        self.quarantined.set({}, len(book.convicted()))
+
     def spent(self, traffic) -> None:
         """Take in a :class:`~guavacleat.ingress.sources.ControlTraffic`."""
         for type, calls in traffic.calls_by_type.items():
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -12,10 +12,12 @@
 from guavacleat.ingress.dispatch import Dispatch
 from guavacleat.ingress.metrics import IngressMetrics
 from guavacleat.membership.inquiry import EndpointInquiry
-from guavacleat.membership.registry import EndpointRegistry
+from guavacleat.membership.liveness import EndpointProbe
+from guavacleat.membership.registry import EndpointRegistry, EndpointState
 from guavacleat.migration import Evacuator
 from guavacleat.peers import PeerBook
 from guavacleat.placement import LoadBook, Placement
+from guavacleat.quarantine import CrashBook, QuarantineGuard
 from guavacleat.retries import RetryBudget
 from guavacleat.routes import CallerLimits
 from guavacleat.routes.holder import RouteHolder
@@ -71,7 +73,11 @@
         self.peers = PeerBook(reactor)
         self.load.peers = self.peers
         self.metrics = IngressMetrics()
-        placement = Placement(self.registry, self.load, settings.data_centre)
+        self.crashes = CrashBook(reactor)
+        quarantine = QuarantineGuard(reactor, self.crashes, EndpointProbe(self.pool, self.registry))
+        placement = Placement(
+            self.registry, self.load, settings.data_centre, avoided=quarantine.trial_endpoints
+        )
         queue = GenerationQueue(reactor, placement)
         self.load.listeners.append(queue.look_soon)
         self.peers.on_report = queue.look_soon
@@ -84,6 +90,7 @@
             placement=placement,
             budget=RetryBudget(reactor, settings.bounds, source.gateway_count),
             queue=queue,
+            quarantine=quarantine,
         )
         self.parts = parts
         bodies = int(settings.limits.memory_bytes * BODIES_SHARE)
@@ -103,11 +110,14 @@
         self.ports = []
 
     def _endpoint_leaving(self, entry) -> None:
+        announced = entry.state is EndpointState.DRAINING
+        self.parts.quarantine.left(entry.id, announced)
         self.load.forget(entry.id)
         self.pool.drop(entry.address)
         self.evacuator.leaving(entry)
 
     def _endpoint_restarted(self, former) -> None:
+        self.parts.quarantine.left(former.id, announced=False)
         self.load.forget(former.id)
         self.pool.drop(former.address)
         self.evacuator.restarted(former)
@@ -161,6 +171,7 @@
 
     def _exposition(self) -> bytes:
         self.metrics.believes(self.holder, self.source.failures_by_kind())
+        self.metrics.suspects(self.crashes)
         self.metrics.spent(self.source.control_traffic())
         return self.metrics.exposition()
 
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -11,6 +11,8 @@
 from guavacleat.peers import PeerExchange
 from guavacleat.peers.directory import GatewayDirectory
 from guavacleat.peers.hearing import ConfigurationKnown, EndpointsKnown, ListeningDuty
+from guavacleat.quarantine.record import QuarantineRecord
+from guavacleat.rendezvous import chosen
 from guavacleat.settings import ProcessSettings
 from guavacleat.store import StoreClient
 from guavacleat.store.watch import WatchLoop
@@ -32,6 +34,8 @@
 SHARED_PAUSE_SECONDS = 1.0
 # So few gateways listen without a pause.
 FEW_GATEWAYS = 8
+# Gateways of each data centre that read the record of refused requests when all start.
+QUARANTINE_READERS = 2
 
 
 class ControlTraffic:
@@ -109,14 +113,24 @@
             self.registry,
             self.configuration,
             self.endpoints,
+            ingress.crashes,
             self._heard_peer,
         )
+        self.record = QuarantineRecord(
+            self.reactor, self.store, ingress.crashes, self._reads_quarantine
+        )
+        self.record.start()
         self.watches = [self.configuration_watch, self.endpoint_watch]
         for watch in self.watches:
             watch.start()
         host, port = self.address
         self.port = self.reactor.listenUDP(port, self.exchange, interface=host)
 
+    def _reads_quarantine(self) -> bool:
+        """Whether this gateway reads the record of refused requests, for its neighbours too."""
+        members = [self.instance, *(report.instance for report in self.peers.alive())]
+        return self.instance in chosen(members, "quarantine", QUARANTINE_READERS)
+
     def _configuration_watch_rests(self) -> bool:
         """Whether peers tell enough of the configuration for now."""
         if self.duty():
@@ -164,6 +178,7 @@
 
     def stop(self) -> None:
         self.exchange.stop()
+        self.record.stop()
         for watch in self.watches:
             watch.stop()
         self.port.stopListening()
--- /dev/null
+++ b/src/guavacleat/membership/liveness.py
@@ -0,0 +1,33 @@
+"""Trying whether an endpoint's process is still there."""
+
+from eliot import log_message
+from twisted.internet.error import ConnectionRefusedError
+
+from guavacleat.membership.registry import EndpointRegistry, EndpointState
+from guavacleat.quarantine import Liveness
+
+__all__ = ["EndpointProbe"]
+
+
+class EndpointProbe:
+    """Connects to an endpoint's address: where no process listens, the connection is refused."""
+
+    def __init__(self, pool, registry: EndpointRegistry):
+        self.pool = pool
+        self.registry = registry
+
+    async def __call__(self, endpoint: str) -> Liveness:
+        entry = self.registry.entries_by_id.get(endpoint)
+        if entry is None or entry.state is EndpointState.DRAINING:
+            # It left as it had said.
+            return Liveness.ALIVE
+        try:
+            connection = await self.pool.connect_anew(entry.address)
+        except ConnectionRefusedError:
+            return Liveness.ENDED
+        except Exception as exc:  # noqa: BLE001 - unreachable: neither refused nor alive
+            log_message(message_type="endpoint:unknown", endpoint=endpoint, error=repr(exc))
+            return Liveness.UNKNOWN
+        connection.abandon()
+        # Another process may have the address by now.
+        return Liveness.ALIVE if self.registry.is_current(entry) else Liveness.UNKNOWN
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -9,11 +9,13 @@
 
 from guavacleat.membership.registry import RECENT_SECONDS, EndpointRegistry
 from guavacleat.peers.book import PeerBook
+from guavacleat.peers.crashes import CrashNews
 from guavacleat.peers.directory import GatewayDirectory
 from guavacleat.peers.hearing import ConfigurationKnown, EndpointsKnown
 from guavacleat.peers.report import BadReportError, GatewayReport, decode_report, encode_report
-from guavacleat.peers.summaries import GATHER_SECONDS, SummaryExchange, add_up
+from guavacleat.peers.summaries import FORWARDERS, GATHER_SECONDS, SummaryExchange, add_up
 from guavacleat.placement import LoadBook
+from guavacleat.quarantine import CrashBook
 
 __all__ = ["PeerExchange"]
 
@@ -33,12 +35,13 @@
         self.clock = clock
         self._told_all_at = float("-inf")
 
-    def seconds(self) -> float:
+    def retells(self) -> bool:
+        """Whether it is time to tell again what was told before."""
         now = self.clock.seconds()
         if now - self._told_all_at < RETELL_SECONDS:
-            return NEWS_SECONDS
+            return False
         self._told_all_at = now
-        return RECENT_SECONDS
+        return True
 
 
 class PeerExchange(protocol.DatagramProtocol):
@@ -47,6 +50,7 @@
     :param directory: this gateway's :class:`~.directory.GatewayDirectory`.
     :param configuration: a :class:`~.hearing.ConfigurationKnown`.
     :param endpoints: an :class:`~.hearing.EndpointsKnown`.
+    :param crashes: this gateway's :class:`~guavacleat.quarantine.CrashBook`.
     :param on_heard: called after each report was taken in.
     """
 
@@ -59,6 +63,7 @@
         registry: EndpointRegistry,
         configuration: ConfigurationKnown,
         endpoints: EndpointsKnown,
+        crashes: CrashBook,
         on_heard=lambda: None,
     ):
         self.reactor = reactor
@@ -68,6 +73,7 @@
         self.registry = registry
         self.configuration = configuration
         self.endpoints = endpoints
+        self.crashes = CrashNews(reactor, crashes)
         self.on_heard = on_heard
         self.summaries = SummaryExchange(
             reactor, book, directory, self._encode_summary, self._send_near, self._send_far
@@ -85,6 +91,8 @@
         self._heartbeat.clock = reactor
         load.listeners.append(self.change)
         registry.on_change = self._endpoint_changed
+        crashes.on_change = self._endpoint_changed
+        crashes.on_learnt = self.summaries.endpoint_changed
 
     def startProtocol(self):  # noqa: N802 - Twisted's name
         self._heartbeat.start(HEARTBEAT_SECONDS, now=False)
@@ -153,7 +161,8 @@
             return
         report = self._message(
             self.load.generations(),
-            self._news.seconds(),
+            self._news.retells(),
+            self.summaries.forwards(FORWARDERS),
             stops_in=self._stops_in(),
             store_away=self.registry.store_unreachable(),
             store_silence=self.registry.store_silence(),
@@ -168,7 +177,8 @@
         away = [self.registry.store_unreachable(), *(report.store_away for report in near)]
         summary = self._message(
             add_up([self.load.generations(), *(report.loads_by_endpoint for report in near)]),
-            self._summary_news.seconds(),
+            self._summary_news.retells(),
+            True,
             stops_in=None if None in stops else min(stops),
             store_away=all(away),
             store_silence=min(silences),
@@ -176,7 +186,9 @@
         )
         return encode_report(summary)
 
-    def _message(self, loads, news_seconds: float, **fields) -> GatewayReport:
+    def _message(self, loads, retells: bool, forwards: bool, **fields) -> GatewayReport:
+        """A report; with ``forwards`` it passes on what others saw of crashes."""
+        news_seconds = RECENT_SECONDS if retells else NEWS_SECONDS
         self.sequence += 1
         return GatewayReport(
             self.directory.instance,
@@ -190,6 +202,7 @@
             endpoints_revision=self.endpoints.revision,
             endpoints_age=self.endpoints.age(),
             changes_since=self.endpoints.complete_since(news_seconds),
+            crashes=self.crashes.message(news_seconds, forwards, everything=retells),
             **fields,
         )
 
@@ -250,6 +263,8 @@
         """Take in what a peer knows of the store."""
         for change in report.changes:
             self.registry.hear(change, self.endpoints.revision)
+        if report.crashes is not None:
+            self.crashes.learn(report.crashes)
         self.endpoints.hear(report)
         self.configuration.hear(report)
         self.on_heard()
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -36,6 +36,7 @@
         it does not.
     :param endpoints_age: seconds ago at which that was the newest revision.
     :param changes_since: see ``changes``.
+    :param crashes: what it knows of requests that crash endpoints, as ``peers.crashes`` reads it.
     """
 
     __slots__ = (
@@ -54,6 +55,7 @@
         "endpoints_revision",
         "endpoints_age",
         "changes_since",
+        "crashes",
     )
 
     def __init__(
@@ -73,6 +75,7 @@
         endpoints_revision: int | None = None,
         endpoints_age: float | None = None,
         changes_since: int | None = None,
+        crashes: ttypes.Crashes | None = None,
     ):
         self.instance = instance
         self.incarnation = incarnation
@@ -89,6 +92,7 @@
         self.endpoints_revision = endpoints_revision
         self.endpoints_age = endpoints_age
         self.changes_since = changes_since
+        self.crashes = crashes
 
     @property
     def is_summary(self) -> bool:
@@ -116,6 +120,7 @@
         report.endpoints_revision,
         report.endpoints_age,
         report.changes_since,
+        report.crashes,
     )
     buffer = TMemoryBuffer()
     message.write(TCompactProtocolAccelerated(buffer))
@@ -159,6 +164,7 @@
         message.endpoints_revision,
         message.endpoints_age,
         message.changes_since,
+        message.crashes,
     )
 
 
--- a/src/guavacleat/peers/summaries.py
+++ b/src/guavacleat/peers/summaries.py
@@ -15,7 +15,7 @@
 from guavacleat.placement import EndpointLoad, sum_loads
 from guavacleat.rendezvous import chosen
 
-__all__ = ["GATHER_SECONDS", "SummaryExchange", "add_up"]
+__all__ = ["FORWARDERS", "GATHER_SECONDS", "SummaryExchange", "add_up"]
 
 # Changes closer together than this go into one report or summary. A choice of engine is made by
 # what is known of its load: what comes later than others' choices lets them fill the same engine.
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -40,13 +40,26 @@
 # No backups for so long after an engine left: while engines are taken away one after the other,
 # their links are needed for the copies off them, and the memory for what arrives.
 BACKUP_QUIET_SECONDS = 5.0
+# Share of an endpoint's slots in use up to which it is quiet.
+QUIET_SHARE = 0.25
 
 
 class Placement:
-    """Chooses among the ready endpoints of a service."""
-
-    def __init__(self, registry: EndpointRegistry, load: LoadBook, data_centre: str, seed=None):
+    """Chooses among the ready endpoints of a service.
+
+    :param avoided: returns ids of endpoints that get new work only if there are no others.
+    """
+
+    def __init__(
+        self,
+        registry: EndpointRegistry,
+        load: LoadBook,
+        data_centre: str,
+        seed=None,
+        avoided=frozenset,
+    ):
         self.registry = registry
+        self.avoided = avoided
         self.load = load
         self.data_centre = data_centre
         self.random = random.Random(seed)
@@ -58,7 +71,26 @@
 
     def ready(self, service: str, exclude: set[str]) -> list[EndpointEntry]:
         """Endpoints of ``service`` that take new work, but for ``exclude`` (ids)."""
-        return [entry for entry in self.registry.ready(service) if entry.id not in exclude]
+        ready = [entry for entry in self.registry.ready(service) if entry.id not in exclude]
+        avoided = self.avoided()
+        if not avoided:
+            return ready
+        return [entry for entry in ready if entry.id not in avoided] or ready
+
+    def apart(self, request, exclude: set[str]) -> EndpointEntry | None:
+        """The endpoint on which least runs, for a request that may end it; None if none has room.
+
+        :param request: a ``ForwardedRequest``.
+        """
+        engine, ready = request.traits.engine, self.ready(request.service, exclude)
+        if engine is not None:
+            expected = request.expected_tokens()
+            ready = [entry for entry in ready if self._has_room(entry, expected, engine)]
+        return min(ready, key=lambda entry: self.load.total(entry.id).runs, default=None)
+
+    def is_quiet(self, entry: EndpointEntry) -> bool:
+        """Whether so little runs there that its end would be noticed by few callers."""
+        return self.load.total(entry.id).runs <= QUIET_SHARE * entry.slots
 
     def with_room(self, request, exclude: set[str]) -> EndpointEntry | None:
         """The engine for a generation that may begin now; None if it should wait for room.
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -308,6 +308,425 @@
         return not (self == other)
 
 
+class EndpointEnd(object):
+    """
+    Attributes:
+     - endpoint
+     - age
+     - fingerprints
+     - restored
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'age',
+        'fingerprints',
+        'restored',
+    )
+
+
+    def __init__(self, endpoint=None, age=None, fingerprints=None, restored=None,):
+        self.endpoint = endpoint
+        self.age = age
+        self.fingerprints = fingerprints
+        self.restored = restored
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.fingerprints = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readI64()
+                        self.fingerprints.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.restored = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointEnd')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 2)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        if self.fingerprints is not None:
+            oprot.writeFieldBegin('fingerprints', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.fingerprints))
+            for iter6 in self.fingerprints:
+                oprot.writeI64(iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.restored is not None:
+            oprot.writeFieldBegin('restored', TType.BOOL, 4)
+            oprot.writeBool(self.restored)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.age is None:
+            raise TProtocolException(message='Required field age is unset!')
+        if self.fingerprints is None:
+            raise TProtocolException(message='Required field fingerprints is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Trial(object):
+    """
+    Attributes:
+     - fingerprint
+     - endpoint
+     - age
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'endpoint',
+        'age',
+    )
+
+
+    def __init__(self, fingerprint=None, endpoint=None, age=None,):
+        self.fingerprint = fingerprint
+        self.endpoint = endpoint
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.fingerprint = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Trial')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.I64, 1)
+            oprot.writeI64(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 2)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 3)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.age is None:
+            raise TProtocolException(message='Required field age is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Clearance(object):
+    """
+    Attributes:
+     - fingerprint
+     - age
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'age',
+    )
+
+
+    def __init__(self, fingerprint=None, age=None,):
+        self.fingerprint = fingerprint
+        self.age = age
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.fingerprint = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Clearance')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.I64, 1)
+            oprot.writeI64(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 2)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.age is None:
+            raise TProtocolException(message='Required field age is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Crashes(object):
+    """
+    Attributes:
+     - ends
+     - trials
+     - clearances
+
+    """
+
+    __slots__ = (
+        'ends',
+        'trials',
+        'clearances',
+    )
+
+
+    def __init__(self, ends=None, trials=None, clearances=None,):
+        self.ends = ends
+        self.trials = trials
+        self.clearances = clearances
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.ends = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = EndpointEnd()
+                        _elem12.read(iprot)
+                        self.ends.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.trials = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = Trial()
+                        _elem18.read(iprot)
+                        self.trials.append(_elem18)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.clearances = []
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = Clearance()
+                        _elem24.read(iprot)
+                        self.clearances.append(_elem24)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Crashes')
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.ends))
+            for iter25 in self.ends:
+                iter25.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.trials is not None:
+            oprot.writeFieldBegin('trials', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.trials))
+            for iter26 in self.trials:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.clearances is not None:
+            oprot.writeFieldBegin('clearances', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.clearances))
+            for iter27 in self.clearances:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerReport(object):
     """
     Attributes:
@@ -326,6 +745,7 @@
      - endpoints_revision
      - endpoints_age
      - changes_since
+     - crashes
 
     """
 
@@ -345,10 +765,11 @@
         'endpoints_revision',
         'endpoints_age',
         'changes_since',
+        'crashes',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None,):
+    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None, crashes=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
@@ -364,6 +785,7 @@
         self.endpoints_revision = endpoints_revision
         self.endpoints_age = endpoints_age
         self.changes_since = changes_since
+        self.crashes = crashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -392,22 +814,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = EndpointLoad()
-                        _elem5.read(iprot)
-                        self.loads.append(_elem5)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = EndpointLoad()
+                        _elem33.read(iprot)
+                        self.loads.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = EndpointChange()
-                        _elem11.read(iprot)
-                        self.changes.append(_elem11)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = EndpointChange()
+                        _elem39.read(iprot)
+                        self.changes.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -461,6 +883,12 @@
                     self.changes_since = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.crashes = Crashes()
+                    self.crashes.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -486,15 +914,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter12 in self.loads:
-                iter12.write(oprot)
+            for iter40 in self.loads:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter13 in self.changes:
-                iter13.write(oprot)
+            for iter41 in self.changes:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stops_in is not None:
@@ -537,6 +965,10 @@
             oprot.writeFieldBegin('changes_since', TType.I64, 15)
             oprot.writeI64(self.changes_since)
             oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.STRUCT, 16)
+            self.crashes.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -590,6 +1022,34 @@
     (9, TType.I64, 'started_ms', None, None, ),  # 9
     (10, TType.BOOL, 'unusable', None, None, ),  # 10
 )
+all_structs.append(EndpointEnd)
+EndpointEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'age', None, None, ),  # 2
+    (3, TType.LIST, 'fingerprints', (TType.I64, None, False), None, ),  # 3
+    (4, TType.BOOL, 'restored', None, None, ),  # 4
+)
+all_structs.append(Trial)
+Trial.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fingerprint', None, None, ),  # 1
+    (2, TType.STRING, 'endpoint', 'UTF8', None, ),  # 2
+    (3, TType.DOUBLE, 'age', None, None, ),  # 3
+)
+all_structs.append(Clearance)
+Clearance.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'fingerprint', None, None, ),  # 1
+    (2, TType.DOUBLE, 'age', None, None, ),  # 2
+)
+all_structs.append(Crashes)
+Crashes.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'ends', (TType.STRUCT, [EndpointEnd, None], False), None, ),  # 1
+    (2, TType.LIST, 'trials', (TType.STRUCT, [Trial, None], False), None, ),  # 2
+    (3, TType.LIST, 'clearances', (TType.STRUCT, [Clearance, None], False), None, ),  # 3
+)
 all_structs.append(PeerReport)
 PeerReport.thrift_spec = (
     None,  # 0
@@ -608,6 +1068,7 @@
     (13, TType.I64, 'endpoints_revision', None, None, ),  # 13
     (14, TType.DOUBLE, 'endpoints_age', None, None, ),  # 14
     (15, TType.I64, 'changes_since', None, None, ),  # 15
+    (16, TType.STRUCT, 'crashes', [Crashes, None], None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/src/guavacleat/quarantine/book.py
@@ -0,0 +1,387 @@
+"""Which requests crash the endpoints that run them, judged by the ends of endpoints.
+
+One end says little: everything that ran there was in flight. What was in flight at several ends of
+different endpoints is suspected, runs apart from others and one at a time, and is refused after the
+third. A refusal holds for a time that grows with each further end; then the request is tried once.
+
+Sound requests are kept out of it in three ways. One that runs to its end is cleared of the ends
+before. An end that a more frequent request explains is not counted against others. Where several
+endpoints end together that had no request in common (power, a rack), an end counts half.
+"""
+
+import collections
+import itertools
+
+from eliot import log_message
+from twisted.internet.interfaces import IReactorTime
+
+from guavacleat.quarantine.fingerprint import format_fingerprint
+from guavacleat.quarantine.messages import (
+    CONVICTING_CRASHES,
+    Clearance,
+    EndpointEnd,
+    Standing,
+    StandingKind,
+    Trial,
+)
+
+__all__ = ["CrashBook"]
+
+# From so many ends on a request runs apart from others, one at a time.
+SUSPECTING_CRASHES = 2
+# How long a request is refused after its third end, and after each further one: few trials in all.
+QUARANTINE_SECONDS = (5.0, 60.0, 600.0, 21600.0)
+# A trial that has ended the endpoint by then will not, or nobody will tell.
+TRIAL_SECONDS = 5.0
+RETRY_AFTER_TRIAL = 1.0
+# What several gateways and connections tell of one end arrives within so long.
+SAME_END_SECONDS = 0.8
+# Ends of other endpoints so near in time, and so many, have a cause in common.
+COMMON_SECONDS = 1.0
+COMMON_ENDS = 2
+COMMON_WEIGHT = 0.5
+# A request that was in flight at one end is suspected for so long.
+MEMORY_SECONDS = 600.0
+# Bounds of memory: some 100 KB, with as many requests in flight at each end.
+ENDS_KEPT = 256
+FINGERPRINTS_PER_END = 32
+CLEARANCES_KEPT = 1024
+
+
+class CrashBook:
+    """Ends of endpoints and what was in flight there, as far as this gateway knows.
+
+    ``on_change()`` is called when this gateway saw something to tell peers, ``on_learnt()`` when it
+    learnt something new from one; ``on_convicted(fingerprint)`` when an end seen here makes a
+    request one that is refused, ``on_cleared(fingerprint)`` when such a request ran to its end.
+    """
+
+    def __init__(self, clock: IReactorTime):
+        self.clock = clock
+        self.on_change = lambda: None
+        self.on_learnt = lambda: None
+        self.on_convicted = lambda fingerprint: None
+        self.on_cleared = lambda fingerprint: None
+        self.ends: list[EndpointEnd] = []
+        self.ends_by_fingerprint: dict[int, list[EndpointEnd]] = {}
+        self.trials_by_fingerprint: dict[int, Trial] = {}
+        # Oldest first.
+        self.clearances_by_fingerprint: collections.OrderedDict[int, Clearance] = (
+            collections.OrderedDict()
+        )
+
+    def standing(self, fingerprint: int) -> Standing:
+        """How a request with this fingerprint is treated now."""
+        if fingerprint not in self.ends_by_fingerprint:
+            return Standing(StandingKind.FREE)
+        crashes = self._crashes(fingerprint)
+        if crashes < SUSPECTING_CRASHES:
+            return Standing(StandingKind.FREE, crashes)
+        now = self.clock.seconds()
+        if self._trial(fingerprint) is not None:
+            wait = max(RETRY_AFTER_TRIAL, self._refused_until(fingerprint, crashes) - now)
+            return Standing(StandingKind.REFUSED, crashes, wait)
+        wait = self._refused_until(fingerprint, crashes) - now
+        if wait > 0:
+            return Standing(StandingKind.REFUSED, crashes, wait)
+        return Standing(StandingKind.APART, crashes)
+
+    def convicted(self) -> list[int]:
+        """Fingerprints of the requests that are refused, or are after another end."""
+        return [
+            fingerprint
+            for fingerprint, ends in self.ends_by_fingerprint.items()
+            if len(ends) >= CONVICTING_CRASHES and self._crashes(fingerprint) >= CONVICTING_CRASHES
+        ]
+
+    def crashes(self, fingerprint: int) -> float:
+        """Ends that are put down to the request."""
+        return self._crashes(fingerprint) if fingerprint in self.ends_by_fingerprint else 0.0
+
+    def broken(self, endpoint: str, fingerprint: int, began: float = float("-inf")) -> EndpointEnd:
+        """A request of this gateway was broken off at ``endpoint``, which may have ended.
+
+        :param began: clock time at which it was sent there; an earlier end is another one.
+        """
+        now = self.clock.seconds()
+        end = self._find(endpoint, now, began=began)
+        if end is None:
+            end = self._add(EndpointEnd(endpoint, now, confirmed=False))
+        end.witnessed = True
+        self._charge(end, fingerprint)
+        if end.confirmed:
+            self._seen(end)
+        return end
+
+    def confirm(self, end: EndpointEnd) -> None:
+        """The endpoint has ended."""
+        if end.confirmed or end not in self.ends:
+            return
+        end.confirmed = True
+        log_message(
+            message_type="endpoint:crashed",
+            endpoint=end.endpoint,
+            requests=len(end.fingerprints),
+            suspects=self._suspects(end),
+        )
+        self._seen(end)
+
+    def withdraw(self, end: EndpointEnd) -> None:
+        """The endpoint lives: what broke off there says nothing of the requests."""
+        if not end.confirmed and end in self.ends:
+            self._drop(end)
+
+    def learn(self, endpoint: str, age: float, fingerprints, restored: bool = False) -> None:
+        """Take in what a peer knows of an end ``age`` seconds ago."""
+        at = self.clock.seconds() - age
+        end = self._find(endpoint, at, restored)
+        if end is None:
+            end = self._add(EndpointEnd(endpoint, at, restored=restored))
+        news = not end.confirmed
+        end.confirmed = True
+        for fingerprint in set(fingerprints) - end.fingerprints:
+            news |= self._charge(end, fingerprint)
+        if news:
+            end.learned_at = self.clock.seconds()
+            self._end_trials(end)
+            self.on_learnt()
+
+    def restore(self, fingerprint: int, crashes: int) -> None:
+        """Take in that a record in the store counts ``crashes`` ends, of times that are unknown."""
+        missing = crashes - len(self.ends_by_fingerprint.get(fingerprint, ()))
+        for number in range(missing):
+            name = f"record:{format_fingerprint(fingerprint)}:{number}"
+            self.learn(name, 0.0, [fingerprint], restored=True)
+
+    def completed(self, fingerprint: int) -> None:
+        """A request ran to its end here."""
+        if fingerprint not in self.ends_by_fingerprint:
+            return
+        convicted = len(self.ends_by_fingerprint[fingerprint]) >= CONVICTING_CRASHES
+        self._clear(fingerprint, self.clock.seconds())
+        self.on_change()
+        if convicted:
+            self.on_cleared(fingerprint)
+
+    def learn_completed(self, fingerprint: int, age: float) -> None:
+        """A request ran to its end at a peer, ``age`` seconds ago."""
+        at = self.clock.seconds() - age
+        known = self.clearances_by_fingerprint.get(fingerprint)
+        if known is None or at > known.at + SAME_END_SECONDS:
+            self._clear(fingerprint, at)
+            self.on_learnt()
+
+    def begin_trial(self, fingerprint: int, endpoint: str) -> None:
+        """A request that must run apart is sent to ``endpoint``."""
+        trial = Trial(fingerprint, endpoint, self.clock.seconds(), own=True)
+        self.trials_by_fingerprint[fingerprint] = trial
+        log_message(
+            message_type="quarantine:trial",
+            fingerprint=format_fingerprint(fingerprint),
+            endpoint=endpoint,
+            crashes=self._crashes(fingerprint),
+        )
+        self.on_change()
+
+    def end_trial(self, fingerprint: int) -> None:
+        """What this gateway tried is over, one way or another."""
+        trial = self.trials_by_fingerprint.get(fingerprint)
+        if trial is not None and trial.own:
+            del self.trials_by_fingerprint[fingerprint]
+
+    def learn_trial(self, fingerprint: int, endpoint: str, age: float) -> None:
+        """A peer began a trial ``age`` seconds ago."""
+        at = self.clock.seconds() - age
+        known = self._trial(fingerprint)
+        if known is not None or age >= TRIAL_SECONDS or self._ended_since(fingerprint, at):
+            return
+        self.trials_by_fingerprint[fingerprint] = Trial(fingerprint, endpoint, at, own=False)
+        self.on_learnt()
+
+    def trials(self) -> list[Trial]:
+        """Trials under way, here and at peers."""
+        found = (self._trial(fingerprint) for fingerprint in list(self.trials_by_fingerprint))
+        return [trial for trial in found if trial is not None]
+
+    def recent_ends(self, seconds: float, witnessed_only: bool) -> list[EndpointEnd]:
+        """Confirmed ends of which something was learnt in the last ``seconds``, newest first."""
+        oldest = self.clock.seconds() - seconds
+        return [
+            end
+            for end in reversed(self.ends)
+            if end.confirmed and end.learned_at >= oldest and (end.witnessed or not witnessed_only)
+        ]
+
+    def convicting_ends(self) -> list[EndpointEnd]:
+        """Confirmed ends that are put down to a request which is refused."""
+        ends = itertools.chain.from_iterable(
+            self.ends_by_fingerprint[fingerprint] for fingerprint in self.convicted()
+        )
+        return [end for end in dict.fromkeys(ends) if end.confirmed]
+
+    def most_suspected(self, end: EndpointEnd) -> list[int]:
+        """The requests of an end, those first that were in flight at most others."""
+        return sorted(
+            end.fingerprints,
+            key=lambda fingerprint: -len(self.ends_by_fingerprint[fingerprint]),
+        )
+
+    def recent_clearances(self, seconds: float) -> list[Clearance]:
+        oldest = self.clock.seconds() - seconds
+        newest_first = reversed(self.clearances_by_fingerprint.values())
+        return list(itertools.takewhile(lambda known: known.learned_at >= oldest, newest_first))
+
+    def _crashes(self, fingerprint: int) -> float:
+        """The weights of the ends that no other request explains better."""
+        blame = self._blame(fingerprint)
+        return sum(
+            self._weight(end, fingerprint)
+            for end in self.ends_by_fingerprint[fingerprint]
+            if not self._is_explained(end, fingerprint, blame)
+        )
+
+    def _blame(self, fingerprint: int) -> float:
+        """The weights of all ends at which the request was in flight."""
+        ends = self.ends_by_fingerprint[fingerprint]
+        return sum(self._weight(end, fingerprint) for end in ends)
+
+    def _is_explained(self, end: EndpointEnd, fingerprint: int, blame: float) -> bool:
+        """Whether the end is the doing of a request that is to blame for more of them."""
+        likely = (
+            other
+            for other in end.fingerprints
+            if other != fingerprint and len(self.ends_by_fingerprint[other]) >= CONVICTING_CRASHES
+        )
+        return any(self._blame(other) >= max(CONVICTING_CRASHES, blame + 1) for other in likely)
+
+    def _weight(self, end: EndpointEnd, fingerprint: int) -> float:
+        """What an end counts against one of the requests in flight there."""
+        if end.restored:
+            return 1.0
+        beside = (
+            other
+            for other in self.ends
+            if not other.restored
+            and abs(other.at - end.at) <= COMMON_SECONDS
+            and fingerprint not in other.fingerprints
+        )
+        return COMMON_WEIGHT if sum(1 for _ in beside) >= COMMON_ENDS else 1.0
+
+    def _refused_until(self, fingerprint: int, crashes: float) -> float:
+        """Clock time until which the request is refused; the past if it is not."""
+        beyond = int(crashes) - CONVICTING_CRASHES
+        if beyond < 0:
+            return float("-inf")
+        last = max(end.at for end in self.ends_by_fingerprint[fingerprint])
+        return last + QUARANTINE_SECONDS[min(beyond, len(QUARANTINE_SECONDS) - 1)]
+
+    def _trial(self, fingerprint: int) -> Trial | None:
+        trial = self.trials_by_fingerprint.get(fingerprint)
+        if trial is not None and self.clock.seconds() - trial.at >= TRIAL_SECONDS:
+            del self.trials_by_fingerprint[fingerprint]
+            return None
+        return trial
+
+    def _find(
+        self, endpoint: str, at: float, restored: bool = False, began: float = float("-inf")
+    ) -> EndpointEnd | None:
+        """The end that is known already; one that a record counts has no time of its own."""
+        return next(
+            (
+                end
+                for end in reversed(self.ends)
+                if end.endpoint == endpoint
+                and (restored or abs(end.at - at) <= SAME_END_SECONDS)
+                and end.at >= began
+            ),
+            None,
+        )
+
+    def _add(self, end: EndpointEnd) -> EndpointEnd:
+        self._make_room()
+        end.learned_at = self.clock.seconds()
+        self.ends.append(end)
+        return end
+
+    def _make_room(self) -> None:
+        """Forget old ends, and the oldest if there are too many; suspects' ends go last."""
+        oldest = self.clock.seconds() - MEMORY_SECONDS
+        for end in [end for end in self.ends if end.at < oldest and not self._suspects(end)]:
+            self._drop(end)
+        if len(self.ends) >= ENDS_KEPT:
+            self._drop(min(self.ends, key=lambda end: (bool(self._suspects(end)), end.at)))
+
+    def _suspects(self, end: EndpointEnd) -> list[str]:
+        """The requests of an end that were in flight at others too."""
+        return [
+            format_fingerprint(fingerprint)
+            for fingerprint in end.fingerprints
+            if len(self.ends_by_fingerprint[fingerprint]) >= SUSPECTING_CRASHES
+        ]
+
+    def _charge(self, end: EndpointEnd, fingerprint: int) -> bool:
+        """Note that a request was in flight at an end; return whether that is new."""
+        cleared = self.clearances_by_fingerprint.get(fingerprint)
+        if fingerprint in end.fingerprints or (cleared is not None and end.at <= cleared.at):
+            return False
+        if len(end.fingerprints) >= FINGERPRINTS_PER_END:
+            return False
+        end.fingerprints.add(fingerprint)
+        self.ends_by_fingerprint.setdefault(fingerprint, []).append(end)
+        return True
+
+    def _seen(self, end: EndpointEnd) -> None:
+        """This gateway learnt something of a confirmed end by itself."""
+        end.learned_at = self.clock.seconds()
+        self._end_trials(end)
+        for fingerprint in end.fingerprints:
+            crashes = self._crashes(fingerprint)
+            if crashes >= CONVICTING_CRASHES:
+                log_message(
+                    message_type="quarantine:began",
+                    fingerprint=format_fingerprint(fingerprint),
+                    crashes=crashes,
+                    seconds=round(self._refused_until(fingerprint, crashes) - end.at, 1),
+                )
+                self.on_convicted(fingerprint)
+        self.on_change()
+
+    def _end_trials(self, end: EndpointEnd) -> None:
+        for fingerprint in end.fingerprints & self.trials_by_fingerprint.keys():
+            if self.trials_by_fingerprint[fingerprint].at <= end.at:
+                del self.trials_by_fingerprint[fingerprint]
+
+    def _ended_since(self, fingerprint: int, at: float) -> bool:
+        ends = self.ends_by_fingerprint.get(fingerprint, ())
+        return any(end.at >= at for end in ends)
+
+    def _clear(self, fingerprint: int, at: float) -> None:
+        was = len(self.ends_by_fingerprint.get(fingerprint, ()))
+        for end in list(self.ends_by_fingerprint.get(fingerprint, ())):
+            if end.at <= at:
+                self._acquit(end, fingerprint)
+        self.trials_by_fingerprint.pop(fingerprint, None)
+        self.clearances_by_fingerprint.pop(fingerprint, None)
+        self.clearances_by_fingerprint[fingerprint] = Clearance(
+            fingerprint, at, self.clock.seconds()
+        )
+        if len(self.clearances_by_fingerprint) > CLEARANCES_KEPT:
+            self.clearances_by_fingerprint.popitem(last=False)
+        if was >= SUSPECTING_CRASHES:
+            log_message(
+                message_type="quarantine:cleared",
+                fingerprint=format_fingerprint(fingerprint),
+                crashes=was,
+            )
+
+    def _acquit(self, end: EndpointEnd, fingerprint: int) -> None:
+        end.fingerprints.discard(fingerprint)
+        ends = self.ends_by_fingerprint[fingerprint]
+        ends.remove(end)
+        if not ends:
+            del self.ends_by_fingerprint[fingerprint]
+
+    def _drop(self, end: EndpointEnd) -> None:
+        for fingerprint in list(end.fingerprints):
+            self._acquit(end, fingerprint)
+        self.ends.remove(end)
--- a/src/guavacleat/quarantine/fingerprint.py
+++ b/src/guavacleat/quarantine/fingerprint.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-__all__ = ["fingerprint", "format_fingerprint"]
+__all__ = ["fingerprint", "format_fingerprint", "parse_fingerprint"]
 
 FINGERPRINT_BYTES = 8
 
@@ -19,3 +19,11 @@
 def format_fingerprint(value: int) -> str:
     """As logs and operators write it: 16 hexadecimal digits."""
     return value.to_bytes(FINGERPRINT_BYTES, "big", signed=True).hex()
+
+
+def parse_fingerprint(text: str) -> int:
+    """The reverse of :func:`format_fingerprint`; raise ValueError if ``text`` is none."""
+    data = bytes.fromhex(text)
+    if len(data) != FINGERPRINT_BYTES:
+        raise ValueError(f"{text!r} is no fingerprint of {FINGERPRINT_BYTES} bytes")
+    return int.from_bytes(data, "big", signed=True)
--- a/src/guavacleat/standin/routed.py
+++ b/src/guavacleat/standin/routed.py
@@ -48,6 +48,7 @@
     """One endpoint; ``listener`` is the Twisted factory that serves it.
 
     :ivar on_crash: called when a request crashes the endpoint.
+    :ivar work_seconds: what a plain answer takes.
     """
 
     def __init__(self, clock: IReactorTime, id: str, fault: RoutedFault = RoutedFault.NONE):
@@ -55,6 +56,7 @@
         self.id = id
         self.fault = fault
         self.on_crash = lambda: None
+        self.work_seconds = 0.0
         self.runs_by_request: Counter[str] = Counter()
         self.listener = CallerListener(clock, self._handle, CallerLimits)
 
@@ -78,6 +80,8 @@
         headers = self._headers(request_id)
         if exchange.head.path.startswith("/listing/"):
             self._stream(exchange, headers)
+        elif self.work_seconds:
+            self.clock.callLater(self.work_seconds, self._answer, exchange, headers)
         else:
             self._answer(exchange, headers)
 
@@ -87,6 +91,8 @@
         return [(REQUEST_ID, id), *signature]
 
     def _answer(self, exchange: CallerExchange, headers) -> None:
+        if exchange.gone:
+            return
         body = b"done by %s" % self.id.encode()
         if self.fault is RoutedFault.TRUNCATE:
             exchange.begin(OK, b"OK", [*headers, (b"content-length", b"%d" % len(body))])
--- a/src/guavacleat/streams/messages.py
+++ b/src/guavacleat/streams/messages.py
@@ -5,6 +5,7 @@
 import json
 
 from guavacleat.errors import GuavacleatError
+from guavacleat.quarantine import fingerprint
 from guavacleat.routing.prefix import prefix_blocks
 
 __all__ = ["CompletionRequest", "ResumePoint", "StreamMixupError", "StreamBrokenError"]
@@ -75,6 +76,7 @@
         "abandoned",
         "prompt_tokens",
         "_blocks",
+        "_content_key",
     )
 
     def __init__(
@@ -107,6 +109,15 @@
         self.abandoned = False
         self.prompt_tokens = len(prompt.split())
         self._blocks: list[str] | None = None
+        self._content_key: int | None = None
+
+    @property
+    def content_key(self) -> int:
+        """The same whenever this account asks for the same again, whatever the request's id."""
+        if self._content_key is None:
+            asked = (self.service, self.account, str(self.max_tokens), self.prompt)
+            self._content_key = fingerprint(*(part.encode() for part in asked))
+        return self._content_key
 
     def blocks(self) -> list[str]:
         """The first blocks of the prompt, as prefix caches name them."""
--- a/src/guavacleat/streams/relay.py
+++ b/src/guavacleat/streams/relay.py
@@ -14,11 +14,14 @@
 reached the first.
 """
 
+from eliot import log_message
+from thrift.Thrift import TApplicationException
 from twisted.internet import defer
-from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectError, ConnectionRefusedError
 
 from guavacleat.errors import NotRunError
 from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartReply
+from guavacleat.quarantine import CrashBook, Liveness, QuarantineGuard, StandingKind
 from guavacleat.streams.messages import CompletionRequest, StreamBrokenError, StreamMixupError
 from guavacleat.streams.serving import Serving, bounded, start_on
 
@@ -60,6 +63,8 @@
         self.pool = pool
         self.metrics = metrics
         self.resumes = 0
+        self.crashes = CrashBook(clock)
+        self.quarantine = QuarantineGuard(clock, self.crashes, self._probe)
 
     @defer.inlineCallbacks
     def run(self, request: CompletionRequest, limits, sink, before_start=None):
@@ -80,6 +85,7 @@
         for _ in range(MAX_RESUMES + 1):
             try:
                 if serving is None:
+                    self._check_quarantine(request)
                     serving = yield self._start(request, limits, tried, progress, before_start)
             except NotRunError:
                 if failure is None:
@@ -90,18 +96,63 @@
             sink.serving(serving.handle())
             try:
                 yield self._pull_all(request, serving, sink, progress)
+                if progress.finish_reason == FINISHED:
+                    self.quarantine.completed(request)
                 return progress
             except StreamBrokenError as broken:
                 failure = broken
                 tried.add(serving.endpoint.name)
+                self._note_broken(request, serving.endpoint.name, broken, serving.began)
                 serving.cancel_quietly()
             finally:
+                self.quarantine.over(request)
                 self._release(serving.endpoint, request, progress)
                 serving = None
             if not request.repeatable:
                 break
         raise failure
 
+    def _check_quarantine(self, request: CompletionRequest) -> None:
+        """Raise NotRunError if the request must not run now."""
+        standing = self.quarantine.standing(request)
+        if standing.kind is StandingKind.REFUSED:
+            raise NotRunError(
+                f"{standing.crashes:g} endpoints ended under requests like this one.",
+                f"retry after {standing.retry_after:.1f} s, or change the request.",
+                standing.retry_after,
+            )
+
+    def _busier(self, request: CompletionRequest) -> set[str]:
+        """Endpoints on which more runs than on others: none to be risked by a suspect."""
+        if self.quarantine.may_share(request):
+            return set()
+        running = self.router.in_flight_by_name
+        names = [record.name for record in self.membership.live(request.service)]
+        least = min((running.get(name, 0) for name in names), default=0)
+        return {name for name in names if running.get(name, 0) > least}
+
+    @defer.inlineCallbacks
+    def _probe(self, name: str):
+        """Fire with the :class:`Liveness` of an endpoint: its sidecar asks the engine."""
+        record = self.membership.records_by_name.get(name)
+        if record is None or record.draining:
+            return Liveness.ALIVE
+        try:
+            client = yield self.pool.client(record.address)
+            yield bounded(self.clock, client.load)
+        except (TApplicationException, ConnectionRefusedError):
+            # The sidecar's engine does not answer, or there is no sidecar.
+            return Liveness.ENDED
+        except Exception as exc:  # noqa: BLE001 - any other failure of the link
+            log_message(message_type="endpoint:unknown", endpoint=name, error=repr(exc))
+            return Liveness.UNKNOWN
+        return Liveness.ALIVE
+
+    def _note_broken(self, request, name: str, broken: StreamBrokenError, began: float) -> None:
+        """Tell of a stream that broke off; one that stalled says nothing of the endpoint's end."""
+        if not isinstance(broken.__cause__, defer.TimeoutError):
+            self.quarantine.broken(request, name, began)
+
     def _release(self, endpoint, request: CompletionRequest, progress: StreamProgress) -> None:
         finished = progress.finish_reason == FINISHED
         self.dispatcher.release(endpoint.name, request, len(progress.sent), finished)
@@ -140,7 +191,8 @@
         unknown = None
         while len(tried) < START_ATTEMPTS + MAX_RESUMES:
             try:
-                endpoint = yield self.dispatcher.acquire(request, limits, tried, front, deadline)
+                avoided = tried | self._busier(request)
+                endpoint = yield self.dispatcher.acquire(request, limits, avoided, front, deadline)
             except NotRunError:
                 # An earlier start may have arrived, so "not run" would not be true.
                 if unknown is None:
@@ -148,6 +200,7 @@
                 break
             front = True
             serving = None
+            began = self.clock.seconds()
             try:
                 if before_start is not None:
                     yield before_start()
@@ -155,7 +208,8 @@
                 serving = yield self._start_on(endpoint, request, progress, tried)
             except StreamBrokenError as broken:
                 unknown = broken
-                if not request.repeatable:
+                self._note_broken(request, endpoint.name, broken, began)
+                if not request.repeatable or not self.quarantine.may_share(request):
                     break
             finally:
                 if serving is None:
@@ -172,6 +226,7 @@
         it elsewhere would run a non-repeatable call twice; a repeatable one is safe, since nobody
         reads the first generation and its sidecar cancels streams left unread.
         """
+        self.quarantine.sent(request, endpoint.name)
         try:
             serving = yield start_on(self.clock, self.pool, endpoint, request, progress.sent)
         except NotRun as refused:
--- a/src/guavacleat/streams/serving.py
+++ b/src/guavacleat/streams/serving.py
@@ -32,7 +32,7 @@
     :param pool: a ``SidecarPool``.
     """
 
-    __slots__ = ("clock", "pool", "endpoint", "client", "reply")
+    __slots__ = ("clock", "pool", "endpoint", "client", "reply", "began")
 
     def __init__(self, clock, pool, endpoint, client, reply):
         self.clock = clock
@@ -40,6 +40,7 @@
         self.endpoint = endpoint
         self.client = client
         self.reply = reply
+        self.began = clock.seconds()
 
     def handle(self) -> str:
         """What a caller brings to reconnect to this stream."""
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -23,6 +23,30 @@
 
 
 CASES = {
+    "refused as endpoints ended under requests alike": (
+        [
+            line(2.0, "quarantine:began", fingerprint="ab12", crashes=3.0, seconds=5.0),
+            ended(
+                4.0,
+                "QUARANTINED",
+                detail="3 endpoints ended under it",
+                retry_after=3.0,
+                fingerprint="ab12",
+                status=503,
+            ),
+        ],
+        "Requests for the same had crashed what ran them: 3 endpoints ended under it. It has not"
+        " run and may come back in 3.0 s.",
+    ),
+    "cut as endpoints ended under it before": (
+        [
+            line(4.5, "stream:not-resumed", request="r1", endpoint="e2"),
+            line(4.5, "stream:broken", request="r1", endpoint="e1", last_event=9),
+            ended(4.5, "CUT", status=200, seconds=3.0),
+        ],
+        "Engine e1 broke off without notice, and it does not go on from its copy, as endpoints"
+        " ended under such requests before.",
+    ),
     "refused under load": (
         [ended(5.0, "NO_ROOM", detail="expected to wait 4.74 s", status=503)],
         "There was no room: expected to wait 4.74 s. It has not run.",
@@ -141,6 +165,15 @@
     assert [found.type for found in told] == ["endpoint:changed", "stream:placed", "request:end"]
 
 
+def test_the_story_tells_what_became_of_requests_alike():
+    told = story(
+        line(3.5, "quarantine:began", fingerprint="ab12", crashes=3.0),
+        line(3.6, "quarantine:began", fingerprint="cd34", crashes=3.0),
+        ended(4.0, "QUARANTINED", fingerprint="ab12"),
+    )
+    assert [found.get("fingerprint") for found in told.around] == ["ab12"]
+
+
 def test_without_a_prefix_the_file_and_the_time_of_day_are_taken():
     text = json.dumps({"message_type": "request:end", "timestamp": 12.5, "request": "r1"})
     [found] = read_lines([text, "not a line", "{half", '{"other": 1}'], "gw3")
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -1,6 +1,7 @@
 """A gateway's forwarding without a network: endpoints are driven by the test, time by a Clock."""
 
 from twisted.internet import defer
+from twisted.internet.error import ConnectionRefusedError
 
 from guavacleat.admission.generations import GenerationQueue
 from guavacleat.forwarding.messages import AnswerFacts, CallerFacts, MoveAnswer
@@ -10,8 +11,10 @@
 from guavacleat.http1.client import BreakReason
 from guavacleat.http1.messages import RequestHead, ResponseHead
 from guavacleat.http1.server import CallerExchange
+from guavacleat.membership.liveness import EndpointProbe
 from guavacleat.membership.registry import EndpointEntry, EndpointRegistry, EndpointState
 from guavacleat.placement import LoadBook, Placement
+from guavacleat.quarantine import CrashBook, QuarantineGuard
 from guavacleat.retries import RetryBudget
 from guavacleat.routes import Backend, EngineTraits, RequestKind, Route, ServiceTraits
 from guavacleat.settings import Bounds
@@ -121,6 +124,12 @@
         self.connections.append(EndpointSide(address))
         return defer.succeed(self.connections[-1])
 
+    def connect_anew(self, address):
+        """Connections that are only tried are not kept: a test counts those that are used."""
+        if address in self.refused:
+            return defer.fail(ConnectionRefusedError(str(address)))
+        return defer.succeed(EndpointSide(address))
+
     def to(self, name) -> list[EndpointSide]:
         """Connections to the endpoint of this name, oldest first."""
         return [side for side in self.connections if side.address[0] == name]
@@ -158,13 +167,25 @@
         self.registry = EndpointRegistry(clock)
         self.load = LoadBook(clock)
         self.pool = TestPool()
-        placement = Placement(self.registry, self.load, "dc", seed=1)
+        self.crashes = CrashBook(clock)
+        quarantine = QuarantineGuard(clock, self.crashes, EndpointProbe(self.pool, self.registry))
+        placement = Placement(
+            self.registry, self.load, "dc", seed=1, avoided=quarantine.trial_endpoints
+        )
         bounds = bounds or Bounds(retry_extra=100)
         budget = RetryBudget(clock, bounds, lambda: 1)
         self.queue = GenerationQueue(clock, placement, seed=1)
         self.load.listeners.append(self.queue.look_soon)
         self.parts = ForwardingParts(
-            clock, self.pool, PlainWire(), self.registry, self.load, placement, budget, self.queue
+            clock,
+            self.pool,
+            PlainWire(),
+            self.registry,
+            self.load,
+            placement,
+            budget,
+            self.queue,
+            quarantine,
         )
         for name in names:
             self.ready(name)
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -16,6 +16,7 @@
 from guavacleat.placement import LoadBook
 from guavacleat.platform.adapter import PlatformAdapter
 from guavacleat.platform.settings import parse_process_settings
+from guavacleat.quarantine import CrashBook
 from guavacleat.routes.holder import RouteHolder
 from guavacleat.routes.model import CallerLimits, RouteTable
 from guavacleat.store import ConflictError, StoredObject, StoreUnavailableError, WatchBatch
@@ -101,6 +102,9 @@
             return defer.fail(ConflictError(kind, name, expected_version, version))
         return defer.succeed(self.store.write(kind, name, value))
 
+    def get(self, kind, name):
+        return self._failure() or defer.succeed(self.store.objects.get((kind, name)))
+
     def list_objects(self, kind, begun=None):
         return self._failure() or defer.succeed(self.store.listing(kind))
 
@@ -153,6 +157,7 @@
         self.registry = EndpointRegistry(self.clock, lambda entry: self.left.append(entry.id))
         self.load = LoadBook(self.clock)
         self.peers = PeerBook(self.clock)
+        self.crashes = CrashBook(self.clock)
         self.load.peers = self.peers
         self.source = StoreSource(self, settings, fleet)
         self.link = self.source.store = StoreLink(fleet.store)
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -15,6 +15,7 @@
 from guavacleat.peers.hearing import ConfigurationKnown, EndpointsKnown
 from guavacleat.peers.report import BadReportError, GatewayReport, decode_report, encode_report
 from guavacleat.placement import EndpointLoad, LoadBook, Run
+from guavacleat.quarantine import CrashBook
 from guavacleat.store import ConflictError, StoredObject, StoreUnavailableError, WatchBatch
 from tests.forwarding.harness import entry
 
@@ -142,6 +143,7 @@
         registry,
         ConfigurationKnown(clock, lambda: None),
         EndpointsKnown(clock),
+        CrashBook(clock),
     )
     found.transport = Datagrams()
     found.startProtocol()
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -53,6 +53,7 @@
         self.starts = 0
         self.routed = RoutedEndpoint(fleet.network, name)
         self.routed.on_crash = self.crash
+        self.routed.work_seconds = fleet.work_seconds
         self.listener = HttpListener(fleet.network, self.routed.listener, (ip, 80))
         self.listener.startService()
         self._register()
@@ -119,7 +120,8 @@
 
     lapse_seconds = 0.5
 
-    def __init__(self, endpoints=6, gateways=None, data_centres=1, seed=7):
+    def __init__(self, endpoints=6, gateways=None, data_centres=1, work_seconds=0.0, seed=7):
+        self.work_seconds = work_seconds
         random.seed(seed)
         self.network = Network()
         self.store = None if gateways is None else SharedStore(self.network)
--- a/tests/streams/test_relay_machine.py
+++ b/tests/streams/test_relay_machine.py
@@ -55,6 +55,10 @@
     def cancel(self, stream_id):
         return defer.succeed(None)
 
+    def load(self):
+        """The endpoint lives, whatever its link does."""
+        return defer.succeed(None)
+
 
 class RelayMachine(RuleBasedStateMachine):
     gone = False
--- /dev/null
+++ b/tests/streams/test_relay_quarantine.py
@@ -0,0 +1,78 @@
+"""The completions interface and requests that crash the engines that run them."""
+
+import pytest
+from thrift.Thrift import TApplicationException
+from twisted.internet import defer
+
+from guavacleat.errors import NotRunError
+from guavacleat.protocol.gen.sidecar.ttypes import StartReply, UnknownStream
+from guavacleat.streams import CompletionRequest
+from guavacleat.streams.messages import StreamBrokenError
+from tests.streams.test_relay import LIMITS, ListSink, batch, make_relay
+
+NAMES = "abcdef"
+COMES_BACK_SECONDS = 1.0
+
+
+class Sidecar:
+    """Its engine crashes under prompts that begin with ``crash``, and is back when asked again."""
+
+    def __init__(self, name):
+        self.name = name
+        self.crashes = 0
+        self.prompts_by_stream = {}
+
+    def start(self, request):
+        stream = f"{self.name}-{len(self.prompts_by_stream)}"
+        self.prompts_by_stream[stream] = request.prompt
+        return defer.succeed(StartReply(stream_id=stream, generation=stream))
+
+    def pull(self, stream_id, cursor, wait_ms):
+        if self.prompts_by_stream[stream_id].startswith("crash"):
+            self.crashes += 1
+            return defer.fail(UnknownStream(stream_id=stream_id))
+        return defer.succeed(batch(stream_id, cursor, ["x"], True))
+
+    def load(self):
+        return defer.fail(TApplicationException(message="the engine does not answer"))
+
+    def cancel(self, stream_id):
+        return defer.succeed(None)
+
+
+def ask(clock, relay, prompt, repeatable=True, call=None, id="r"):
+    request = CompletionRequest(
+        id, "enquiry-lm", "acc", "interactive", 0, prompt, 10, call, clock.seconds(), repeatable
+    )
+    ended = []
+    relay.run(request, LIMITS, ListSink()).addBoth(ended.append)
+    return ended[0]
+
+
+@pytest.mark.parametrize("repeatable,call", [(True, None), (True, "k1"), (False, "k2")])
+def test_a_prompt_that_crashes_engines_is_refused_after_the_third(clock, repeatable, call):
+    """Guards against callers' retries, new ids and new keys that end engine after engine."""
+    sidecars = [Sidecar(name) for name in NAMES]
+    relay = make_relay(clock, sidecars)
+    outcomes = []
+    for number in range(8):
+        key = call and f"{call}-{number}"
+        outcomes.append(ask(clock, relay, "crash", repeatable, key, f"r{number}"))
+        clock.advance(0.1)
+        assert ask(clock, relay, f"sound {number}").sent == ["x"]
+    assert sum(sidecar.crashes for sidecar in sidecars) == 3
+    assert outcomes[0].check(StreamBrokenError)
+    assert outcomes[-1].check(NotRunError)
+    assert outcomes[-1].value.retry_after > 1.0
+    assert "requests like this one" in str(outcomes[-1].value)
+
+
+def test_another_accounts_prompt_of_the_same_words_is_served(clock):
+    sidecars = [Sidecar(name) for name in NAMES]
+    relay = make_relay(clock, sidecars)
+    for number in range(4):
+        ask(clock, relay, "crash", id=f"r{number}")
+    other = CompletionRequest(
+        "r9", "enquiry-lm", "other", "interactive", 0, "crash", 10, None, clock.seconds()
+    )
+    assert relay.quarantine.standing(other).retry_after is None
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -32,6 +32,36 @@
   10: optional bool unusable,
 }
 
+// An endpoint's unplanned end and the requests in flight there, by fingerprint.
+struct EndpointEnd {
+  1: required string endpoint,
+  // Seconds since the end.
+  2: required double age,
+  3: required list<i64> fingerprints,
+  // It stands for an end that a record in the store counts.
+  4: optional bool restored,
+}
+
+// A suspected request that the sender, or a neighbour of it, runs at the endpoint since so long.
+struct Trial {
+  1: required i64 fingerprint,
+  2: required string endpoint,
+  3: required double age,
+}
+
+// A suspected request that ran to its end so many seconds ago.
+struct Clearance {
+  1: required i64 fingerprint,
+  2: required double age,
+}
+
+// What is known of requests that crash endpoints.
+struct Crashes {
+  1: optional list<EndpointEnd> ends,
+  2: optional list<Trial> trials,
+  3: optional list<Clearance> clearances,
+}
+
 // ``incarnation`` is drawn at each start of the sender; ``sequence`` grows by one a report.
 struct PeerReport {
   1: required string instance,
@@ -57,4 +87,5 @@
   13: optional i64 endpoints_revision,
   14: optional double endpoints_age,
   15: optional i64 changes_since,
+  16: optional Crashes crashes,
 }
