--- a/src/guavacleat/standin/store.py
+++ b/src/guavacleat/standin/store.py
@@ -11,13 +11,19 @@
 - ``GET /v1/instances``: the platform's lagging list; ``POST /v1/instances`` with
   ``{"name", "state"}`` changes it (state ``live``, ``leaving`` or null).
 - ``POST /v1/faults`` with ``{"outage": bool, "delay": s, "lose_acks": n, "forget": bool}``.
+- ``POST /v1/copy`` keeps a copy of all objects; ``POST /v1/restore`` comes back from it.
 - ``GET /v1/stats``: calls counted by type.
 
+The header ``Store-Era`` in each answer counts the restores. A restore takes back what was written
+since the copy, with its revisions, which are given out again; a watch from a revision that the
+store does not have gets 410.
+
 Faults: an outage answers 503; a delay holds each answer; a lost acknowledgement applies the
 write and then drops the connection without answering, as the brief says the platform may;
 ``forget`` makes the store forget the history of writes up to now.
 """
 
+import itertools
 import json
 
 from klein import Klein
@@ -45,16 +51,34 @@
 
 
 class StoreState:
-    """The objects and the store-wide revision; watchers are woken on each write."""
+    """The objects and the store-wide revision; watchers are woken on each write.
+
+    :ivar era: how often it came back from a copy.
+    """
 
     def __init__(self, clock: IReactorTime):
         self.clock = clock
+        self.era = 0
+        self.copied: tuple[int, dict] = (0, {})
         self.revision = 0
         self.forgotten_revision = 0
         self.objects_by_key: dict[tuple[str, str], StoredObject] = {}
         self.watchers_by_kind: dict[str, list[defer.Deferred]] = {}
         self.calls_by_type: dict[str, int] = {"read": 0, "write": 0, "watch": 0}
 
+    def copy(self) -> None:
+        """Keep a copy, instead of the one before."""
+        self.copied = (self.revision, dict(self.objects_by_key))
+
+    def restore(self) -> None:
+        """Come back from the copy; watches that wait are answered with nothing new."""
+        self.era += 1
+        self.revision, objects = self.copied
+        self.objects_by_key = dict(objects)
+        waiting, self.watchers_by_kind = self.watchers_by_kind, {}
+        for waiter in itertools.chain.from_iterable(waiting.values()):
+            waiter.callback(None)
+
     def get(self, kind: str, name: str) -> StoredObject | None:
         return self.objects_by_key.get((kind, name))
 
@@ -117,6 +141,7 @@
         return self.app.resource()
 
     def _answer(self, request, status: int, body) -> defer.Deferred:
+        request.setHeader("store-era", str(self.state.era))
         payload = json_response(request, status, body)
         if self.faults.delay <= 0:
             return defer.succeed(payload)
@@ -169,7 +194,7 @@
             return refused
         since = int(request.args.get(b"since", [b"0"])[0])
         wait = float(request.args.get(b"wait", [b"10"])[0])
-        if since < self.state.forgotten_revision:
+        if since < self.state.forgotten_revision or since > self.state.revision:
             return self._answer(request, 410, {"error": "history forgotten"})
         waiting = self.state.wait_for_change(kind, since, wait)
         waiting.addCallback(
@@ -205,6 +230,16 @@
             self.state.forgotten_revision = self.state.revision
         return self._answer(request, 200, {"ok": True})
 
+    @app.route("/v1/copy", methods=["POST"])
+    def copy(self, request):
+        self.state.copy()
+        return self._answer(request, 200, {"revision": self.state.revision})
+
+    @app.route("/v1/restore", methods=["POST"])
+    def restore(self, request):
+        self.state.restore()
+        return self._answer(request, 200, {"era": self.state.era})
+
     @app.route("/v1/stats", methods=["GET"])
     def stats(self, request):
         return self._answer(request, 200, dict(self.state.calls_by_type))
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -160,7 +160,7 @@
         self.crashes = CrashBook(self.clock)
         self.load.peers = self.peers
         self.source = StoreSource(self, settings, fleet)
-        self.link = self.source.store = StoreLink(fleet.store)
+        self.link = self.source.store = fleet.connect()
         self.source.start(self)
         for watch in self.source.watches:
             watch.random = random.Random(f"{instance} {watch.kind}")
@@ -205,7 +205,7 @@
         # Waits, pauses and limits are drawn: the same ones in each run of a test.
         random.seed(seed)
         self.clock = Clock()
-        self.store = SharedStore(self.clock)
+        self.store = self.make_store()
         self.cuts = set()
         self.loses = loses
         self.gateways = {}
@@ -217,6 +217,13 @@
             for place in range(per_data_centre):
                 self.add(f"g{number}-{place}", f"dc{number}", f"10.{number}.0.{place + 1}")
 
+    def make_store(self):
+        return SharedStore(self.clock)
+
+    def connect(self):
+        """A gateway's way to the store."""
+        return StoreLink(self.store)
+
     def add(self, instance, data_centre, ip):
         self.gateways[instance] = Gateway(self, instance, data_centre, ip)
 
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -9,9 +9,13 @@
 
 
 class Reply:
-    def __init__(self, code, body):
+    def __init__(self, code, body, era=0):
         self.code = code
         self.body = body
+        self.era = era
+
+    def header(self, name):
+        return str(self.era) if name == "store-era" else None
 
     def content(self):
         return defer.succeed(self.body)
@@ -28,6 +32,8 @@
     def __init__(self, clock=None):
         self.clock = clock
         self.delay = 0.0
+        self.era = 0
+        self.copied = (0, {})
         self.revision = 0
         self.forgotten = 0
         self.objects = {}
@@ -63,6 +69,20 @@
         """Drop the history."""
         self.forgotten = self.revision
 
+    def copy(self):
+        """Keep a copy of all objects."""
+        self.copied = (self.revision, json.dumps(list(self.objects.items())))
+
+    def restore(self):
+        """Come back from the copy, with its revisions; watches that wait are cut off."""
+        self.era += 1
+        self.revision, objects = self.copied
+        self.objects = {tuple(key): value for key, value in json.loads(objects)}
+        self.history = [change for change in self.history if change[0] <= self.revision]
+        waiting, self.waiting = self.waiting, []
+        for _, _, answer in waiting:
+            answer.errback(ConnectionError("cut off"))
+
     def _note(self, kind, name, gone):
         event = {"object": json.loads(json.dumps(self.objects[kind, name])), "tombstone": gone}
         self.history.append((self.revision, kind, event))
@@ -70,7 +90,8 @@
         for kind, since, answer in waiting:
             answer.callback(self._changes(kind, since))
 
-    def request(self, method, url, data=None, timeout=None):
+    def request(self, method, url, data=None, timeout=None, most_bytes=None):
+        del most_bytes
         self.calls.append((method, url))
         if self.fault == "busy":
             return defer.succeed(Reply(429, b"{}"))
@@ -120,7 +141,7 @@
         return self._reply(200, self.objects[kind, name])
 
     def _watch(self, kind, since):
-        if since < self.forgotten:
+        if since < self.forgotten or since > self.revision:
             return defer.succeed(self._reply(410, {}))
         answer = self._changes(kind, since)
         if json.loads(answer.body)["events"]:
@@ -139,6 +160,5 @@
         more = len(names) > PAGE
         return self._reply(200, {"items": items, "hasMore": more, "storeRevision": self.revision})
 
-    @staticmethod
-    def _reply(code, body):
-        return Reply(code, json.dumps(body).encode())
+    def _reply(self, code, body):
+        return Reply(code, json.dumps(body).encode(), self.era)
--- /dev/null
+++ b/tests/restore/fleet.py
@@ -0,0 +1,100 @@
+"""Gateways of several data centres before a store that comes back from copies, on a paused clock.
+
+As ``tests.peers.fleet``, but each gateway calls the store through its real client.
+"""
+
+from urllib.parse import parse_qs, urlsplit
+
+from twisted.internet import defer, task
+
+from guavacleat.platform.adapter import PlatformAdapter
+from guavacleat.store import StoreClient
+from tests.peers import fleet
+from tests.platform.store_standin import StoreStandin
+
+__all__ = ["RestoredFleet"]
+
+CALL_SECONDS = 0.8
+
+
+class Way:
+    """One gateway's way to the store; ``state`` is ``"open"`` or ``"refused"``."""
+
+    def __init__(self, clock, store):
+        self.clock, self.store = clock, store
+        self.state = "open"
+
+    def request(self, method, url, data=None, timeout=None, most_bytes=None):
+        self.store.asked += 1
+        if self.state != "open":
+            return defer.fail(ConnectionError(self.state))
+        answer = self.store.request(method, url, data, timeout)
+        query = parse_qs(urlsplit(url).query)
+        if "watch" in query and not answer.called:
+            wait = int(query["waitMs"][0]) / 1000
+            self.clock.callLater(wait, self._nothing_new, answer, int(query["watch"][0]))
+        return answer
+
+    def _nothing_new(self, answer, since):
+        if not answer.called:
+            self.store.waiting = [known for known in self.store.waiting if known[2] is not answer]
+            answer.callback(self.store._changes("", since))
+
+
+class Store(StoreStandin):
+    """Writes of engines and operators, as the fleet makes them."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.asked = 0
+
+    def write(self, kind, name, spec, deleted=False):
+        if deleted:
+            if (kind, name) in self.objects:
+                self.delete(kind, name)
+        else:
+            super().write(kind, name, spec)
+
+
+class RestoredFleet(fleet.Fleet):
+    """Endpoints write their entries once a second while they live, as the platform's do.
+
+    :ivar states_by_id: what each living endpoint writes.
+    """
+
+    def __init__(self, data_centres=2, per_data_centre=3, endpoints=("e1", "e2")):
+        self.states_by_id = {}
+        super().__init__(data_centres, per_data_centre, endpoints=endpoints)
+        self.beats = task.LoopingCall(self._beat)
+        self.beats.clock = self.clock
+        self.beats.start(1.0)
+
+    def make_store(self):
+        return Store(self.clock)
+
+    def connect(self):
+        way = Way(self.clock, self.store)
+        client = StoreClient("http://store", http=way, dialect=PlatformAdapter().dialect)
+        client.state_of_way = way
+        return client
+
+    def _beat(self):
+        for id, state in self.states_by_id.items():
+            self.store.write(fleet.ENDPOINTS, id, state)
+
+    def set_endpoint(self, id, state):
+        self.states_by_id[id] = state
+        super().set_endpoint(id, state)
+
+    def remove_endpoint(self, id):
+        self.states_by_id.pop(id, None)
+        super().remove_endpoint(id)
+
+    def lapse_dead(self):
+        """Remove the entries that nobody has written for long."""
+        known = [name for kind, name in self.store.objects if kind == fleet.ENDPOINTS]
+        for name in set(known) - set(self.states_by_id):
+            self.store.write(fleet.ENDPOINTS, name, None, deleted=True)
+
+    def restore(self):
+        self.store.restore()
