Crashes are told at once and then four times in their second, not with each report of load

The end of a rack would have put up to 128 fingerprints into each report for a second, up to 100 reports a second. A report with all that may be told stays under 6,000 bytes (test).

--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -26,6 +26,8 @@
 # cut off. In every report all that time, changes would be most of what is sent.
 NEWS_SECONDS = 1.0
 RETELL_SECONDS = 2.0
+# What is news of crashes is told again after so long within its second.
+REPEAT_SECONDS = 0.25
 
 
 class _News:
@@ -34,6 +36,7 @@
     def __init__(self, clock):
         self.clock = clock
         self._told_all_at = float("-inf")
+        self._crashes_told_at = float("-inf")
 
     def retells(self) -> bool:
         """Whether it is time to tell again what was told before."""
@@ -43,6 +46,18 @@
         self._told_all_at = now
         return True
 
+    def tells_crashes(self, changed_at: float) -> bool:
+        """Whether to tell of crashes now: something changed, or what was told may have been lost.
+
+        Load is reported many times a second; each time with the news of a second, the end of a
+        rack would multiply what gateways send just then.
+        """
+        now = self.clock.seconds()
+        if changed_at < self._crashes_told_at and now - self._crashes_told_at < REPEAT_SECONDS:
+            return False
+        self._crashes_told_at = now
+        return True
+
 
 class PeerExchange(protocol.DatagramProtocol):
     """Trades reports with the other gateways.
@@ -165,7 +180,7 @@
             return
         report = self._message(
             self.load.generations(),
-            self._news.retells(),
+            self._news,
             self.summaries.forwards(FORWARDERS),
             stops_in=self._stops_in(),
             store_away=self.registry.store_unreachable(),
@@ -181,7 +196,7 @@
         away = [self.registry.store_unreachable(), *(report.store_away for report in near)]
         summary = self._message(
             add_up([self.load.generations(), *(report.loads_by_endpoint for report in near)]),
-            self._summary_news.retells(),
+            self._summary_news,
             True,
             stops_in=None if None in stops else min(stops),
             store_away=all(away),
@@ -190,8 +205,13 @@
         )
         return encode_report(summary)
 
-    def _message(self, loads, retells: bool, forwards: bool, **fields) -> GatewayReport:
+    def _message(self, loads, news: _News, forwards: bool, **fields) -> GatewayReport:
         """A report; with ``forwards`` it passes on what others saw of crashes."""
+        retells = news.retells()
+        crashes = None
+        if news.tells_crashes(self.crashes.book.changed_at) or retells:
+            seconds = RECENT_SECONDS if retells else NEWS_SECONDS
+            crashes = self.crashes.message(seconds, forwards, everything=retells)
         news_seconds = RECENT_SECONDS if retells else NEWS_SECONDS
         self.sequence += 1
         return GatewayReport(
@@ -206,7 +226,7 @@
             endpoints_revision=self.endpoints.revision,
             endpoints_age=self.endpoints.age(),
             changes_since=self.endpoints.complete_since(news_seconds),
-            crashes=self.crashes.message(news_seconds, forwards, everything=retells),
+            crashes=crashes,
             **fields,
         )
 
--- a/src/guavacleat/quarantine/book.py
+++ b/src/guavacleat/quarantine/book.py
@@ -62,6 +62,8 @@
         self.on_learnt = lambda: None
         self.on_convicted = lambda fingerprint: None
         self.on_cleared = lambda fingerprint: None
+        # Clock time at which there was last something to tell.
+        self.changed_at = float("-inf")
         self.ends: list[EndpointEnd] = []
         self.ends_by_fingerprint: dict[int, list[EndpointEnd]] = {}
         self.trials_by_fingerprint: dict[int, Trial] = {}
@@ -70,6 +72,10 @@
             collections.OrderedDict()
         )
 
+    def _changed(self, tell) -> None:
+        self.changed_at = self.clock.seconds()
+        tell()
+
     def standing(self, fingerprint: int) -> Standing:
         """How a request with this fingerprint is treated now."""
         if fingerprint not in self.ends_by_fingerprint:
@@ -144,7 +150,7 @@
         if news:
             end.learned_at = self.clock.seconds()
             self._end_trials(end)
-            self.on_learnt()
+            self._changed(self.on_learnt)
 
     def restore(self, fingerprint: int, crashes: int) -> None:
         """Take in that a record in the store counts ``crashes`` ends, of times that are unknown."""
@@ -159,7 +165,7 @@
             return
         convicted = len(self.ends_by_fingerprint[fingerprint]) >= CONVICTING_CRASHES
         self._clear(fingerprint, self.clock.seconds())
-        self.on_change()
+        self._changed(self.on_change)
         if convicted:
             self.on_cleared(fingerprint)
 
@@ -169,7 +175,7 @@
         known = self.clearances_by_fingerprint.get(fingerprint)
         if known is None or at > known.at + SAME_END_SECONDS:
             self._clear(fingerprint, at)
-            self.on_learnt()
+            self._changed(self.on_learnt)
 
     def begin_trial(self, fingerprint: int, endpoint: str) -> None:
         """A request that must run apart is sent to ``endpoint``."""
@@ -181,7 +187,7 @@
             endpoint=endpoint,
             crashes=self._crashes(fingerprint),
         )
-        self.on_change()
+        self._changed(self.on_change)
 
     def end_trial(self, fingerprint: int) -> None:
         """What this gateway tried is over, one way or another."""
@@ -196,7 +202,7 @@
         if known is not None or age >= TRIAL_SECONDS or self._ended_since(fingerprint, at):
             return
         self.trials_by_fingerprint[fingerprint] = Trial(fingerprint, endpoint, at, own=False)
-        self.on_learnt()
+        self._changed(self.on_learnt)
 
     def trials(self) -> list[Trial]:
         """Trials under way, here and at peers."""
@@ -344,7 +350,7 @@
                     seconds=round(self._refused_until(fingerprint, crashes) - end.at, 1),
                 )
                 self.on_convicted(fingerprint)
-        self.on_change()
+        self._changed(self.on_change)
 
     def _end_trials(self, end: EndpointEnd) -> None:
         for fingerprint in end.fingerprints & self.trials_by_fingerprint.keys():
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -11,7 +11,7 @@
 from guavacleat.peers import PeerBook, PeerExchange
 from guavacleat.peers.book import RESTART_SECONDS, SILENCE_SECONDS
 from guavacleat.peers.directory import GatewayDirectory
-from guavacleat.peers.exchange import NEWS_SECONDS, RETELL_SECONDS
+from guavacleat.peers.exchange import NEWS_SECONDS, REPEAT_SECONDS, RETELL_SECONDS
 from guavacleat.peers.hearing import ConfigurationKnown, EndpointsKnown
 from guavacleat.peers.report import BadReportError, GatewayReport, decode_report, encode_report
 from guavacleat.placement import EndpointLoad, LoadBook, Run
@@ -22,6 +22,9 @@
 COUNTS = st.integers(0, 2**31 - 1)
 LOADS = st.builds(EndpointLoad, COUNTS, COUNTS, COUNTS)
 
+# A datagram of four packets: a few of them a second are within a gateway's 12 KB.
+LARGEST_CRASH_REPORT_BYTES = 6000
+
 
 @given(st.text(max_size=20), st.dictionaries(st.text(max_size=20), LOADS, max_size=5))
 def test_reports_survive_the_wire(instance, loads):
@@ -337,3 +340,31 @@
         endpoints_revision=10**6,
     )
     assert len(encode_report(told)) <= DATAGRAM_BYTES
+
+
+def test_crashes_are_told_at_once_and_not_with_each_report_of_load(clock):
+    """Guards against reports that repeat a rack's worth of crashes many times a second."""
+    found, load = exchange(clock, FakeStore())
+    book = found.crashes.book
+    for number in range(100):
+        book.confirm(book.broken(f"e{number}", number))
+    clock.advance(0.02)
+    told = [report.crashes for report, _ in found.transport.sent if report.crashes]
+    assert sum(len(end.fingerprints) for end in told[-1].ends) == 100
+    before = len(told)
+    for number in range(100):
+        load.begin("e1", Run(f"r{number}", expected=500))
+        clock.advance(0.01)
+    told = [report.crashes for report, _ in found.transport.sent if report.crashes]
+    assert len(told) - before <= 1.0 / REPEAT_SECONDS + 1
+
+
+def test_what_is_told_of_crashes_is_bounded(clock):
+    found, _ = exchange(clock, FakeStore())
+    book = found.crashes.book
+    for endpoint in range(200):
+        for request in range(40):
+            end = book.broken(f"i-{endpoint:08}", 1000 * endpoint + request)
+        book.confirm(end)
+    report = found._message({}, found._news, True)
+    assert len(encode_report(report)) <= LARGEST_CRASH_REPORT_BYTES
