--- /dev/null
+++ b/benchmarks/quarantine_cost.py
@@ -0,0 +1,58 @@
+"""Memory, bytes and CPU of what a gateway knows of requests that crash endpoints, at its bounds.
+
+Usage: python benchmarks/quarantine_cost.py
+"""
+
+import time
+import tracemalloc
+
+from twisted.internet.task import Clock
+
+from guavacleat.peers.crashes import CrashNews
+from guavacleat.peers.report import GatewayReport, encode_report
+from guavacleat.quarantine import CrashBook, fingerprint
+from guavacleat.quarantine.book import CLEARANCES_KEPT, ENDS_KEPT, FINGERPRINTS_PER_END
+
+REPEATS = 2000
+BODY = b"x" * 4096
+
+
+def fill(book: CrashBook, clock: Clock) -> None:
+    """A book at its bounds: ends far apart, one request in flight at three of them."""
+    for number in range(ENDS_KEPT):
+        requests = range(number * FINGERPRINTS_PER_END, (number + 1) * FINGERPRINTS_PER_END)
+        for request in (*(-1,) * (number < 3), *requests):
+            end = book.broken(f"i-{number:010}", request)
+        book.confirm(end)
+        clock.advance(2.0)
+    for request in range(CLEARANCES_KEPT):
+        book.learn_completed(10**9 + request, 0.0)
+
+
+def micros(work) -> float:
+    began = time.process_time()
+    for _ in range(REPEATS):
+        work()
+    return (time.process_time() - began) / REPEATS * 1e6
+
+
+def main() -> None:
+    clock = Clock()
+    book = CrashBook(clock)
+    tracemalloc.start()
+    fill(book, clock)
+    memory, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    news = CrashNews(clock, book)
+    told = news.message(1e9, forwards=True, everything=True)
+    empty = len(encode_report(GatewayReport("g1", 1, 1, {})))
+    full = len(encode_report(GatewayReport("g1", 1, 1, {}, crashes=told)))
+    print(f"book at its bounds: {memory / 1024:.0f} KB; a report: {full - empty} bytes of crashes")
+    print(f"standing of an unknown request: {micros(lambda: book.standing(-2)):.1f} us")
+    print(f"standing of a suspect: {micros(lambda: book.standing(-1)):.1f} us")
+    print(f"message: {micros(lambda: news.message(1e9, True, True)):.0f} us")
+    print(f"fingerprint of a body of {len(BODY)} bytes: {micros(lambda: fingerprint(BODY)):.1f} us")
+
+
+if __name__ == "__main__":
+    main()
