--- a/tests/e2e/test_routes_file.py
+++ b/tests/e2e/test_routes_file.py
@@ -10,6 +10,7 @@
 import json5
 import pytest
 
+from guavacleat.standin.routed import CRASH_BODY
 from tests.e2e.processes import Daemon
 
 START_SECONDS = 20.0
@@ -80,10 +81,10 @@
             assert time.monotonic() < deadline, "the ingress is not ready in time"
             time.sleep(0.05)
 
-    def ask(self, path, port=None):
+    def ask(self, path, port=None, body=b"", id=None):
         """Return status and body; the body is None if the answer broke off."""
         connection = http.client.HTTPConnection("127.0.0.1", port or self.port, timeout=5)
-        connection.request("POST", path, b"", {"Host": "h.example", "X-Request-Id": path})
+        connection.request("POST", path, body, {"Host": "h.example", "X-Request-Id": id or path})
         response = connection.getresponse()
         try:
             return response.status, response.read()
@@ -151,6 +152,19 @@
     assert cut.ask("/listing/1") == (200, None)
 
 
+@pytest.mark.parametrize("kind", ["page", "record", "listing"])
+def test_a_request_that_crashes_endpoints_is_refused_and_others_are_served(start, kind):
+    """Guards against one request, under ever new ids, that ends endpoint after endpoint."""
+    system = start(*["none"] * 6)
+    statuses = [
+        system.ask(f"/{kind}/same", body=CRASH_BODY, id=f"crash-{number}")[0] for number in range(8)
+    ]
+    assert statuses[-3:] == [503] * 3
+    assert statuses.count(502) <= 3
+    answers = [system.ask(f"/page/{number}") for number in range(20)]
+    assert {status for status, _ in answers} == {200}
+
+
 def test_the_gateway_serves_the_routes_file_beside_its_own_interface(start):
     system = start("none", command=("gateway", "--routes_listen"))
     assert system.ask("/page/1") == (200, b"done by e0")
