--- a/src/guavacleat/forwarding/apart.py
+++ b/src/guavacleat/forwarding/apart.py
@@ -22,7 +22,7 @@
 def place_apart(parts, request: ForwardedRequest, tried: set[str]) -> EndpointEntry | None:
     """Where a request runs that must not share an endpoint with many; None if none has room."""
     standing = check_quarantine(parts, request)
-    entry = parts.placement.apart(request, tried)
+    entry = parts.placement.least_shared(request, tried)
     if entry is not None and standing.convicted and not parts.placement.is_quiet(entry):
         raise _refusal(standing, RETRY_AFTER_NOT_QUIET)
     return entry
--- a/src/guavacleat/idempotency/records.py
+++ b/src/guavacleat/idempotency/records.py
@@ -146,7 +146,7 @@
             ) from exc
 
     def _require_settled(self) -> None:
-        """Raise StoreUnavailableError if other gateways may still have to write their claims again.
+        """Raise StoreUnavailableError while other gateways may still write lost claims again.
 
         A store that has never been restored is in era 0; of any other, a gateway that starts does
         not know how long ago that was.
@@ -183,11 +183,9 @@
         """The store came back from a copy: write again what it may have lost."""
         now = self.clock.seconds()
         self._unsettle(era)
-        lately = {
-            key: record
-            for key, (record, at) in self.written_by_key.items()
-            if now - at <= REWRITE_SECONDS
-        }
+        lately = [
+            key for key, (_, at) in self.written_by_key.items() if now - at <= REWRITE_SECONDS
+        ]
         log_message(message_type="idempotency:rewriting", era=era, records=len(lately))
         for key in lately:
             self._until_rewritten(key)
@@ -215,7 +213,7 @@
             return
         value = current.value
         if value["holder"] == record["holder"]:
-            if value["state"] == CLAIMED != record["state"]:
+            if value["state"] == CLAIMED and record["state"] != CLAIMED:
                 yield self.store.put(CALL_KIND, key, record, current.version)
             return
         if value["state"] == RELEASED:
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -208,11 +208,10 @@
     def _message(self, loads, news: _News, forwards: bool, **fields) -> GatewayReport:
         """A report; with ``forwards`` it passes on what others saw of crashes."""
         retells = news.retells()
+        news_seconds = RECENT_SECONDS if retells else NEWS_SECONDS
         crashes = None
         if news.tells_crashes(self.crashes.book.changed_at) or retells:
-            seconds = RECENT_SECONDS if retells else NEWS_SECONDS
-            crashes = self.crashes.message(seconds, forwards, everything=retells)
-        news_seconds = RECENT_SECONDS if retells else NEWS_SECONDS
+            crashes = self.crashes.message(news_seconds, forwards, everything=retells)
         self.sequence += 1
         return GatewayReport(
             self.directory.instance,
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -77,7 +77,7 @@
             return ready
         return [entry for entry in ready if entry.id not in avoided] or ready
 
-    def apart(self, request, exclude: set[str]) -> EndpointEntry | None:
+    def least_shared(self, request, exclude: set[str]) -> EndpointEntry | None:
         """The endpoint on which least runs, for a request that may end it; None if none has room.
 
         :param request: a ``ForwardedRequest``.
--- a/src/guavacleat/quarantine/guard.py
+++ b/src/guavacleat/quarantine/guard.py
@@ -28,9 +28,10 @@
 
 
 class QuarantineGuard:
-    """Sits between forwarding and the :class:`~.book.CrashBook`.
+    """Tells forwarding how to treat a request, and the :class:`~.book.CrashBook` how it ended.
 
-    Requests are anything with a ``content_key``, their fingerprint.
+    Requests are anything with a ``content_key``, their fingerprint; endpoints are named by their
+    ids, times are the clock's.
 
     :param probe: coroutine function that tries an endpoint and returns its :class:`Liveness`.
     """
