--- a/src/guavacleat/admission/generations.py
+++ b/src/guavacleat/admission/generations.py
@@ -105,7 +105,7 @@
         Fails with :class:`RefusalError` if the expected or the actual wait is too long.
         Cancelling the deferred removes the request from the queue and fires it with None.
         """
-        if not self.placement.ready(request.service, tried):
+        if not self.placement.ready_for(request, tried):
             return defer.succeed(None)
         queue = self.queues_by_service.setdefault(request.service, _ServiceQueue())
         now = self.clock.seconds()
--- a/src/guavacleat/commands/ctl.py
+++ b/src/guavacleat/commands/ctl.py
@@ -1,7 +1,9 @@
 """The operators' commands.
 
 - ``guavacleat ctl apply FILE``: apply a settings file as a whole.
-- ``guavacleat ctl status``: configuration versions and endpoints.
+- ``guavacleat ctl status``: configuration versions, endpoints and evacuated data centres.
+- ``guavacleat ctl evacuate DATA-CENTRE``: send no new requests to its endpoints.
+- ``guavacleat ctl restore DATA-CENTRE``: use its endpoints again.
 - ``guavacleat ctl order ENDPOINT model|adapter|version|role TARGET``: send an order to an engine.
 """
 
@@ -13,6 +15,7 @@
 from guavacleat.commands.common import FLAGS
 from guavacleat.ctl import apply_settings, read_status
 from guavacleat.errors import GuavacleatError, SettingsError
+from guavacleat.evacuations.objects import set_evacuated
 from guavacleat.gateway.sidecars import SidecarPool
 from guavacleat.orders.send import send_order
 from guavacleat.store import Revision, StoreClient
@@ -24,6 +27,7 @@
 
 USAGE = (
     "usage: guavacleat ctl apply FILE | guavacleat ctl status"
+    " | guavacleat ctl evacuate DATA-CENTRE | guavacleat ctl restore DATA-CENTRE"
     " | guavacleat ctl order ENDPOINT KIND TARGET   [--store URL]"
 )
 
@@ -59,6 +63,18 @@
     print(f"{endpoint} accepted order {fencing}: {kind} {target}")
 
 
+@defer.inlineCallbacks
+def _evacuate(reactor, data_centre: str):
+    changed = yield set_evacuated(StoreClient(FLAGS.store), data_centre, True)
+    print(f"{data_centre} is evacuated" if changed else f"{data_centre} was evacuated already")
+
+
+@defer.inlineCallbacks
+def _restore(reactor, data_centre: str):
+    changed = yield set_evacuated(StoreClient(FLAGS.store), data_centre, False)
+    print(f"{data_centre} is in use again" if changed else f"{data_centre} was not evacuated")
+
+
 def _exit_with_error(failure):
     failure.trap(GuavacleatError)
     sys.stderr.write(f"guavacleat ctl: {failure.value}\n")
@@ -66,7 +82,13 @@
 
 
 # Each command's function and its number of arguments.
-COMMANDS_BY_NAME = {"apply": (_apply, 1), "status": (_status, 0), "order": (_order, 3)}
+COMMANDS_BY_NAME = {
+    "apply": (_apply, 1),
+    "status": (_status, 0),
+    "evacuate": (_evacuate, 1),
+    "restore": (_restore, 1),
+    "order": (_order, 3),
+}
 
 
 def main(argv):
--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -28,6 +28,8 @@
     NOT_ALLOWED = "not allowed"
     NO_ROOM = "refused: no room"
     QUARANTINED = "refused: crashes endpoints"
+    EVACUATED = "refused: data centre evacuated"
+    COLD = "refused: endpoint cold"
     REFUSED = "refused: other"
     EXPIRED = "time up"
     INCOMPLETE_ANSWER = "no whole answer"
@@ -127,6 +129,18 @@
 
 def _refused(timeline: RequestTimeline) -> Cause | None:
     end = timeline.end
+    if end.get("outcome") == "EVACUATED":
+        return Cause(
+            CauseKind.EVACUATED,
+            "The data centres of its service's endpoints were evacuated. It has not run and may be"
+            f" retried after {end.get('retry_after')} s.",
+        )
+    if end.get("outcome") == "COLD":
+        return Cause(
+            CauseKind.COLD,
+            "The endpoints of its service were cold, and its gateway's share of the rate that they"
+            f" bear was used up for {end.get('retry_after')} s. It has not run.",
+        )
     sentences = {
         "NO_CONFIGURATION": "Its gateway had no configuration yet.",
         "BEHIND": "Another gateway had a newer configuration, which may allow it.",
--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -33,13 +33,17 @@
         :param with_backup: whether a backup may be requested.
         """
         run = self.memory.begin_run(entry, resumed=resume is not None)
+        warmup = self.context.placement.warmup
+        warmup.record_send(entry)
         try:
             connection = await self.context.pool.connect(entry.address)
         except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
             self.context.load.end(entry.id, run)
             self.context.load.record_failure(entry.id)
+            warmup.record_unreachable(entry)
             self.log("stream:unreachable", endpoint=entry.id, error=repr(exc))
             return None
+        warmup.record_reached(entry)
         if self.session.finished or self.session.time_left() <= 0:
             self.context.load.end(entry.id, run)
             connection.abandon()
@@ -90,7 +94,7 @@
         if not self.context.quarantine.is_unrestricted(self.request):
             return None
         expected = self.memory.expected_tokens()
-        target = self.context.placement.choose_backup_target(entry, expected, engine)
+        target = self.context.placement.choose_backup_target(self.request, entry, expected)
         if target is None:
             return None
         return RunCopy(target, target, self.request.metadata.id, backup=True)
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -6,10 +6,11 @@
 """
 
 from eliot import log_message
+from twisted.internet import task
 
 from guavacleat.forwarding.isolation import place_isolated
 from guavacleat.forwarding.messages import ForwardingMetadata
-from guavacleat.forwarding.refusals import RefusalError, RefusalReason
+from guavacleat.forwarding.refusals import RefusalError, RefusalReason, no_endpoint
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.response import AttemptOutcome, CheckedResponse, begin_response
 from guavacleat.membership.registry import EndpointEntry
@@ -22,8 +23,10 @@
 ATTEMPT_TIMEOUT_GOALS = 3.0
 # Maximum number of sends of one request, including those that an endpoint refused.
 MAX_SENDS = 4
-RETRY_AFTER_NO_ENDPOINT_SECONDS = 1.0
 RETRY_AFTER_NO_ROOM_SECONDS = 0.5
+# Maximum wait for a cold endpoint, as a multiple of the route's latency goal.
+COLD_WAIT_GOALS = 0.5
+MIN_COLD_WAIT_SECONDS = 0.01
 SERVER_ERROR = 500
 NOT_RUN_OUTCOMES = (
     AttemptOutcome.NOT_RUN,
@@ -47,9 +50,9 @@
             if runs and not self.context.quarantine.is_unrestricted(request):
                 # A suspect request that was already executed is not retried.
                 break
-            entry = self._choose_endpoint(request, tried)
+            entry = await self._choose_endpoint(request, tried)
             if entry is None and runs == 0 and not tried:
-                raise RefusalError(RefusalReason.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT_SECONDS)
+                raise no_endpoint(self.context, request)
             if entry is None:
                 break
             tried.add(entry.id)
@@ -69,10 +72,22 @@
                 return
         self._give_up(request, runs)
 
-    def _choose_endpoint(self, request: ForwardedRequest, tried: set[str]) -> EndpointEntry | None:
-        if self.context.quarantine.is_unrestricted(request):
-            return self.context.placement.choose_for_plain_request(request.service, tried)
-        return place_isolated(self.context, request, tried)
+    async def _choose_endpoint(
+        self, request: ForwardedRequest, tried: set[str]
+    ) -> EndpointEntry | None:
+        """The endpoint to send to; waits for a cold one if there are no others."""
+        if not self.context.quarantine.is_unrestricted(request):
+            return place_isolated(self.context, request, tried)
+        placement = self.context.placement
+        entry = placement.choose_for_plain_request(request, tried)
+        wait_until = self.context.clock.seconds() + COLD_WAIT_GOALS * request.route.latency_goal
+        while entry is None and not request.exchange.disconnected:
+            wait = placement.seconds_until_available(request, tried)
+            if wait is None or self.context.clock.seconds() + wait > wait_until:
+                return None
+            await task.deferLater(self.context.clock, max(wait, MIN_COLD_WAIT_SECONDS))
+            entry = placement.choose_for_plain_request(request, tried)
+        return entry
 
     def _may_retry(self, request: ForwardedRequest, runs: int) -> bool:
         if runs and request.route.kind is not RequestKind.IDEMPOTENT:
@@ -90,7 +105,7 @@
             request.route.kind is not RequestKind.IDEMPOTENT
             or runs + 1 >= request.route.max_attempts
             or not self.context.budget.may_retry(request.service)
-            or self.context.placement.choose_for_plain_request(request.service, tried) is None
+            or self.context.placement.choose_for_plain_request(request, tried) is None
         )
 
     def _should_retry_failure(
@@ -99,9 +114,7 @@
         """Whether to retry after a server error."""
         if response.head.status < SERVER_ERROR:
             return False
-        has_endpoint = (
-            self.context.placement.choose_for_plain_request(request.service, set()) is not None
-        )
+        has_endpoint = self.context.placement.choose_for_plain_request(request, set()) is not None
         return has_endpoint and self._may_retry(request, runs)
 
     async def _attempt(self, request, entry, last_attempt):
@@ -109,12 +122,16 @@
         context = self.context
         started_at = context.clock.seconds()
         response = CheckedResponse(request.exchange, request.metadata.id, context.wire)
+        warmup = context.placement.warmup
+        warmup.record_send(entry)
         try:
             connection = await context.pool.connect(entry.address)
         except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
             context.load.record_failure(entry.id)
+            warmup.record_unreachable(entry)
             self._log_attempt(request, entry, AttemptOutcome.UNREACHABLE, response, repr(exc))
             return AttemptOutcome.UNREACHABLE, response
+        warmup.record_reached(entry)
         time_left = request.deadline - context.clock.seconds()
         if time_left <= 0 or request.exchange.disconnected:
             connection.abandon()
--- a/src/guavacleat/forwarding/refusals.py
+++ b/src/guavacleat/forwarding/refusals.py
@@ -2,7 +2,10 @@
 
 import enum
 
-__all__ = ["RefusalError", "RefusalReason"]
+__all__ = ["RefusalError", "RefusalReason", "no_endpoint"]
+
+RETRY_AFTER_NO_ENDPOINT_SECONDS = 1.0
+MIN_RETRY_AFTER_SECONDS = 0.1
 
 
 class RefusalReason(enum.Enum):
@@ -16,6 +19,8 @@
     NO_CONFIGURATION = (503, "no configuration received yet")
     BEHIND = (503, "not in this configuration, but a peer has a newer one")
     NO_ENDPOINT = (503, "no endpoint is ready")
+    EVACUATED = (503, "all data centres with endpoints of the service are evacuated")
+    COLD = (503, "the endpoints are cold and get no more requests for now")
     NO_ROOM = (503, "no capacity before the deadline")
     NO_MEMORY = (503, "request body memory limit reached")
     STOPPING = (503, "gateway shuts down before the request could finish")
@@ -39,3 +44,15 @@
         self.reason = reason
         self.retry_after = retry_after
         self.detail = detail
+
+
+def no_endpoint(context, request) -> RefusalError:
+    """The refusal of a request for which there is no endpoint at present."""
+    wait = context.placement.seconds_until_available(request, set())
+    if wait is not None:
+        return RefusalError(RefusalReason.COLD, max(MIN_RETRY_AFTER_SECONDS, wait))
+    ready = context.registry.ready(request.service)
+    reason = RefusalReason.NO_ENDPOINT
+    if any(not context.placement.is_allowed(entry) for entry in ready):
+        reason = RefusalReason.EVACUATED
+    return RefusalError(reason, RETRY_AFTER_NO_ENDPOINT_SECONDS)
--- a/src/guavacleat/forwarding/request.py
+++ b/src/guavacleat/forwarding/request.py
@@ -90,6 +90,13 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def regions(self) -> frozenset[str] | None:
+        """The regions that both the route and the account allow; None for all."""
+        limits = [self.route.regions, self.account.regions if self.account else None]
+        limits = [regions for regions in limits if regions is not None]
+        return frozenset.intersection(*limits) if limits else None
+
     @property
     def prompt_tokens(self) -> int:
         return self.metadata.prompt_tokens
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -15,7 +15,7 @@
 from guavacleat.forwarding.isolation import check_quarantine, may_resume_at, place_isolated
 from guavacleat.forwarding.memory import StreamMemory
 from guavacleat.forwarding.messages import ResumePoint
-from guavacleat.forwarding.refusals import RefusalError, RefusalReason
+from guavacleat.forwarding.refusals import RefusalError, RefusalReason, no_endpoint
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.response import begin_response
 from guavacleat.forwarding.stream_attempt import StreamAttempt, StreamOutcome
@@ -26,7 +26,6 @@
 
 # Maximum number of sends while no endpoint has started to run the request.
 MAX_SENDS = 4
-RETRY_AFTER_NO_ENDPOINT_SECONDS = 1.0
 RETRY_AFTER_NO_ROOM_SECONDS = 1.0
 NOT_RUN_OUTCOMES = (StreamOutcome.NOT_RUN, StreamOutcome.WRONG_INCARNATION)
 
@@ -140,7 +139,7 @@
             if self.cancelled or self.time_left() <= 0:
                 break
         if not tried:
-            raise RefusalError(RefusalReason.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT_SECONDS)
+            raise no_endpoint(self.context, request)
         raise RefusalError(RefusalReason.NO_ROOM, RETRY_AFTER_NO_ROOM_SECONDS)
 
     async def _choose_endpoint(self, tried: set[str]) -> EndpointEntry | None:
@@ -151,7 +150,7 @@
             if entry is not None or request.traits.engine is None:
                 return entry
         if request.traits.engine is None:
-            return self.context.placement.choose_for_plain_request(request.service, tried)
+            return self.context.placement.choose_for_plain_request(request, tried)
         self.pending_placement = self.context.queue.acquire(request, tried)
         try:
             entry = await self.pending_placement
@@ -180,6 +179,8 @@
             return False
         if not self.context.quarantine.is_unrestricted(self.request):
             return False
+        if not self.context.placement.warmup.may_send(self.memory.copy.entry):
+            return False
         self.handover = Handover(self)
         try:
             switched = await self.handover.run()
@@ -241,7 +242,10 @@
         self.memory.drop_copy()
         if copy is None or self.last_event is None or self.finished:
             return False
-        if not may_resume_at(self.context, self.request, copy.entry):
+        warmup = self.context.placement.warmup
+        if not may_resume_at(self.context, self.request, copy.entry) or not warmup.may_send(
+            copy.entry
+        ):
             self._log("stream:not-resumed", endpoint=copy.entry.id)
             return False
         self.context.budget.record_retry(self.request.service)
--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -9,6 +9,8 @@
 
 from guavacleat.admission.dispatcher import Dispatcher
 from guavacleat.config.holder import CONFIG_KIND, ConfigHolder
+from guavacleat.evacuations import EvacuationRegister
+from guavacleat.evacuations.objects import EVACUATION_KIND, decode_evacuation
 from guavacleat.gateway.app import GatewayApp
 from guavacleat.gateway.sidecars import SidecarPool
 from guavacleat.idempotency import CallRecords
@@ -55,7 +57,8 @@
         self.stop_grace = stop_grace
         self.store = StoreClient(store_url)
         self.config = ConfigHolder(deployment)
-        self.membership = MembershipView(reactor, owner=uuid4().hex)
+        self.evacuations = EvacuationRegister(reactor)
+        self.membership = MembershipView(reactor, uuid4().hex, self.evacuations)
         self.router = get_router_by_name(ROUTER, reactor)
         self.dispatcher = Dispatcher(reactor, self.membership, self.router)
         self.metrics = StreamMetrics()
@@ -73,6 +76,7 @@
                 on_health=self.membership.record_store_health,
                 pause=lambda: ENDPOINT_WATCH_PAUSE_SECONDS,
             ),
+            self._new_evacuation_watch(),
         ]
         self.instance_poller = InstancePoller(
             reactor, self.store, self.membership.set_leaving_instances
@@ -81,6 +85,18 @@
         self.stopping = False
         self.port = None
 
+    def _new_evacuation_watch(self) -> WatchLoop:
+        register = self.evacuations
+        watch = WatchLoop(
+            self.reactor,
+            self.store,
+            EVACUATION_KIND,
+            lambda stored: register.observe(decode_evacuation(stored)),
+            on_listed=lambda names: register.observe_listing(names, watch.revision),
+            on_revision=register.observe_complete,
+        )
+        return watch
+
     def _endpoint_changed(self, stored) -> None:
         self.membership.observe(stored.value)
 
@@ -136,6 +152,7 @@
                 name: [record.name for record in self.membership.live(name)]
                 for name in sorted(deployment.services_by_name if deployment else ())
             },
+            "evacuated_data_centres": self.evacuations.evacuated_names(),
             "in_flight": self.in_flight,
             "waiting": self.dispatcher.depth(),
             "refused": self.dispatcher.refused,
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -48,6 +48,14 @@
             "guavacleat_requests_quarantined",
             "Requests, by what they ask for, that are refused as endpoints ended under them.",
         )
+        self.evacuated = self._gauge(
+            "guavacleat_evacuated_data_centres",
+            "Data centres whose endpoints get no new requests because operators evacuated them.",
+        )
+        self.cold_endpoints = self._gauge(
+            "guavacleat_cold_endpoints",
+            "Endpoints that get a limited rate of requests because they may be cold.",
+        )
         self.store_era = self._gauge(
             "guavacleat_store_era",
             "Latest era of the store that is known: how often it came back from a copy.",
@@ -81,6 +89,11 @@
         self.crashes.set({}, sum(crash.confirmed for crash in tracker.endpoint_crashes))
         self.quarantined.set({}, len(tracker.quarantined_fingerprints()))
 
+    def update_availability(self, evacuations, warmup) -> None:
+        """Update the gauges of evacuated data centres and cold endpoints."""
+        self.evacuated.set({}, len(evacuations.evacuated_names()))
+        self.cold_endpoints.set({}, warmup.cold_count())
+
     def update_control_traffic(self, traffic) -> None:
         """Update the gauges from a :class:`~guavacleat.ingress.sources.ControlTraffic`."""
         for type, calls in traffic.calls_by_type.items():
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -5,6 +5,7 @@
 
 from guavacleat.admission.generations import GenerationQueue
 from guavacleat.errors import SettingsError
+from guavacleat.evacuations import EvacuationRegister
 from guavacleat.forwarding.context import ForwardingContext
 from guavacleat.forwarding.wire import Wire
 from guavacleat.http1.pool import ConnectionPool
@@ -19,9 +20,10 @@
 from guavacleat.placement import LoadTracker, Placement
 from guavacleat.quarantine import CrashTracker, QuarantineGuard
 from guavacleat.retries import RetryBudget
-from guavacleat.routes import CallerLimits
+from guavacleat.routes import CallerLimits, ServiceTraits
 from guavacleat.routes.holder import RouteHolder
 from guavacleat.settings import ProcessSettings
+from guavacleat.warmup import ShareRule, WarmupLimiter
 
 __all__ = ["IngressService"]
 
@@ -67,7 +69,12 @@
         self.stopping = False
         self.holder = RouteHolder()
         self.pool = ConnectionPool(reactor)
-        self.registry = EndpointRegistry(reactor, self._endpoint_leaving, self._endpoint_restarted)
+        self.registry = EndpointRegistry(
+            reactor, self._endpoint_leaving, self._endpoint_restarted, self._endpoint_cold
+        )
+        self.evacuations = EvacuationRegister(
+            reactor, self._data_centre_evacuated, self._data_centre_restored
+        )
         self.load = LoadTracker(reactor)
         self.peers = PeerTable(reactor)
         self.load.peers = self.peers
@@ -76,8 +83,15 @@
         quarantine = QuarantineGuard(
             reactor, self.crash_tracker, EndpointProbe(self.pool, self.registry)
         )
+        self.warmup = WarmupLimiter(reactor, self._share_rule(), self._find_service)
         placement = Placement(
-            self.registry, self.load, settings.data_centre, avoided_ids=quarantine.trial_endpoints
+            self.registry,
+            self.load,
+            settings.data_centre,
+            avoided_ids=quarantine.trial_endpoints,
+            evacuations=self.evacuations,
+            warmup=self.warmup,
+            regions_by_data_centre=settings.regions_by_data_centre,
         )
         queue = GenerationQueue(reactor, placement)
         self.load.listeners.append(queue.schedule_dispatch)
@@ -110,16 +124,45 @@
         self.status_listener = CallerListener(reactor, self._answer_status_request, CallerLimits)
         self.ports = []
 
+    def _share_rule(self) -> ShareRule:
+        settings = self.settings
+        return ShareRule(
+            settings.instance,
+            settings.data_centre,
+            settings.regions_by_data_centre,
+            settings.bounds,
+            self.source,
+        )
+
+    def _find_service(self, name: str) -> ServiceTraits | None:
+        table = self.holder.table
+        return None if table is None else table.services_by_name.get(name)
+
+    def _data_centre_evacuated(self, data_centre: str) -> None:
+        self.evacuator.data_centre_evacuated(data_centre)
+
+    def _data_centre_restored(self, data_centre: str) -> None:
+        """Warm up the endpoints of a data centre that may have become cold meanwhile."""
+        for entry in self.registry.all_ready():
+            if entry.data_centre == data_centre:
+                self.warmup.mark_cold(entry)
+        self.context.queue.schedule_dispatch()
+
+    def _endpoint_cold(self, entry) -> None:
+        self.warmup.mark_cold(entry, entry.cold_for)
+
     def _endpoint_leaving(self, entry) -> None:
         announced = entry.state is EndpointState.DRAINING
         self.context.quarantine.endpoint_removed(entry.id, announced)
         self.load.forget(entry.id)
+        self.warmup.forget(entry.id)
         self.pool.drop(entry.address)
         self.evacuator.endpoint_leaving(entry)
 
     def _endpoint_restarted(self, previous) -> None:
         self.context.quarantine.endpoint_removed(previous.id, announced=False)
         self.load.forget(previous.id)
+        self.warmup.mark_cold(previous)
         self.pool.drop(previous.address)
         self.evacuator.endpoint_restarted(previous)
 
@@ -133,6 +176,7 @@
         return (
             not self.stopping
             and self.holder.table is not None
+            and self.evacuations.complete_to is not None
             and bool(self.registry.entries_by_id)
         )
 
@@ -173,6 +217,7 @@
     def _exposition(self) -> bytes:
         self.metrics.update_configuration(self.holder, self.source.failures_by_kind())
         self.metrics.update_quarantine(self.crash_tracker)
+        self.metrics.update_availability(self.evacuations, self.warmup)
         self.metrics.update_control_traffic(self.source.control_traffic())
         return self.metrics.exposition()
 
--- a/src/guavacleat/membership/registry.py
+++ b/src/guavacleat/membership/registry.py
@@ -52,6 +52,7 @@
     :param slots: number of requests it processes concurrently.
     :param revision: the store's revision of the entry.
     :param started_ms: start time of its process in Unix milliseconds; None if unknown.
+    :param cold_for: seconds for which it stays cold after the entry was written; 0 if it is warm.
     """
 
     __slots__ = (
@@ -63,6 +64,7 @@
         "state",
         "revision",
         "started_ms",
+        "cold_for",
     )
 
     def __init__(
@@ -75,6 +77,7 @@
         state: EndpointState,
         revision: int = 0,
         started_ms: int | None = None,
+        cold_for: float = 0.0,
     ):
         self.id = id
         self.service = service
@@ -84,6 +87,7 @@
         self.state = state
         self.revision = revision
         self.started_ms = started_ms
+        self.cold_for = cold_for
 
     def is_same_process(self, other: "EndpointEntry") -> bool:
         """Whether both entries describe the same process."""
@@ -106,6 +110,7 @@
             state,
             revision,
             self.started_ms,
+            self.cold_for,
         )
 
 
@@ -131,13 +136,17 @@
 
     ``on_leaving(entry)`` is called once per incarnation that is leaving or was removed,
     ``on_restarted(previous)`` with the previous entry of an endpoint that restarted with the same
-    id, and ``on_change()`` after each change to be gossiped.
+    id, ``on_cold(entry)`` when an endpoint reports that it is cold, and ``on_change()`` after each
+    change to be gossiped.
     """
 
-    def __init__(self, clock: IReactorTime, on_leaving=None, on_restarted=None):
+    def __init__(
+        self, clock: IReactorTime, on_leaving=None, on_restarted=None, on_cold=lambda entry: None
+    ):
         self.clock = clock
         self.on_leaving = on_leaving or (lambda entry: None)
         self.on_restarted = on_restarted or (lambda entry: None)
+        self.on_cold = on_cold
         self.entries_by_id: dict[str, EndpointEntry] = {}
         self.on_change = lambda: None
         # Endpoints reported to ``on_leaving`` that are neither removed nor ready again.
@@ -174,9 +183,12 @@
         restarted = previous is not None and previous.started_before(entry)
         if restarted:
             self._report_restart(previous)
-        if restarted or previous is None or previous.state is not entry.state:
+        turned_cold = bool(entry.cold_for) and not (previous is not None and previous.cold_for)
+        if restarted or previous is None or previous.state is not entry.state or turned_cold:
             self._log(entry, entry.state.value)
             self._record_change(entry.id, entry.revision, entry)
+        if entry.cold_for:
+            self.on_cold(entry)
         if entry.state is EndpointState.DRAINING:
             self._report_leaving(entry)
         elif entry.state is EndpointState.READY:
--- a/src/guavacleat/membership/view.py
+++ b/src/guavacleat/membership/view.py
@@ -28,10 +28,13 @@
     """Endpoint records and the times of their last renewals.
 
     :param owner: this gateway's name, which determines its subset of large services.
+    :param evacuations: the :class:`~guavacleat.evacuations.EvacuationRegister`; None if no data
+        centre is ever evacuated.
     """
 
-    def __init__(self, clock: IReactorTime, owner: str = ""):
+    def __init__(self, clock: IReactorTime, owner: str = "", evacuations=None):
         self.clock = clock
+        self.evacuations = evacuations
         self.owner = owner
         self.ordered_by_service: dict[str, list[str]] = {}
         self.records_by_name: dict[str, EndpointRecord] = {}
@@ -91,6 +94,7 @@
     def _accepts_requests(self, record: EndpointRecord, oldest: float) -> bool:
         return (
             not record.draining
+            and (self.evacuations is None or self.evacuations.is_usable(record.data_centre))
             and self.seen_at_by_name[record.name] >= oldest
             and (not record.instance or record.instance not in self.leaving_instances)
         )
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -73,6 +73,16 @@
             )
             session.stop_current_attempt()
 
+    def data_centre_evacuated(self, data_centre: str) -> None:
+        """Drop the copies in an evacuated data centre, as no stream may resume there.
+
+        Streams that run there are left to finish: their engines go on serving.
+        """
+        for session in self.sessions:
+            copy = session.memory.copy
+            if copy is not None and copy.entry.data_centre == data_centre:
+                session.memory.drop_copy()
+
     def _drop_copies_on(self, entry: EndpointEntry) -> None:
         for session in self.sessions:
             if session.memory.copy is not None and session.memory.copy.entry.id == entry.id:
@@ -153,9 +163,10 @@
         """Copy one stream, trying up to two targets; return whether it succeeded."""
         tried: set[str] = set()
         for _ in range(2):
-            engine = session.request.traits.engine
             expected = session.memory.expected_tokens()
-            target = self.context.placement.choose_move_target(entry, expected, engine, tried)
+            target = self.context.placement.choose_move_target(
+                session.request, entry, expected, tried
+            )
             if target is None or not self._runs_on(session, entry):
                 return False
             tried.add(target.id)
@@ -169,6 +180,7 @@
                 response.copied
                 and self._runs_on(session, entry)
                 and self.context.registry.is_current(target)
+                and self.context.placement.is_allowed(target)
             )
             if usable:
                 session.memory.set_copy(RunCopy(target, entry, response.handle))
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 from twisted.internet import defer, protocol, task
 
+from guavacleat.evacuations import EvacuationRegister
 from guavacleat.membership.registry import CHANGE_RETENTION_SECONDS, EndpointRegistry
 from guavacleat.peers.crashes import CrashGossip
 from guavacleat.peers.directory import GatewayDirectory
@@ -75,6 +76,7 @@
     :param directory: this gateway's :class:`~.directory.GatewayDirectory`.
     :param configuration: a :class:`~.sync.ConfigurationSyncState`.
     :param endpoints: an :class:`~.sync.EndpointSyncState`.
+    :param evacuations: this gateway's :class:`~guavacleat.evacuations.EvacuationRegister`.
     :param crash_tracker: this gateway's :class:`~guavacleat.quarantine.CrashTracker`.
     :param on_report: called after each accepted report.
     """
@@ -88,6 +90,7 @@
         registry: EndpointRegistry,
         configuration: ConfigurationSyncState,
         endpoints: EndpointSyncState,
+        evacuations: EvacuationRegister,
         crash_tracker: CrashTracker,
         on_report=lambda: None,
     ):
@@ -98,6 +101,7 @@
         self.registry = registry
         self.configuration = configuration
         self.endpoints = endpoints
+        self.evacuations = evacuations
         self.crash_gossip = CrashGossip(reactor, crash_tracker)
         self.on_report = on_report
         self.summaries = SummaryExchange(
@@ -121,6 +125,7 @@
         self._heartbeat.clock = reactor
         load.listeners.append(self.on_load_change)
         registry.on_change = self._endpoint_changed
+        evacuations.on_change = self._endpoint_changed
         crash_tracker.on_local_change = self._endpoint_changed
         crash_tracker.on_remote_change = self.summaries.endpoint_changed
 
@@ -170,6 +175,16 @@
         )
         return 1 + len(neighbours)
 
+    def local_gateways(self) -> list[str]:
+        """The gateways of this data centre, this one included, that requests may be shared with.
+
+        These are the live ones. A gateway that hears of fewer than half of those it knows is
+        probably cut off, and counts all of them.
+        """
+        alive = {self.directory.instance, *(report.instance for report in self.peer_table.alive())}
+        known = alive | set(self.directory.local_addresses_by_instance)
+        return sorted(alive if 2 * len(alive) >= len(known) else known)
+
     def on_load_change(self) -> None:
         """Schedule a report and a summary."""
         self._schedule_report()
@@ -257,6 +272,7 @@
             endpoints_age=self.endpoints.age(),
             changes_since=self.endpoints.complete_since(change_seconds),
             crashes=crashes,
+            evacuations=tuple(self.evacuations.changes_by_data_centre.values()),
             **fields,
         )
 
@@ -300,6 +316,9 @@
         previous = self.peer_table.peers_by_instance.get(report.instance)
         if not self.peer_table.observe(report):
             return
+        if previous is None or previous.report.incarnation != report.incarnation:
+            # A gateway that has just started knows neither the load nor the evacuations.
+            self._schedule_report()
         self._apply_report(report)
         if previous is None or not _same_loads(previous.report, report):
             self.summaries.load_changed()
@@ -315,6 +334,10 @@
 
     def _apply_report(self, report: GatewayReport) -> None:
         """Apply a peer's knowledge of the store and of crashes."""
+        if report.evacuations is not None:
+            self.evacuations.observe_peer(
+                report.evacuations, report.endpoints_revision, report.endpoints_age
+            )
         for change in report.changes:
             self.registry.observe_peer_change(change, self.endpoints.revision)
         if report.crashes is not None:
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -6,6 +6,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
+from guavacleat.evacuations import EvacuationChange
 from guavacleat.membership.registry import EndpointChange, EndpointEntry, EndpointState
 from guavacleat.placement import EndpointLoad
 from guavacleat.protocol.gen.peers import ttypes
@@ -37,6 +38,8 @@
     :param endpoints_age: seconds since that was known to be the latest revision.
     :param changes_since: see ``changes``.
     :param crashes: requests that crash endpoints, see ``peers.crashes``.
+    :param evacuations: the sender's register of evacuations, complete to ``endpoints_revision``;
+        None from a sender of a release without evacuations.
     """
 
     __slots__ = (
@@ -56,6 +59,7 @@
         "endpoints_age",
         "changes_since",
         "crashes",
+        "evacuations",
     )
 
     def __init__(
@@ -76,6 +80,7 @@
         endpoints_age: float | None = None,
         changes_since: int | None = None,
         crashes: ttypes.Crashes | None = None,
+        evacuations: tuple[EvacuationChange, ...] | None = (),
     ):
         self.instance = instance
         self.incarnation = incarnation
@@ -93,6 +98,7 @@
         self.endpoints_age = endpoints_age
         self.changes_since = changes_since
         self.crashes = crashes
+        self.evacuations = evacuations
 
     @property
     def is_summary(self) -> bool:
@@ -124,6 +130,7 @@
         _to_offset(base_revision, report.changes_since),
         report.crashes,
         int(base_revision) or None,
+        _encode_evacuations(report.evacuations, base_revision),
     )
     buffer = TMemoryBuffer()
     message.write(TCompactProtocolAccelerated(buffer))
@@ -150,6 +157,7 @@
         }
         base_revision = message.revisions_from or 0
         changes = [_decode_change(change, base_revision) for change in message.changes or ()]
+        evacuations = _decode_evacuations(message.evacuations, base_revision)
     except Exception as exc:  # noqa: BLE001 - thrift raises many kinds on bytes it cannot read
         raise BadReportError(repr(exc)) from exc
     return GatewayReport(
@@ -169,6 +177,7 @@
         message.endpoints_age,
         _from_offset(base_revision, message.changes_since),
         message.crashes,
+        evacuations,
     )
 
 
@@ -194,6 +203,7 @@
         entry.state is EndpointState.DRAINING,
         entry.started_ms,
         entry.state is EndpointState.UNUSABLE,
+        entry.cold_for or None,
     )
 
 
@@ -210,6 +220,7 @@
         _decode_state(change),
         revision,
         change.started_ms,
+        change.cold_for or 0.0,
     )
     return EndpointChange(change.endpoint, revision, entry)
 
@@ -218,3 +229,29 @@
     if change.unusable:
         return EndpointState.UNUSABLE
     return EndpointState.DRAINING if change.draining else EndpointState.READY
+
+
+def _encode_evacuations(
+    changes: tuple[EvacuationChange, ...] | None, base_revision: int
+) -> list[ttypes.Evacuation] | None:
+    if changes is None:
+        return None
+    return [
+        ttypes.Evacuation(
+            change.data_centre, _to_offset(base_revision, change.revision), change.evacuated
+        )
+        for change in changes
+    ]
+
+
+def _decode_evacuations(
+    changes: list[ttypes.Evacuation] | None, base_revision: int
+) -> tuple[EvacuationChange, ...] | None:
+    if changes is None:
+        return None
+    return tuple(
+        EvacuationChange(
+            change.data_centre, _from_offset(base_revision, change.revision), change.evacuated
+        )
+        for change in changes
+    )
--- a/src/guavacleat/peers/sync.py
+++ b/src/guavacleat/peers/sync.py
@@ -117,16 +117,19 @@
         # (clock time, revision known from that time), oldest first.
         self._history: collections.deque[tuple[float, int]] = collections.deque()
 
-    def record_store_answer(self, revision: int) -> None:
-        """Record that the store returned all changes up to ``revision``."""
+    def record_store_answer(self, revision: int, age: float = 0.0) -> None:
+        """Record that the store returned all changes up to ``revision``, ``age`` seconds ago."""
         self._relist_at = self.clock.seconds() + random.uniform(*RELIST_SECONDS)
-        self._confirm_current(0.0)
+        self._confirm_current(age)
         self._advance(revision)
 
     def observe_report(self, report: GatewayReport) -> None:
-        """Apply a report's revision, after its changes have been applied."""
+        """Apply a report's revision, after its changes and evacuations have been applied.
+
+        A report of a release without evacuations is no evidence that they are known.
+        """
         reported = report.endpoints_revision
-        if reported is None or self.revision is None:
+        if reported is None or self.revision is None or report.evacuations is None:
             return
         self._reported_revision = max(self._reported_revision, reported)
         complete = report.changes_since is not None and report.changes_since <= self.revision
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -2,9 +2,11 @@
 
 import random
 
+from guavacleat.evacuations import EvacuationRegister
 from guavacleat.membership.registry import EndpointEntry, EndpointRegistry
 from guavacleat.placement.load import LoadTracker
 from guavacleat.routes import EngineTraits
+from guavacleat.warmup import WarmupLimiter
 
 __all__ = ["Placement"]
 
@@ -45,8 +47,15 @@
 class Placement:
     """Chooses among the ready endpoints of a service.
 
+    Endpoints in evacuated data centres, and in regions that a request's route or account excludes,
+    are never chosen. Cold ones are chosen within this gateway's share of the rate that they bear.
+
     :param avoided_ids: returns the ids of endpoints that get new requests only if there are no
         others.
+    :param evacuations: the :class:`~guavacleat.evacuations.EvacuationRegister`; None if no data
+        centre is ever evacuated.
+    :param warmup: the :class:`~guavacleat.warmup.WarmupLimiter`.
+    :param regions_by_data_centre: the region of each data centre.
     """
 
     def __init__(
@@ -56,36 +65,73 @@
         data_centre: str,
         seed=None,
         avoided_ids=frozenset,
+        evacuations: EvacuationRegister | None = None,
+        warmup: WarmupLimiter | None = None,
+        regions_by_data_centre: dict[str, str] | None = None,
     ):
         self.registry = registry
         self.avoided_ids = avoided_ids
+        self.evacuations = evacuations
+        self.warmup = warmup or WarmupLimiter(load.clock)
+        self.regions_by_data_centre = regions_by_data_centre or {}
         self.load = load
         self.data_centre = data_centre
         self.random = random.Random(seed)
 
-    def choose_for_plain_request(self, service: str, exclude: set[str]) -> EndpointEntry | None:
-        """The endpoint for a plain request: the fewest requests per slot and recent failures."""
-        ready = self.ready(service, exclude)
-        return min(ready, key=self._plain_request_cost, default=None)
+    def choose_for_plain_request(self, request, exclude: set[str]) -> EndpointEntry | None:
+        """The endpoint for a plain request: the fewest requests per slot and recent failures.
+
+        :param request: a ``ForwardedRequest``.
+        """
+        available = self._available(request, exclude)
+        return min(available, key=self._plain_request_cost, default=None)
+
+    def ready(
+        self, service: str, exclude: set[str], regions: frozenset[str] | None = None
+    ) -> list[EndpointEntry]:
+        """Endpoints of ``service`` that accept new requests, without those in ``exclude`` (ids).
 
-    def ready(self, service: str, exclude: set[str]) -> list[EndpointEntry]:
-        """Endpoints of ``service`` that accept new requests, without those in ``exclude`` (ids)."""
-        ready = [entry for entry in self.registry.ready(service) if entry.id not in exclude]
+        :param regions: the regions of the endpoints; None for all.
+        """
+        ready = [
+            entry
+            for entry in self.registry.ready(service)
+            if entry.id not in exclude and self.is_allowed(entry, regions)
+        ]
         avoided_ids = self.avoided_ids()
         if not avoided_ids:
             return ready
         return [entry for entry in ready if entry.id not in avoided_ids] or ready
 
+    def is_allowed(self, entry: EndpointEntry, regions: frozenset[str] | None = None) -> bool:
+        """Whether the endpoint's data centre may get new requests, from callers of ``regions``."""
+        if self.evacuations is not None and not self.evacuations.is_usable(entry.data_centre):
+            return False
+        return regions is None or self.regions_by_data_centre.get(entry.data_centre) in regions
+
+    def ready_for(self, request, exclude: set[str]) -> list[EndpointEntry]:
+        """Endpoints that accept ``request``, cold ones included."""
+        return self.ready(request.service, exclude, request.regions)
+
+    def _available(self, request, exclude: set[str]) -> list[EndpointEntry]:
+        """Endpoints that ``request`` may be sent to now."""
+        return [entry for entry in self.ready_for(request, exclude) if self.warmup.may_send(entry)]
+
+    def seconds_until_available(self, request, exclude: set[str]) -> float | None:
+        """Seconds until ``request`` may be sent to an endpoint; None if there is none."""
+        ready = self.ready_for(request, exclude)
+        return min(map(self.warmup.seconds_until_allowed, ready), default=None)
+
     def least_loaded(self, request, exclude: set[str]) -> EndpointEntry | None:
         """The endpoint with the fewest runs, for a request that may crash it; None if all are full.
 
         :param request: a ``ForwardedRequest``.
         """
-        engine, ready = request.traits.engine, self.ready(request.service, exclude)
+        engine, available = request.traits.engine, self._available(request, exclude)
         if engine is not None:
             expected = request.expected_tokens()
-            ready = [entry for entry in ready if self._has_room(entry, expected, engine)]
-        return min(ready, key=lambda entry: self.load.total(entry.id).runs, default=None)
+            available = [entry for entry in available if self._has_room(entry, expected, engine)]
+        return min(available, key=lambda entry: self.load.total(entry.id).runs, default=None)
 
     def is_lightly_loaded(self, entry: EndpointEntry) -> bool:
         """Whether a crash of the endpoint would affect few callers."""
@@ -99,7 +145,7 @@
         engine, expected = request.traits.engine, request.expected_tokens()
         available = [
             entry
-            for entry in self.ready(request.service, exclude)
+            for entry in self._available(request, exclude)
             if self._has_room(entry, expected, engine)
         ]
         return min(
@@ -123,13 +169,16 @@
         return request.arrived_at + request.route.latency_goal - prefill_seconds
 
     def choose_move_target(
-        self, source: EndpointEntry, expected: int, engine: EngineTraits, exclude: set[str]
+        self, request, source: EndpointEntry, expected: int, exclude: set[str]
     ) -> EndpointEntry | None:
         """The engine to move a run to, in the source's data centre if one has capacity.
 
-        A copy to a remote data centre takes longer, and the source is about to leave.
+        A copy to a remote data centre takes longer, and the source is about to leave. A cold engine
+        might not bear the requests that resume the moved runs.
         """
-        ready = self.ready(source.service, exclude | {source.id})
+        engine = request.traits.engine
+        ready = self.ready(source.service, exclude | {source.id}, request.regions)
+        ready = [entry for entry in ready if not self.warmup.is_cold(entry)] or ready
         local = [
             entry
             for entry in ready
@@ -143,18 +192,20 @@
         )
 
     def choose_backup_target(
-        self, source: EndpointEntry, expected: int, engine: EngineTraits
+        self, request, source: EndpointEntry, expected: int
     ) -> EndpointEntry | None:
         """The engine for a backup of a run on ``source``; None if none has memory to spare.
 
         A backup must neither cause preemptions on its engine nor delay moves off leaving engines.
         """
+        engine = request.traits.engine
         if self.registry.seconds_since_leaving(source.service) < BACKUP_HOLDOFF_SECONDS:
             return None
         candidates = [
             entry
-            for entry in self.ready(source.service, {source.id})
+            for entry in self.ready(source.service, {source.id}, request.regions)
             if self.memory_share(entry, expected, engine) <= BACKUP_MEMORY_SHARE
+            and not self.warmup.is_cold(entry)
             and not self._failure_penalty(entry)
         ]
         return min(
--- a/src/guavacleat/platform/decode.py
+++ b/src/guavacleat/platform/decode.py
@@ -97,7 +97,15 @@
 
 def _account(item: dict) -> Account:
     priority = item.get("priority")
-    return Account(_string(item["name"]), None if priority is None else _integer(priority))
+    return Account(
+        _string(item["name"]), None if priority is None else _integer(priority), _regions(item)
+    )
+
+
+def _regions(item: dict) -> frozenset[str] | None:
+    """The regions to which a route or an account is confined; None if there is no restriction."""
+    regions = item.get("allowedRegions")
+    return frozenset(map(_string, regions)) if regions else None
 
 
 def _route(item: dict) -> Route:
@@ -118,6 +126,7 @@
         max_attempts=_integer(_get(item, "maxAttempts", 1)),
         priority=_integer(_get(item, "priority", 5)),
         public=bool(item.get("public")),
+        regions=_regions(item),
     )
 
 
@@ -127,6 +136,8 @@
         name=_string(item["name"]),
         max_connections=_integer(_get(item, "maxConns", 100)),
         engine=_engine(engine) if engine else None,
+        cold_start=_number(_get(item, "coldStartS", 0)),
+        cold_rate=_number(_get(item, "coldPerS", 0)),
     )
 
 
@@ -170,6 +181,7 @@
         state=STATES_BY_NAME.get(_string(spec["state"]), EndpointState.UNUSABLE),
         revision=revision,
         started_ms=None if started is None else _integer(started),
+        cold_for=_number(_get(spec, "coldRemainingMs", 0)) / MS_PER_SECOND,
     )
 
 
--- a/src/guavacleat/platform/objects.py
+++ b/src/guavacleat/platform/objects.py
@@ -6,11 +6,13 @@
 
 from guavacleat.store.messages import MUST_NOT_EXIST, StoredObject, WatchBatch
 
-__all__ = ["CONFIG_KIND", "CONFIG_NAME", "ENDPOINT_KIND", "PlatformDialect"]
+__all__ = ["CONFIG_KIND", "CONFIG_NAME", "ENDPOINT_KIND", "EVACUATION_KIND", "PlatformDialect"]
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 ENDPOINT_KIND = "servers"
+# Objects of this kind bear the names of the evacuated data centres.
+EVACUATION_KIND = "evacuations"
 MS_PER_SECOND = 1000
 
 
--- a/src/guavacleat/platform/settings.py
+++ b/src/guavacleat/platform/settings.py
@@ -51,7 +51,10 @@
             retry_extra=values.number("bounds.budgetExtra", 0),
             retry_window=values.number("bounds.budgetWindowS", 10),
             prefix_reuse=values.number("bounds.reuseWindowS", 4),
+            cold_overshoot=values.number("bounds.coldOvershoot", 1.5),
+            cold_slack=values.number("bounds.coldSlack", 5),
         ),
+        regions_by_data_centre=values.table("zones"),
     )
 
 
@@ -87,6 +90,15 @@
         ports = [int(self._to_number(key, value)) for value in self.text(key).split(",")]
         return range(ports[0], ports[-1] + 1)
 
+    def table(self, prefix: str) -> dict[str, str]:
+        """The values of the keys ``PREFIX.NAME``, by name."""
+        start = prefix + "."
+        return {
+            key.removeprefix(start): value
+            for key, value in self.text_by_key.items()
+            if key.startswith(start)
+        }
+
     def _to_number(self, key: str, value: str) -> float:
         try:
             return float(value)
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -141,6 +141,7 @@
      - draining
      - started_ms
      - unusable
+     - cold_for
 
     """
 
@@ -155,10 +156,11 @@
         'draining',
         'started_ms',
         'unusable',
+        'cold_for',
     )
 
 
-    def __init__(self, endpoint=None, revision=None, service_name=None, ip=None, port=None, data_centre=None, slots=None, draining=None, started_ms=None, unusable=None,):
+    def __init__(self, endpoint=None, revision=None, service_name=None, ip=None, port=None, data_centre=None, slots=None, draining=None, started_ms=None, unusable=None, cold_for=None,):
         self.endpoint = endpoint
         self.revision = revision
         self.service_name = service_name
@@ -169,6 +171,7 @@
         self.draining = draining
         self.started_ms = started_ms
         self.unusable = unusable
+        self.cold_for = cold_for
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -229,6 +232,11 @@
                     self.unusable = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.cold_for = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -279,6 +287,10 @@
             oprot.writeFieldBegin('unusable', TType.BOOL, 10)
             oprot.writeBool(self.unusable)
             oprot.writeFieldEnd()
+        if self.cold_for is not None:
+            oprot.writeFieldBegin('cold_for', TType.DOUBLE, 11)
+            oprot.writeDouble(self.cold_for)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -308,6 +320,104 @@
         return not (self == other)
 
 
+class Evacuation(object):
+    """
+    Attributes:
+     - data_centre
+     - revision
+     - evacuated
+
+    """
+
+    __slots__ = (
+        'data_centre',
+        'revision',
+        'evacuated',
+    )
+
+
+    def __init__(self, data_centre=None, revision=None, evacuated=None,):
+        self.data_centre = data_centre
+        self.revision = revision
+        self.evacuated = evacuated
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.evacuated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Evacuation')
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 1)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.BOOL, 3)
+            oprot.writeBool(self.evacuated)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.data_centre is None:
+            raise TProtocolException(message='Required field data_centre is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.evacuated is None:
+            raise TProtocolException(message='Required field evacuated is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EndpointEnd(object):
     """
     Attributes:
@@ -747,6 +857,7 @@
      - changes_since
      - crashes
      - revisions_from
+     - evacuations
 
     """
 
@@ -768,10 +879,11 @@
         'changes_since',
         'crashes',
         'revisions_from',
+        'evacuations',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None, crashes=None, revisions_from=None,):
+    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None, crashes=None, revisions_from=None, evacuations=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
@@ -789,6 +901,7 @@
         self.changes_since = changes_since
         self.crashes = crashes
         self.revisions_from = revisions_from
+        self.evacuations = evacuations
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -897,6 +1010,17 @@
                     self.revisions_from = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.evacuations = []
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = Evacuation()
+                        _elem45.read(iprot)
+                        self.evacuations.append(_elem45)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -922,15 +1046,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter40 in self.loads:
-                iter40.write(oprot)
+            for iter46 in self.loads:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter41 in self.changes:
-                iter41.write(oprot)
+            for iter47 in self.changes:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stops_in is not None:
@@ -981,6 +1105,13 @@
             oprot.writeFieldBegin('revisions_from', TType.I64, 17)
             oprot.writeI64(self.revisions_from)
             oprot.writeFieldEnd()
+        if self.evacuations is not None:
+            oprot.writeFieldBegin('evacuations', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
+            for iter48 in self.evacuations:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1033,6 +1164,14 @@
     (8, TType.BOOL, 'draining', None, None, ),  # 8
     (9, TType.I64, 'started_ms', None, None, ),  # 9
     (10, TType.BOOL, 'unusable', None, None, ),  # 10
+    (11, TType.DOUBLE, 'cold_for', None, None, ),  # 11
+)
+all_structs.append(Evacuation)
+Evacuation.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'data_centre', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.BOOL, 'evacuated', None, None, ),  # 3
 )
 all_structs.append(EndpointEnd)
 EndpointEnd.thrift_spec = (
@@ -1082,6 +1221,7 @@
     (15, TType.I64, 'changes_since', None, None, ),  # 15
     (16, TType.STRUCT, 'crashes', [Crashes, None], None, ),  # 16
     (17, TType.I64, 'revisions_from', None, None, ),  # 17
+    (18, TType.LIST, 'evacuations', (TType.STRUCT, [Evacuation, None], False), None, ),  # 18
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/guavacleat/routes/loader.py
+++ b/src/guavacleat/routes/loader.py
@@ -38,13 +38,19 @@
 
 
 class RoutesFile:
-    """A routing configuration and the endpoints that serve it."""
+    """A routing configuration, the endpoints that serve it, and evacuated data centres."""
 
-    __slots__ = ("table", "endpoints")
+    __slots__ = ("table", "endpoints", "evacuated_data_centres")
 
-    def __init__(self, table: RouteTable, endpoints: list[EndpointEntry]):
+    def __init__(
+        self,
+        table: RouteTable,
+        endpoints: list[EndpointEntry],
+        evacuated_data_centres: frozenset[str] = frozenset(),
+    ):
         self.table = table
         self.endpoints = endpoints
+        self.evacuated_data_centres = evacuated_data_centres
 
 
 def load_routes(path: str | Path) -> RoutesFile:
@@ -91,7 +97,10 @@
         limits=_limits(raw.get("limits", {}), problems),
         requires_key="client_accounts" in raw,
     )
-    return RoutesFile(table, endpoints)
+    evacuated = raw.get("evacuated_data_centres") and text_list(
+        raw, "evacuated_data_centres", problems
+    )
+    return RoutesFile(table, endpoints, frozenset(evacuated or ()))
 
 
 def _service(index: int, item: dict, problems: Problems) -> ServiceTraits:
@@ -99,7 +108,18 @@
     connections = positive_number(item, "max_connections", problems, where, DEFAULT_MAX_CONNECTIONS)
     engine = item.get("engine")
     traits = _engine(engine, problems, where + "engine.") if engine else None
-    return ServiceTraits(text_field(item, "name", problems, where), int(connections), traits)
+    return ServiceTraits(
+        text_field(item, "name", problems, where),
+        int(connections),
+        traits,
+        cold_start=_optional_number(item, "cold_start", problems, where),
+        cold_rate=_optional_number(item, "cold_rate", problems, where),
+    )
+
+
+def _optional_number(item: dict, field: str, problems: Problems, where: str) -> float:
+    """The field's positive value, or 0 if it is missing."""
+    return positive_number(item, field, problems, where) if field in item else 0.0
 
 
 def _engine(item: dict, problems: Problems, where: str) -> EngineTraits:
--- a/src/guavacleat/routes/model.py
+++ b/src/guavacleat/routes/model.py
@@ -43,6 +43,7 @@
     :param max_attempts: maximum number of endpoints that one request may run on.
     :param priority: 0 is the highest.
     :param public: true if callers need no key.
+    :param regions: names of the regions whose endpoints may run its requests; None for all.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         "max_attempts",
         "priority",
         "public",
+        "regions",
     )
 
     def __init__(
@@ -72,6 +74,7 @@
         max_attempts: int = 1,
         priority: int = 5,
         public: bool = False,
+        regions: frozenset[str] | None = None,
     ):
         self.name = name
         self.host = host
@@ -84,6 +87,7 @@
         self.max_attempts = max_attempts
         self.priority = priority
         self.public = public
+        self.regions = regions
 
     def pick_service(self, rng: random.Random) -> str:
         """Pick one of the route's services at random, by weight."""
@@ -128,24 +132,43 @@
 
 
 class ServiceTraits:
-    """Properties of a service; ``engine`` is None for a plain one."""
+    """Properties of a service; ``engine`` is None for a plain one.
 
-    __slots__ = ("name", "max_connections", "engine")
+    :param cold_start: seconds for which an endpoint is cold after its start.
+    :param cold_rate: requests per second that a cold endpoint bears; 0 if it has no such limit.
+    """
+
+    __slots__ = ("name", "max_connections", "engine", "cold_start", "cold_rate")
 
-    def __init__(self, name: str, max_connections: int, engine: EngineTraits | None = None):
+    def __init__(
+        self,
+        name: str,
+        max_connections: int,
+        engine: EngineTraits | None = None,
+        cold_start: float = 0.0,
+        cold_rate: float = 0.0,
+    ):
         self.name = name
         self.max_connections = max_connections
         self.engine = engine
+        self.cold_start = cold_start
+        self.cold_rate = cold_rate
 
 
 class Account:
-    """A client account; ``priority`` overrides the route's unless it is None."""
+    """A client account; ``priority`` overrides the route's unless it is None.
+
+    :param regions: names of the regions whose endpoints may run its requests; None for all.
+    """
 
-    __slots__ = ("name", "priority")
+    __slots__ = ("name", "priority", "regions")
 
-    def __init__(self, name: str, priority: int | None = None):
+    def __init__(
+        self, name: str, priority: int | None = None, regions: frozenset[str] | None = None
+    ):
         self.name = name
         self.priority = priority
+        self.regions = regions
 
 
 class CallerLimits:
--- a/src/guavacleat/settings.py
+++ b/src/guavacleat/settings.py
@@ -23,6 +23,8 @@
     :param retry_extra: retries allowed per ``retry_window`` in addition.
     :param retry_window: sliding window over which retries are counted.
     :param prefix_reuse: time in which a shared prompt prefix should be prefilled only once.
+    :param cold_overshoot: factor by which the rate of requests to a cold endpoint may be exceeded.
+    :param cold_slack: requests that a cold endpoint may get within a second in addition.
     """
 
     __slots__ = (
@@ -33,6 +35,8 @@
         "retry_extra",
         "retry_window",
         "prefix_reuse",
+        "cold_overshoot",
+        "cold_slack",
     )
 
     def __init__(
@@ -44,6 +48,8 @@
         retry_extra=10.0,
         retry_window=10.0,
         prefix_reuse=4.0,
+        cold_overshoot=1.5,
+        cold_slack=5.0,
     ):
         self.drain = drain
         self.stop_grace = stop_grace
@@ -52,6 +58,8 @@
         self.retry_extra = retry_extra
         self.retry_window = retry_window
         self.prefix_reuse = prefix_reuse
+        self.cold_overshoot = cold_overshoot
+        self.cold_slack = cold_slack
 
 
 class ProcessSettings:
@@ -61,6 +69,7 @@
     :param caller_address: accepts callers' connections.
     :param readiness_address: serves the balancer's readiness check.
     :param peer_ports: ports open between the processes of the deployment.
+    :param regions_by_data_centre: region of each data centre of the deployment; empty if unknown.
     """
 
     __slots__ = (
@@ -73,6 +82,7 @@
         "store_address",
         "limits",
         "bounds",
+        "regions_by_data_centre",
     )
 
     def __init__(
@@ -86,6 +96,7 @@
         store_address: tuple[str, int] | None = None,
         limits: ResourceLimits | None = None,
         bounds: Bounds | None = None,
+        regions_by_data_centre: dict[str, str] | None = None,
     ):
         self.instance = instance
         self.ip = ip
@@ -96,3 +107,4 @@
         self.store_address = store_address
         self.limits = limits or ResourceLimits()
         self.bounds = bounds or Bounds()
+        self.regions_by_data_centre = regions_by_data_centre or {}
--- a/src/guavacleat/standin/routed.py
+++ b/src/guavacleat/standin/routed.py
@@ -5,6 +5,7 @@
 endpoint while it runs, under every fault that does not refuse it.
 """
 
+import collections
 import enum
 from collections import Counter
 
@@ -20,6 +21,9 @@
 # Delay from the arrival of a ``CRASH_BODY`` request to the crash.
 CRASH_SECONDS = 0.05
 
+# Window over which the requests to a cold endpoint are counted.
+COLD_WINDOW_SECONDS = 1.0
+
 EVENT_COUNT = 5
 EVENT_SECONDS = 0.02
 REQUEST_ID_HEADER = b"x-request-id"
@@ -54,6 +58,8 @@
 
     :ivar on_crash: called when a request crashes the endpoint.
     :ivar work_seconds: time that a plain response takes.
+    :ivar cold_until: clock time until which it crashes if it gets more than ``cold_limit`` requests
+        within a second.
     """
 
     def __init__(self, clock: IReactorTime, id: str, fault: EndpointFault = EndpointFault.NONE):
@@ -62,6 +68,9 @@
         self.fault = fault
         self.on_crash = lambda: None
         self.work_seconds = 0.0
+        self.cold_until = float("-inf")
+        self.cold_limit = 0.0
+        self.arrivals: collections.deque[float] = collections.deque()
         self.runs_by_request: Counter[str] = Counter()
         self.listener = CallerListener(clock, self._handle, CallerLimits)
 
@@ -73,6 +82,9 @@
             exchange.respond(MISDIRECTED, [], b"")
             return
         request_id = dict(exchange.head.headers).get(REQUEST_ID_HEADER, b"")
+        if self._is_overloaded():
+            self.on_crash()
+            return
         self.runs_by_request[request_id.decode("latin-1")] += 1
         if exchange.body == CRASH_BODY:
             self.clock.callLater(CRASH_SECONDS, self.on_crash)
@@ -90,6 +102,19 @@
         else:
             self._respond(exchange, headers)
 
+    def become_cold(self, seconds: float, limit: float) -> None:
+        """Bear ``limit`` requests within a second for ``seconds``, and crash beyond."""
+        self.cold_until = self.clock.seconds() + seconds
+        self.cold_limit = limit
+
+    def _is_overloaded(self) -> bool:
+        """Whether the request that arrives now is too much for a cold endpoint."""
+        now = self.clock.seconds()
+        self.arrivals.append(now)
+        while self.arrivals[0] <= now - COLD_WINDOW_SECONDS:
+            self.arrivals.popleft()
+        return now < self.cold_until and len(self.arrivals) > self.cold_limit
+
     def _headers(self, request_id: bytes) -> list[tuple[bytes, bytes]]:
         id = b"of-another" if self.fault is EndpointFault.FOREIGN else request_id
         endpoint_header = (
--- a/src/guavacleat/standin/store.py
+++ b/src/guavacleat/standin/store.py
@@ -74,6 +74,7 @@
         """Restore the backup; pending watches complete without changes."""
         self.era += 1
         self.revision, objects = self.backup
+        self.compacted_revision = min(self.compacted_revision, self.revision)
         self.objects_by_key = dict(objects)
         watching, self.watchers_by_kind = self.watchers_by_kind, {}
         for waiter in itertools.chain.from_iterable(watching.values()):
--- a/src/guavacleat/store/watch.py
+++ b/src/guavacleat/store/watch.py
@@ -90,10 +90,13 @@
         # Pages of an unfinished listing. They are kept after a failure: a long listing that starts
         # again each time would never finish while the store refuses some of its pages.
         self._listing = Listing()
+        # Listings since the last complete watch.
+        self._relists = 0
 
-    def start(self) -> None:
+    def start(self, delay: float = 0.0) -> None:
+        """Start with a listing, after ``delay`` seconds."""
         self.running = True
-        self._schedule(0)
+        self._schedule(delay)
 
     def stop(self) -> None:
         self.running = False
@@ -114,6 +117,11 @@
         if self.suspended and self.revision is not None:
             self.revision = max(revision, self.revision)
 
+    def skip_listing(self, revision: int) -> None:
+        """Replace a due listing by a watch from ``revision``, up to which all objects are known."""
+        if self.revision is None:
+            self.revision = revision
+
     def relist(self) -> None:
         """List the objects with the next call instead of watching for changes."""
         self.revision = None
@@ -192,13 +200,17 @@
             self._deliver(stored)
         if listing:
             self.on_listed({stored.name for stored in batch.objects})
+        else:
+            self._relists = 0
         self.on_revision(self.revision)
         self._schedule(self.pause())
 
     def _relist(self, reason: str) -> None:
         log_message(message_type=reason, kind=self.kind, since=self.revision)
         self.relist()
-        self._schedule(0)
+        self._relists += 1
+        # A store that loses its history again at once must not be asked in a tight loop.
+        self._schedule(0 if self._relists == 1 else BACKOFF_MIN_SECONDS)
 
     def _deliver(self, stored) -> None:
         # An object that cannot be decoded (written by hand or by another release) must not end the
--- a/tests/ctl/test_apply.py
+++ b/tests/ctl/test_apply.py
@@ -5,8 +5,9 @@
 import pytest
 
 import guavacleat
-from guavacleat.ctl import apply_settings
+from guavacleat.ctl import apply_settings, read_status
 from guavacleat.errors import SettingsError
+from guavacleat.evacuations.objects import set_evacuated
 from guavacleat.store import ConflictError
 from tests.conftest import result_of
 
@@ -33,3 +34,16 @@
     with pytest.raises(SettingsError):
         result_of(apply_settings(store, str(bad)), stub_http.flush)
     assert store_app.state.calls_by_type["write"] == 0
+
+
+def test_data_centre_is_evacuated_and_restored(store, stub_http):
+    def run(deferred):
+        return result_of(deferred, stub_http.flush)
+
+    run(apply_settings(store, str(NILE)))
+    assert run(set_evacuated(store, "nasr-a", True))
+    assert not run(set_evacuated(store, "nasr-a", True))
+    assert any("nasr-a: evacuated" in line for line in run(read_status(store)))
+    assert run(set_evacuated(store, "nasr-a", False))
+    assert not run(set_evacuated(store, "nasr-a", False))
+    assert not any("nasr-a" in line for line in run(read_status(store)))
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from guavacleat.evacuations import EvacuationChange, EvacuationRegister
 from guavacleat.membership import MembershipView
 from guavacleat.membership.instances import InstancePoller
 from guavacleat.membership.lease import LEASE_SECONDS
@@ -103,3 +104,14 @@
     view.observe(record(before[0], draining=True))
     after = [r.name for r in view.live("keur-llm")]
     assert len(after) == SUBSET_SIZE and set(before) - set(after) == {before[0]}
+
+
+def test_endpoints_of_an_evacuated_data_centre_get_no_new_requests(clock):
+    evacuations = EvacuationRegister(clock)
+    evacuations.observe_listing((), 1)
+    view = MembershipView(clock, evacuations=evacuations)
+    view.observe(record("keur-llm-1"))
+    evacuations.observe(EvacuationChange("hal-a", 2, True))
+    assert view.live("keur-llm") == []
+    evacuations.observe(EvacuationChange("hal-a", 3, False))
+    assert [r.name for r in view.live("keur-llm")] == ["keur-llm-1"]
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -10,6 +10,7 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
+from guavacleat.evacuations import EvacuationRegister
 from guavacleat.ingress.sources import StoreSource
 from guavacleat.membership.registry import EndpointRegistry, EndpointState
 from guavacleat.peers import PeerTable
@@ -28,6 +29,7 @@
 
 STEP_SECONDS = 0.05
 CONFIG, ENDPOINTS = PlatformAdapter.config_kind, PlatformAdapter.endpoint_kind
+EVACUATIONS = PlatformAdapter.evacuation_kind
 # Timeout of a call that the store does not answer, in addition to a watch's wait.
 CALL_TIMEOUT_SECONDS = 0.8
 
@@ -166,6 +168,7 @@
         self.peers = PeerTable(self.clock)
         self.crash_tracker = CrashTracker(self.clock)
         self.load.peers = self.peers
+        self.evacuations = EvacuationRegister(self.clock)
         self.source = StoreSource(self, settings, fleet)
         self.link = self.source.store = fleet.connect()
         self.source.start(self)
@@ -206,6 +209,7 @@
     """
 
     config_kind, config_name, endpoint_kind = CONFIG, "main", ENDPOINTS
+    evacuation_kind = EVACUATIONS
     dialect = PlatformAdapter().dialect
 
     def __init__(
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from twisted.internet import defer
 
+from guavacleat.evacuations import EvacuationRegister
 from guavacleat.membership.registry import EndpointChange, EndpointRegistry, EndpointState
 from guavacleat.peers import PeerExchange, PeerTable
 from guavacleat.peers.directory import GatewayDirectory
@@ -146,6 +147,7 @@
         registry,
         ConfigurationSyncState(clock, lambda: None),
         EndpointSyncState(clock),
+        EvacuationRegister(clock),
         CrashTracker(clock),
     )
     peer_exchange.transport = FakeTransport()
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -55,37 +55,40 @@
 
 
 def test_failing_endpoint_is_avoided_for_the_failure_window(harness, clock):
+    request, _ = harness.request()
     for _ in range(3):
         harness.load.record_failure("e1")
-    calls = [harness.context.placement.choose_for_plain_request("svc", set()).id for _ in range(20)]
-    assert set(calls) == {"e2"}
+    choose = harness.context.placement.choose_for_plain_request
+    assert {choose(request, set()).id for _ in range(20)} == {"e2"}
     clock.advance(FAILURE_WINDOW_SECONDS)
-    calls = [harness.context.placement.choose_for_plain_request("svc", set()).id for _ in range(20)]
-    assert set(calls) == {"e1", "e2"}
+    assert {choose(request, set()).id for _ in range(20)} == {"e1", "e2"}
 
 
 def test_backups_need_free_memory(harness):
+    request, _ = harness.request(kind=RequestKind.STREAM)
     source = harness.registry.entries_by_id["e1"]
     room = int(ENGINE.memory_tokens * BACKUP_MEMORY_SHARE)
     harness.load.begin("e2", Run("b", peak_tokens=room - 1000))
-    assert harness.context.placement.choose_backup_target(source, 1000, ENGINE).id == "e2"
-    assert harness.context.placement.choose_backup_target(source, 1001, ENGINE) is None
+    assert harness.context.placement.choose_backup_target(request, source, 1000).id == "e2"
+    assert harness.context.placement.choose_backup_target(request, source, 1001) is None
 
 
 def test_no_backups_shortly_after_an_engine_left(harness, clock):
     """The initial copies of backups must not delay the moves off a leaving engine."""
+    request, _ = harness.request(kind=RequestKind.STREAM)
     source = harness.registry.entries_by_id["e1"]
     harness.set_endpoint("e3")
     harness.set_endpoint("e3", state=EndpointState.DRAINING)
-    assert harness.context.placement.choose_backup_target(source, 1000, ENGINE) is None
+    assert harness.context.placement.choose_backup_target(request, source, 1000) is None
     clock.advance(BACKUP_HOLDOFF_SECONDS)
-    assert harness.context.placement.choose_backup_target(source, 1000, ENGINE).id == "e2"
+    assert harness.context.placement.choose_backup_target(request, source, 1000).id == "e2"
 
 
 def test_move_prefers_the_data_centre_of_the_source(harness):
+    request, _ = harness.request(kind=RequestKind.STREAM)
     source = harness.registry.entries_by_id["e1"]
     harness.set_endpoint("far", data_centre="other")
     harness.load.begin("e2", Run("b", peak_tokens=ENGINE.memory_tokens // 2))
-    assert harness.context.placement.choose_move_target(source, 1000, ENGINE, set()).id == "e2"
+    assert harness.context.placement.choose_move_target(request, source, 1000, set()).id == "e2"
     harness.load.begin("e2", Run("c", peak_tokens=ENGINE.memory_tokens // 2))
-    assert harness.context.placement.choose_move_target(source, 1000, ENGINE, set()).id == "far"
+    assert harness.context.placement.choose_move_target(request, source, 1000, set()).id == "far"
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -77,6 +77,7 @@
         """Restore the backup with its revisions; pending watches fail."""
         self.era += 1
         self.revision, objects = self.backup
+        self.compacted_revision = min(self.compacted_revision, self.revision)
         self.objects = {tuple(key): value for key, value in json.loads(objects)}
         self.history = [change for change in self.history if change[0] <= self.revision]
         pending_watches, self.pending_watches = self.pending_watches, []
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -8,9 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from guavacleat.evacuations import EvacuationChange
 from guavacleat.forwarding.messages import ForwardingMetadata, ResumePoint
 from guavacleat.lengths import LengthForecast
-from guavacleat.membership.registry import EndpointState
+from guavacleat.membership.registry import EndpointChange, EndpointState
 from guavacleat.peers.report import GatewayReport, decode_report, encode_report
 from guavacleat.placement import EndpointLoad
 from guavacleat.platform.decode import decode_configuration, decode_endpoint
@@ -319,3 +320,46 @@
 def test_engine_status_is_decoded(status, body, leaving, leaves_in):
     found = decode_status(status, body)
     assert (found.leaving, found.leaves_in) == (leaving, leaves_in)
+
+
+def test_cold_endpoints_and_regions_are_decoded():
+    spec = {"service": "a", "address": "10.0.0.1:80", "state": "ready", "coldRemainingMs": 700}
+    assert decode_endpoint("e1", spec, 1).cold_for == pytest.approx(0.7)
+    configuration = {
+        "version": 1,
+        "routes": [{**CONFIGURATION["routes"][1], "allowedRegions": ["north"]}],
+        "services": [{"name": "b", "coldStartS": 1.5, "coldPerS": 36.0}],
+        "tenants": [{"name": "t", "apiKeys": ["k"], "allowedRegions": ["north", "south"]}],
+    }
+    table = decode_configuration(configuration)
+    traits = table.services_by_name["b"]
+    assert (traits.cold_start, traits.cold_rate) == (1.5, 36.0)
+    assert table.match("ficu95.example", "/lohu930/pufi/x").regions == {"north"}
+    assert table.accounts_by_key["k"].regions == {"north", "south"}
+
+
+def test_reports_carry_evacuations_and_cold_endpoints():
+    entry = decode_endpoint(
+        "e1",
+        {"service": "a", "address": "10.0.0.1:80", "state": "ready", "coldRemainingMs": 700},
+        9,
+    )
+    report = GatewayReport(
+        "g1",
+        1,
+        1,
+        {},
+        [EndpointChange("e1", 9, entry)],
+        endpoints_revision=9,
+        evacuations=(EvacuationChange("north", 7, True), EvacuationChange("south", 8, False)),
+    )
+    decoded = decode_report(encode_report(report))
+    assert decoded.changes[0].entry.cold_for == pytest.approx(0.7)
+    assert [
+        (change.data_centre, change.revision, change.evacuated) for change in decoded.evacuations
+    ] == [
+        ("north", 7, True),
+        ("south", 8, False),
+    ]
+    unaware = GatewayReport("g1", 1, 1, {}, evacuations=None)
+    assert decode_report(encode_report(unaware)).evacuations is None
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -83,6 +83,7 @@
     """Decodes the contents of this test's store for a gateway's source."""
 
     config_kind, config_name, endpoint_kind = "config", "main", "endpoints"
+    evacuation_kind = "evacuations"
     dialect = PlatformAdapter().dialect
 
     @staticmethod
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -30,6 +30,15 @@
   9: optional i64 started_ms,
   // The store's entry of the endpoint cannot be read.
   10: optional bool unusable,
+  // Seconds for which the endpoint stays cold after the change.
+  11: optional double cold_for,
+}
+
+// The evacuation of a data centre, or its end, at a revision of the store.
+struct Evacuation {
+  1: required string data_centre,
+  2: required i64 revision,
+  3: required bool evacuated,
 }
 
 // An endpoint's unplanned end and the requests in flight there, by fingerprint.
@@ -90,4 +99,7 @@
   16: optional Crashes crashes,
   // Added to each revision of the store in this report: the first of the latest era.
   17: optional i64 revisions_from,
+  // All evacuations that the sender knows, complete to ``endpoints_revision``; left out by a sender
+  // that does not know of evacuations.
+  18: optional list<Evacuation> evacuations,
 }
