--- a/src/guavacleat/explain/timeline.py
+++ b/src/guavacleat/explain/timeline.py
@@ -12,10 +12,12 @@
 # ahead.
 CONTEXT_BEFORE_SECONDS = 3.0
 CONTEXT_AFTER_SECONDS = 1.0
-ENDPOINT_EVENTS = ("endpoint:changed", "endpoint:crashed", "move:began")
+ENDPOINT_EVENTS = ("endpoint:changed", "endpoint:cold", "endpoint:crashed", "move:began")
 QUARANTINE_EVENTS = ("quarantine:began", "quarantine:cleared", "quarantine:trial")
 GATEWAY_EVENTS = (
     "config:accepted",
+    "evacuation:began",
+    "evacuation:ended",
     "process:stopping",
     "store:back",
     "store:lost",
--- a/src/guavacleat/report/ledger.py
+++ b/src/guavacleat/report/ledger.py
@@ -154,10 +154,9 @@
 
 def _route_name(timeline: RequestTimeline) -> str:
     """The route's name; requests without a matching route share one, as their paths differ."""
-    end = timeline.end
-    if end is None or end.get("outcome") == "UNKNOWN_ROUTE":
-        return UNKNOWN_ROUTE
-    return end.get("route")
+    route = None if timeline.end is None else timeline.end.get("route")
+    # Without a route, the log has the request's path.
+    return UNKNOWN_ROUTE if route is None or route.startswith("/") else route
 
 
 def _result_for(kind: CauseKind) -> Result:
--- a/src/guavacleat/report/tables.py
+++ b/src/guavacleat/report/tables.py
@@ -4,8 +4,9 @@
 
 from guavacleat.report.engines import EngineHistory
 from guavacleat.report.ledger import Ledger, Result
+from guavacleat.report.phases import SpanPhases
 
-__all__ = ["engine_table", "loss_table", "route_table"]
+__all__ = ["engine_table", "loss_table", "phase_table", "route_table"]
 
 
 def route_table(ledger: Ledger) -> str:
@@ -62,3 +63,29 @@
         "cut",
     ]
     return tabulate(rows, headers=headers, floatfmt=".2f", missingval="-")
+
+
+def phase_table(spans: list[SpanPhases]) -> str:
+    """One row per span of arrivals; the phases are medians in seconds."""
+    rows = [
+        [
+            span.start,
+            len(span.streams),
+            span.on_time,
+            span.never_dispatched,
+            span.median("queued"),
+            span.median("first_event"),
+            span.median("pause"),
+        ]
+        for span in spans
+    ]
+    headers = [
+        "from second",
+        "streams",
+        "on time",
+        "never dispatched",
+        "queued s",
+        "first event s",
+        "longest pause s",
+    ]
+    return tabulate(rows, headers=headers, floatfmt=".2f", missingval="-")
--- a/tests/report/test_report.py
+++ b/tests/report/test_report.py
@@ -6,7 +6,8 @@
 from guavacleat.commands import report
 from guavacleat.explain import CauseKind, LogIndex, read_lines
 from guavacleat.report import Result, Worth, engine_histories, make_ledger
-from guavacleat.report.tables import engine_table, loss_table, route_table
+from guavacleat.report.phases import phases_by_span, stream_phases
+from guavacleat.report.tables import engine_table, loss_table, phase_table, route_table
 from tests.explain.test_explain import ended, line
 
 TERMINATED = [
@@ -153,3 +154,32 @@
     parsed_flags.worth = worth
     with pytest.raises(SystemExit, match=remedy):
         report.main(["report", str(log)])
+
+
+def test_phases_show_where_the_seconds_of_streams_go():
+    """A slide shows as longer waits and first events, span by span."""
+    lines = [
+        line(1.2, "stream:placed", request="r1", endpoint="e1"),
+        line(2.0, "stream:on-time", request="r1", first=0.5, gap=0.1),
+        ended(2.0, "ANSWERED", "r1"),
+        line(5.5, "stream:unfinished", request="r2", first=None, gap=0.0),
+        ended(5.5, "NO_ROOM", "r2"),
+    ]
+    spans = phases_by_span(stream_phases(LogIndex(read_lines(lines, "file"))), 4.0)
+    assert [(span.start, span.on_time, span.never_dispatched) for span in spans] == [
+        (0.0, 1, 0),
+        (4.0, 0, 1),
+    ]
+    assert spans[0].median("queued") == pytest.approx(0.2)
+    assert spans[0].median("first_event") == pytest.approx(0.3)
+    assert spans[1].median("queued") is None
+    assert "first event s" in phase_table(spans)
+
+
+def test_requests_without_a_route_share_a_row():
+    lines = [
+        ended(1.0, "UNKNOWN_KEY", "r1", route="/a/b"),
+        ended(2.0, "UNKNOWN_ROUTE", "r2", route="/c/d"),
+    ]
+    counts = make_ledger(LogIndex(read_lines(lines, "file")), {}).counts()
+    assert list(counts) == ["(unknown)"]
