Generations: the wait at all gateways decides at once who is refused, and dispatches are spread

No gateway dispatches often enough to know a rate of its own, so that the expected wait was always 0 and nobody was refused before being late. The latest start took an idle engine for granted.

Change: reports carry each service's backlog (waiting, dispatched, gateways with a queue); dispatches spread over 30 ms a gateway that waits; a request that would be late by the common wait is refused at once, by its expected memory-time against the mean of its route, the more so the longer the wait; in an overload late ones don't wait on; the latest start counts the first events' delay as observed.

--- a/src/guavacleat/admission/generations.py
+++ b/src/guavacleat/admission/generations.py
@@ -7,6 +7,10 @@
 Requests are served by priority, and accounts of the same priority share by tokens. A request that
 can no longer meet its latency goal goes behind all that can, so that a burst doesn't delay every
 request after it.
+
+The gateways report to each other how many generations wait and how many were dispatched. From that
+follows how long another one would wait. While it is so long that not all can be on time, those that
+would be late are refused at once, the most expensive first, rather than making all late.
 """
 
 import collections
@@ -15,6 +19,8 @@
 from eliot import log_message
 from twisted.internet import defer
 
+from guavacleat.admission.backlog import Backlog
+from guavacleat.admission.cost import RelativeCost
 from guavacleat.admission.queues import PROMPT_TOKEN_COST, SHORT_OUTPUT, FairQueue
 from guavacleat.forwarding.refusals import RefusalError, RefusalReason
 
@@ -22,12 +28,16 @@
 
 # Maximum share of a request's timeout spent in the queue, so that its caller can still retry.
 MAX_WAIT_SHARE = 1 / 3
-# Maximum random delay before a dispatch. All gateways see freed capacity at the same time; with
-# delays of several times a peer report's latency, they seldom all choose the same engine.
+# Maximum random delay before a dispatch, for each gateway with queued generations. All of them see
+# freed capacity at the same time; with delays of several times a peer report's latency, they seldom
+# choose the same engine.
 DISPATCH_JITTER_SECONDS = 0.03
 # Interval of dispatches without a notification, for capacity that no report announces (a new
 # engine, or the runs of a peer that no longer reports).
 POLL_SECONDS = 0.1
+# Expected wait from which on the cost of a request counts in full, and from which on requests that
+# can't meet their goal any more are refused.
+OVERLOAD_WAIT_SECONDS = 0.3
 # Window over which the dispatch rate is measured, and the minimum number of dispatches in it.
 RATE_WINDOW_SECONDS = 3.0
 MIN_RATE_DISPATCHES = 4
@@ -70,12 +80,12 @@
 class _ServiceQueue:
     """The queued requests of one service, by rank."""
 
-    __slots__ = ("queues_by_rank", "dispatched")
+    __slots__ = ("queues_by_rank", "dispatched_at")
 
     def __init__(self):
         self.queues_by_rank: dict[tuple[bool, int], FairQueue] = {}
-        # (clock time, prompt tokens) of the most recent dispatches.
-        self.dispatched: collections.deque[tuple[float, int]] = collections.deque()
+        # Clock times of the most recent dispatches, oldest first.
+        self.dispatched_at: collections.deque[float] = collections.deque()
 
     def __len__(self) -> int:
         return sum(map(len, self.queues_by_rank.values()))
@@ -83,20 +93,30 @@
     def queue_for(self, rank: tuple[bool, int]) -> FairQueue:
         return self.queues_by_rank.setdefault(rank, FairQueue())
 
+    def backlog(self, oldest: float) -> Backlog:
+        """The backlog, with the dispatches since clock time ``oldest``."""
+        while self.dispatched_at and self.dispatched_at[0] < oldest:
+            self.dispatched_at.popleft()
+        waiting = sum(len(queue) for (late, _), queue in self.queues_by_rank.items() if not late)
+        return Backlog(int(len(self) > 0), waiting, len(self.dispatched_at))
+
     def queues_in_order(self) -> list[FairQueue]:
         return [self.queues_by_rank[rank] for rank in sorted(self.queues_by_rank)]
 
 
 class GenerationQueue:
-    """Assigns engines chosen by ``placement`` to requests for generations."""
+    """Assigns engines chosen by ``placement`` to requests for generations.
 
-    def __init__(self, clock, placement, seed=None):
+    :param peers: the :class:`~guavacleat.peers.PeerTable`; None for a single gateway.
+    """
+
+    def __init__(self, clock, placement, seed=None, peers=None):
         self.clock = clock
         self.placement = placement
+        self.peers = peers
+        self.relative_cost = RelativeCost()
         self.random = random.Random(seed)
         self.queues_by_service: dict[str, _ServiceQueue] = {}
-        # Queued prompt tokens by (service, rank).
-        self.waiting_tokens_by_rank: collections.Counter = collections.Counter()
         self._dispatch_call = None
 
     def acquire(self, request, tried: set[str]) -> defer.Deferred:
@@ -111,22 +131,25 @@
         now = self.clock.seconds()
         on_time_deadline = self.placement.latest_start(request)
         entry = _WaitingRequest(request, tried, (now > on_time_deadline, request.priority), now)
+        cost = self.relative_cost.observe(request)
         if not len(queue) and (engine := self._find_engine(entry)) is not None:
             self._record_dispatch(queue, entry)
             return defer.succeed(engine)
         wait_deadline = request.arrived_at + MAX_WAIT_SHARE * (
             request.deadline - request.arrived_at
         )
-        expected_wait = self._expected_wait(queue, entry)
-        if now + expected_wait > wait_deadline:
-            retry_after = max(RETRY_AFTER_SECONDS, now + expected_wait - wait_deadline)
+        expected_wait = self._expected_wait(request.service)
+        overload = min(1.0, expected_wait / OVERLOAD_WAIT_SECONDS)
+        will_be_late = now <= on_time_deadline < now + cost**overload * expected_wait
+        if will_be_late or now + expected_wait > wait_deadline:
+            retry_after = max(RETRY_AFTER_SECONDS, expected_wait)
             return defer.fail(self._refusal(entry, retry_after, "expected to wait", expected_wait))
         entry.result = defer.Deferred(lambda result: self._cancel(queue, entry))
-        entry.timers = [self.clock.callLater(wait_deadline - now, self._expire, queue, entry)]
+        entry.timers = [self.clock.callLater(wait_deadline - now, self._refuse, queue, entry)]
         if not entry.rank[0]:
             wait = on_time_deadline - now
             entry.timers.append(self.clock.callLater(wait, self._mark_late, queue, entry))
-        self._push(queue, entry)
+        queue.queue_for(entry.rank).push(entry)
         log_message(
             message_type="stream:waits",
             request=request.metadata.id,
@@ -143,8 +166,21 @@
 
     def schedule_dispatch(self) -> None:
         """Schedule a dispatch, after the load of an engine has changed."""
-        if any(map(len, self.queues_by_service.values())):
-            self._schedule_dispatch_within(self.random.uniform(0.0, DISPATCH_JITTER_SECONDS))
+        spreads = [self._spread(name) for name, queue in self.queues_by_service.items() if queue]
+        if spreads:
+            self._schedule_dispatch_within(self.random.uniform(0.0, min(spreads)))
+
+    def _spread(self, service: str) -> float:
+        """Time over which the gateways with queued generations spread their dispatches."""
+        return DISPATCH_JITTER_SECONDS * (1 + self._peer_backlog(service).gateways)
+
+    def _peer_backlog(self, service: str) -> Backlog:
+        return Backlog() if self.peers is None else self.peers.backlog(service)
+
+    def backlogs_by_service(self) -> dict[str, Backlog]:
+        """This gateway's own :class:`~.backlog.Backlog` of each service."""
+        oldest = self.clock.seconds() - RATE_WINDOW_SECONDS
+        return {name: queue.backlog(oldest) for name, queue in self.queues_by_service.items()}
 
     def _schedule_dispatch_within(self, seconds: float) -> None:
         call = self._dispatch_call
@@ -155,11 +191,13 @@
         self._dispatch_call = self.clock.callLater(seconds, self._dispatch)
 
     def _dispatch(self) -> None:
-        for queue in self.queues_by_service.values():
-            while self._dispatch_next(queue):
+        for name, queue in self.queues_by_service.items():
+            while self._dispatch_next(queue) and not self._peer_backlog(name).gateways:
                 pass
-        if any(map(len, self.queues_by_service.values())):
-            self._schedule_dispatch_within(POLL_SECONDS)
+        spreads = [self._spread(name) for name, queue in self.queues_by_service.items() if queue]
+        if spreads:
+            spread = self.random.uniform(0.5, 1.0) * min(spreads)
+            self._schedule_dispatch_within(max(POLL_SECONDS, spread))
 
     def _dispatch_next(self, queue: _ServiceQueue) -> bool:
         """Dispatch the first request that an engine has capacity for; False if there is none.
@@ -186,44 +224,28 @@
 
     def _record_dispatch(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
         request = entry.forwarded
-        queue.dispatched.append((self.clock.seconds(), request.prompt_tokens))
+        queue.dispatched_at.append(self.clock.seconds())
         output = request.expected_tokens() - request.prompt_tokens
         cost = PROMPT_TOKEN_COST * request.prompt_tokens + output
         queue.queue_for(entry.rank).charge(entry.request, cost)
 
-    def _expected_wait(self, queue: _ServiceQueue, entry: _WaitingRequest) -> float:
-        """Seconds until the prompts ahead of this one are dispatched, at the recent rate."""
-        now = self.clock.seconds()
-        while queue.dispatched and queue.dispatched[0][0] < now - RATE_WINDOW_SECONDS:
-            queue.dispatched.popleft()
-        ahead = sum(
-            self.waiting_tokens_by_rank[entry.forwarded.service, rank]
-            for rank in queue.queues_by_rank
-            if rank <= entry.rank
-        )
-        if len(queue.dispatched) < MIN_RATE_DISPATCHES:
+    def _expected_wait(self, service: str) -> float:
+        """Seconds until all waiting generations are dispatched, at the recent rate."""
+        oldest = self.clock.seconds() - RATE_WINDOW_SECONDS
+        backlog = self._peer_backlog(service).add(self.queues_by_service[service].backlog(oldest))
+        if backlog.dispatched < MIN_RATE_DISPATCHES:
             return 0.0
-        tokens_per_second = sum(tokens for _, tokens in queue.dispatched) / RATE_WINDOW_SECONDS
-        return ahead / max(1.0, tokens_per_second)
-
-    def _push(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
-        queue.queue_for(entry.rank).push(entry)
-        self.waiting_tokens_by_rank[
-            entry.forwarded.service, entry.rank
-        ] += entry.forwarded.prompt_tokens
-
-    def _remove(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
-        queue.queue_for(entry.rank).remove(entry)
-        self.waiting_tokens_by_rank[
-            entry.forwarded.service, entry.rank
-        ] -= entry.forwarded.prompt_tokens
+        return backlog.waiting * RATE_WINDOW_SECONDS / backlog.dispatched
 
     def _mark_late(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
-        self._remove(queue, entry)
+        if self._expected_wait(entry.forwarded.service) > OVERLOAD_WAIT_SECONDS:
+            self._refuse(queue, entry)
+            return
+        queue.queue_for(entry.rank).remove(entry)
         entry.rank = (True, entry.rank[1])
-        self._push(queue, entry)
+        queue.queue_for(entry.rank).push(entry)
 
-    def _expire(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
+    def _refuse(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
         self._stop_waiting(queue, entry)
         waited = self.clock.seconds() - entry.queued_at
         entry.result.errback(self._refusal(entry, RETRY_AFTER_SECONDS, "waited", waited))
@@ -233,7 +255,7 @@
         entry.result.callback(None)
 
     def _stop_waiting(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
-        self._remove(queue, entry)
+        queue.queue_for(entry.rank).remove(entry)
         for timer in entry.timers:
             if timer.active():
                 timer.cancel()
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -227,6 +227,10 @@
                 return
             self.last_event = event.id
             self.memory.record_event()
+        if self.timings.first_event_delay is None and self.request.traits.engine is not None:
+            self.context.placement.first_event_estimate.observe(
+                self.request.prompt_tokens, self.context.clock.seconds() - attempt.sent_at
+            )
         self.timings.event_sent(self.context.clock.seconds(), event.id)
         self.request.exchange.write(event.data)
 
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -93,7 +93,7 @@
             warmup=self.warmup,
             regions_by_data_centre=settings.regions_by_data_centre,
         )
-        queue = GenerationQueue(reactor, placement)
+        queue = GenerationQueue(reactor, placement, peers=self.peers)
         self.load.listeners.append(queue.schedule_dispatch)
         self.peers.on_report = queue.schedule_dispatch
         context = ForwardingContext(
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -150,6 +150,7 @@
             self.evacuations,
             ingress.crash_tracker,
             self._peer_report_received,
+            ingress.context.queue.backlogs_by_service,
         )
         self.quarantine_record = QuarantineRecord(
             self.reactor, self.store, ingress.crash_tracker, self._should_read_quarantine
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 from twisted.internet import defer, protocol, task
 
+from guavacleat.admission.backlog import Backlog, sum_backlogs
 from guavacleat.evacuations import EvacuationRegister
 from guavacleat.membership.registry import CHANGE_RETENTION_SECONDS, EndpointRegistry
 from guavacleat.peers.crashes import CrashGossip
@@ -79,6 +80,8 @@
     :param evacuations: this gateway's :class:`~guavacleat.evacuations.EvacuationRegister`.
     :param crash_tracker: this gateway's :class:`~guavacleat.quarantine.CrashTracker`.
     :param on_report: called after each accepted report.
+    :param own_backlogs: returns this gateway's :class:`~guavacleat.admission.backlog.Backlog` by
+        service.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         evacuations: EvacuationRegister,
         crash_tracker: CrashTracker,
         on_report=lambda: None,
+        own_backlogs=dict,
     ):
         self.reactor = reactor
         self.directory = directory
@@ -104,6 +108,7 @@
         self.evacuations = evacuations
         self.crash_gossip = CrashGossip(reactor, crash_tracker)
         self.on_report = on_report
+        self.own_backlogs = own_backlogs
         self.summaries = SummaryExchange(
             reactor,
             peer_table,
@@ -217,6 +222,7 @@
             stops_in=self._stops_in(),
             store_failing=self.registry.store_unreachable(),
             store_silence=self.registry.store_silence(),
+            backlogs_by_service=self.own_backlogs(),
         )
         self._send_local(encode_report(report))
 
@@ -239,6 +245,9 @@
             store_failing=all(failing),
             store_silence=min(silences),
             gateway_count=self._local_count(),
+            backlogs_by_service=_sum_by_service(
+                [self.own_backlogs(), *(report.backlogs_by_service for report in neighbours)]
+            ),
         )
         return encode_report(summary)
 
@@ -350,6 +359,15 @@
         log_message(message_type="peer:error", error=failure.getTraceback())
 
 
+def _sum_by_service(parts: list[dict[str, Backlog]]) -> dict[str, Backlog]:
+    """Sums of several gateways' backlogs, by service."""
+    services = set().union(*parts)
+    return {
+        service: sum_backlogs(backlogs[service] for backlogs in parts if service in backlogs)
+        for service in services
+    }
+
+
 def _same_loads(one: GatewayReport, other: GatewayReport) -> bool:
     """Whether two reports of a gateway contain the same loads."""
     loads, other_loads = one.loads_by_endpoint, other.loads_by_endpoint
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -6,6 +6,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
+from guavacleat.admission.backlog import Backlog
 from guavacleat.evacuations import EvacuationChange
 from guavacleat.membership.registry import EndpointChange, EndpointEntry, EndpointState
 from guavacleat.placement import EndpointLoad
@@ -40,6 +41,8 @@
     :param crashes: requests that crash endpoints, see ``peers.crashes``.
     :param evacuations: the sender's register of evacuations, complete to ``endpoints_revision``;
         None from a sender of a release without evacuations.
+    :param backlogs_by_service: generations that wait for an engine; in a summary those of all
+        gateways that it covers.
     """
 
     __slots__ = (
@@ -60,6 +63,7 @@
         "changes_since",
         "crashes",
         "evacuations",
+        "backlogs_by_service",
     )
 
     def __init__(
@@ -81,6 +85,7 @@
         changes_since: int | None = None,
         crashes: ttypes.Crashes | None = None,
         evacuations: tuple[EvacuationChange, ...] | None = (),
+        backlogs_by_service: dict[str, Backlog] | None = None,
     ):
         self.instance = instance
         self.incarnation = incarnation
@@ -99,6 +104,7 @@
         self.changes_since = changes_since
         self.crashes = crashes
         self.evacuations = evacuations
+        self.backlogs_by_service = backlogs_by_service or {}
 
     @property
     def is_summary(self) -> bool:
@@ -131,6 +137,10 @@
         report.crashes,
         int(base_revision) or None,
         _encode_evacuations(report.evacuations, base_revision),
+        [
+            ttypes.Backlog(name, backlog.gateways, backlog.waiting, backlog.dispatched)
+            for name, backlog in report.backlogs_by_service.items()
+        ],
     )
     buffer = TMemoryBuffer()
     message.write(TCompactProtocolAccelerated(buffer))
@@ -178,6 +188,10 @@
         _from_offset(base_revision, message.changes_since),
         message.crashes,
         evacuations,
+        {
+            backlog.service_name: Backlog(backlog.gateways, backlog.waiting, backlog.dispatched)
+            for backlog in message.backlogs or ()
+        },
     )
 
 
--- a/src/guavacleat/peers/table.py
+++ b/src/guavacleat/peers/table.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 from twisted.internet.interfaces import IReactorTime
 
+from guavacleat.admission.backlog import Backlog, sum_backlogs
 from guavacleat.peers.report import GatewayReport
 from guavacleat.placement import EndpointLoad, sum_loads
 
@@ -95,6 +96,12 @@
         versions = (report.configuration_version for report in [*self.alive(), *self.summaries()])
         return max((version for version in versions if version is not None), default=None)
 
+    def backlog(self, service: str) -> Backlog:
+        """The service's generations that wait for an engine at the other gateways."""
+        reports = [*self.alive(), *self.summaries()]
+        backlogs = (report.backlogs_by_service.get(service) for report in reports)
+        return sum_backlogs(backlog for backlog in backlogs if backlog is not None)
+
     def store_silence(self) -> float:
         """Seconds since the store last responded to a peer, according to their reports."""
         now = self.clock.seconds()
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -5,6 +5,7 @@
 from guavacleat.evacuations import EvacuationRegister
 from guavacleat.membership.registry import EndpointEntry, EndpointRegistry
 from guavacleat.placement.load import LoadTracker
+from guavacleat.placement.prefill import PREFILL_TOKENS_PER_SECOND, FirstEventEstimate
 from guavacleat.routes import EngineTraits
 from guavacleat.warmup import WarmupLimiter
 
@@ -17,8 +18,6 @@
 # Load difference below which the local data centre is preferred, because traffic between data
 # centres is billed.
 LOCAL_BIAS = 0.1
-# Prefill rate of an engine that is also decoding.
-PREFILL_TOKENS_PER_SECOND = 7000.0
 # Cost of full engine memory, rising linearly from 0 at ``USABLE_MEMORY_SHARE``: a further run
 # waits for another to end or is preempted.
 MEMORY_PRESSURE_SECONDS = 6.0
@@ -76,6 +75,7 @@
         self.regions_by_data_centre = regions_by_data_centre or {}
         self.load = load
         self.data_centre = data_centre
+        self.first_event_estimate = FirstEventEstimate()
         self.random = random.Random(seed)
 
     def choose_for_plain_request(self, request, exclude: set[str]) -> EndpointEntry | None:
@@ -164,9 +164,9 @@
         )
 
     def latest_start(self, request) -> float:
-        """Latest clock time at which an idle engine can start the request and meet its goal."""
-        prefill_seconds = request.prompt_tokens / PREFILL_TOKENS_PER_SECOND
-        return request.arrived_at + request.route.latency_goal - prefill_seconds
+        """Latest clock time at which the request can be dispatched and meet its goal."""
+        first_event = self.first_event_estimate.seconds(request.prompt_tokens)
+        return request.arrived_at + request.route.latency_goal - first_event
 
     def choose_move_target(
         self, request, source: EndpointEntry, expected: int, exclude: set[str]
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -837,6 +837,118 @@
         return not (self == other)
 
 
+class Backlog(object):
+    """
+    Attributes:
+     - service_name
+     - gateways
+     - waiting
+     - dispatched
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'gateways',
+        'waiting',
+        'dispatched',
+    )
+
+
+    def __init__(self, service_name=None, gateways=None, waiting=None, dispatched=None,):
+        self.service_name = service_name
+        self.gateways = gateways
+        self.waiting = waiting
+        self.dispatched = dispatched
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.gateways = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.dispatched = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Backlog')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.gateways is not None:
+            oprot.writeFieldBegin('gateways', TType.I32, 2)
+            oprot.writeI32(self.gateways)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 3)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.dispatched is not None:
+            oprot.writeFieldBegin('dispatched', TType.I32, 4)
+            oprot.writeI32(self.dispatched)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.gateways is None:
+            raise TProtocolException(message='Required field gateways is unset!')
+        if self.waiting is None:
+            raise TProtocolException(message='Required field waiting is unset!')
+        if self.dispatched is None:
+            raise TProtocolException(message='Required field dispatched is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerReport(object):
     """
     Attributes:
@@ -858,6 +970,7 @@
      - crashes
      - revisions_from
      - evacuations
+     - backlogs
 
     """
 
@@ -880,10 +993,11 @@
         'crashes',
         'revisions_from',
         'evacuations',
+        'backlogs',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None, crashes=None, revisions_from=None, evacuations=None,):
+    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None, crashes=None, revisions_from=None, evacuations=None, backlogs=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
@@ -902,6 +1016,7 @@
         self.crashes = crashes
         self.revisions_from = revisions_from
         self.evacuations = evacuations
+        self.backlogs = backlogs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1021,6 +1136,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.backlogs = []
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = Backlog()
+                        _elem51.read(iprot)
+                        self.backlogs.append(_elem51)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1046,15 +1172,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter46 in self.loads:
-                iter46.write(oprot)
+            for iter52 in self.loads:
+                iter52.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter47 in self.changes:
-                iter47.write(oprot)
+            for iter53 in self.changes:
+                iter53.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stops_in is not None:
@@ -1108,8 +1234,15 @@
         if self.evacuations is not None:
             oprot.writeFieldBegin('evacuations', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
-            for iter48 in self.evacuations:
-                iter48.write(oprot)
+            for iter54 in self.evacuations:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.backlogs is not None:
+            oprot.writeFieldBegin('backlogs', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.backlogs))
+            for iter55 in self.backlogs:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1201,6 +1334,14 @@
     (2, TType.LIST, 'trials', (TType.STRUCT, [Trial, None], False), None, ),  # 2
     (3, TType.LIST, 'clearances', (TType.STRUCT, [Clearance, None], False), None, ),  # 3
 )
+all_structs.append(Backlog)
+Backlog.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'gateways', None, None, ),  # 2
+    (3, TType.I32, 'waiting', None, None, ),  # 3
+    (4, TType.I32, 'dispatched', None, None, ),  # 4
+)
 all_structs.append(PeerReport)
 PeerReport.thrift_spec = (
     None,  # 0
@@ -1222,6 +1363,7 @@
     (16, TType.STRUCT, 'crashes', [Crashes, None], None, ),  # 16
     (17, TType.I64, 'revisions_from', None, None, ),  # 17
     (18, TType.LIST, 'evacuations', (TType.STRUCT, [Evacuation, None], False), None, ),  # 18
+    (19, TType.LIST, 'backlogs', (TType.STRUCT, [Backlog, None], False), None, ),  # 19
 )
 fix_spec(all_structs)
 del all_structs
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -10,6 +10,7 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
+from guavacleat.admission.generations import GenerationQueue
 from guavacleat.evacuations import EvacuationRegister
 from guavacleat.ingress.sources import StoreSource
 from guavacleat.membership.registry import EndpointRegistry, EndpointState
@@ -168,6 +169,7 @@
         self.peers = PeerTable(self.clock)
         self.crash_tracker = CrashTracker(self.clock)
         self.load.peers = self.peers
+        self.context = types.SimpleNamespace(queue=GenerationQueue(self.clock, None))
         self.evacuations = EvacuationRegister(self.clock)
         self.source = StoreSource(self, settings, fleet)
         self.link = self.source.store = fleet.connect()
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -71,6 +71,17 @@
   3: optional list<Clearance> clearances,
 }
 
+// The generations of a service that wait for an engine, at the sender or at those that it covers.
+struct Backlog {
+  1: required string service_name,
+  // Gateways with waiting generations.
+  2: required i32 gateways,
+  // Waiting generations that can still be on time.
+  3: required i32 waiting,
+  // Generations sent to engines in the last seconds.
+  4: required i32 dispatched,
+}
+
 // ``incarnation`` is drawn at each start of the sender; ``sequence`` grows by one a report.
 struct PeerReport {
   1: required string instance,
@@ -102,4 +113,5 @@
   // All evacuations that the sender knows, complete to ``endpoints_revision``; left out by a sender
   // that does not know of evacuations.
   18: optional list<Evacuation> evacuations,
+  19: optional list<Backlog> backlogs,
 }
