--- a/src/guavacleat/admission/generations.py
+++ b/src/guavacleat/admission/generations.py
@@ -191,7 +191,7 @@
         self._dispatch_call = self.clock.callLater(seconds, self._dispatch)
 
     def _dispatch(self) -> None:
-        for name, queue in self.queues_by_service.items():
+        for name, queue in list(self.queues_by_service.items()):
             while self._dispatch_next(queue) and not self._peer_backlog(name).gateways:
                 pass
         spreads = [self._spread(name) for name, queue in self.queues_by_service.items() if queue]
--- a/src/guavacleat/evacuations/register.py
+++ b/src/guavacleat/evacuations/register.py
@@ -81,9 +81,12 @@
     def observe(self, change: EvacuationChange) -> None:
         """Apply a change unless a later one of its data centre is known."""
         latest = self.changes_by_data_centre.get(change.data_centre)
-        if latest is not None and latest.revision >= change.revision:
-            return
         was_evacuated = latest is not None and latest.evacuated
+        if latest is not None and latest.revision >= change.revision:
+            # The removal of an object may have the revision of its last write.
+            ends = was_evacuated and not change.evacuated
+            if latest.revision > change.revision or not ends:
+                return
         self.changes_by_data_centre[change.data_centre] = change
         if change.evacuated is not was_evacuated:
             self._apply(change)
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -225,6 +225,7 @@
         """Apply changed settings: the bounds; addresses change only at the next start."""
         self.settings = settings
         self.context.budget.bounds = settings.bounds
+        self.warmup.share.bounds = settings.bounds
         log_message(message_type="process:reloaded", instance=settings.instance)
 
     def settings_refused(self, error: SettingsError) -> None:
--- a/tests/e2e/processes.py
+++ b/tests/e2e/processes.py
@@ -91,6 +91,25 @@
             yield json.loads(line.removeprefix("data: "))
 
 
+def wait_until_live(address: str, service: str, names: list[str]) -> None:
+    """Wait until the gateway uses exactly these endpoints of the service."""
+    deadline = time.monotonic() + START_TIMEOUT_SECONDS
+    while time.monotonic() < deadline:
+        live = get_json(address, "/status")["live"][service]
+        if sorted(live) == sorted(names):
+            return
+        time.sleep(0.1)
+    raise AssertionError(f"the gateway still uses {live}")
+
+
+def run_ctl(store: Daemon, *arguments: str) -> str:
+    """Run ``guavacleat ctl`` and return its output."""
+    command = [sys.executable, "-m", "guavacleat", "ctl", f"--store={store.address}", *arguments]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=START_TIMEOUT_SECONDS)
+    assert done.returncode == 0, done.stderr
+    return done.stdout
+
+
 def apply_nile(store: Daemon) -> None:
     """Apply the Nile example settings with ``guavacleat ctl``."""
     command = [sys.executable, "-m", "guavacleat", "ctl", f"--store={store.address}"]
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -17,6 +17,8 @@
     get_text,
     open_stream,
     read_events,
+    run_ctl,
+    wait_until_live,
     wait_until_routable,
 )
 
@@ -28,7 +30,7 @@
 def system(start):
     store = start("standin", "store", "--listen=127.0.0.1:0")
     sidecars_by_name = {}
-    for n in (1, 2):
+    for n, data_centre in ((1, "north"), (2, "south")):
         engine = start(
             "standin",
             "engine",
@@ -40,6 +42,7 @@
             "sidecar",
             f"--name=enquiry-lm-{n}",
             "--service=enquiry-lm",
+            f"--data_centre={data_centre}",
             "--listen=127.0.0.1:0",
             f"--engine={engine.address}",
             f"--store={store.address}",
@@ -48,6 +51,7 @@
     gateway = start("gateway", "--listen=127.0.0.1:0", f"--store={store.address}")
     wait_until_routable(gateway.address)
     gateway.sidecars_by_name = sidecars_by_name
+    gateway.store = store
     gateway.start_another = lambda: start(
         "gateway", "--listen=127.0.0.1:0", f"--store={store.address}"
     )
@@ -74,6 +78,25 @@
     )
 
 
+def test_evacuated_data_centre_gets_no_new_streams(system):
+    """Guards against streams that start at an endpoint of an evacuated data centre."""
+    body = {
+        "service": "enquiry-lm",
+        "account": "carrier-04",
+        "priority_class": "standard",
+        "prompt": "caller intent",
+        "max_tokens": 10,
+    }
+    run_ctl(system.store, "evacuate", "north")
+    wait_until_live(system.address, "enquiry-lm", ["enquiry-lm-2"])
+    assert get_json(system.address, "/status")["evacuated_data_centres"] == ["north"]
+    assert "north: evacuated" in run_ctl(system.store, "status")
+    for _ in range(4):
+        assert complete(system.address, body)[-1]["finish_reason"] == "stop"
+    run_ctl(system.store, "restore", "north")
+    wait_until_live(system.address, "enquiry-lm", ["enquiry-lm-1", "enquiry-lm-2"])
+
+
 def test_stream_is_resumed_after_its_sidecar_is_killed(system):
     """Guards against an incomplete stream when the sidecar that serves it is killed."""
     body = {
--- a/tests/evacuations/test_register.py
+++ b/tests/evacuations/test_register.py
@@ -52,6 +52,14 @@
     assert not register.is_usable("a")
 
 
+def test_a_removal_with_the_revision_of_the_last_write_counts(register):
+    """Guards against an evacuation without end if removals have no revision of their own."""
+    register.observe(evacuated("a", 12))
+    register.observe(restored("a", 12))
+    register.observe(evacuated("a", 12))
+    assert register.is_usable("a")
+
+
 def test_a_listing_does_not_undo_a_later_evacuation(register):
     register.observe(evacuated("a", 12))
     register.observe_listing((), 11)
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -66,7 +66,9 @@
         self.starts += 1
         if self.fleet.store is not None:
             self.standin.id = f"{self.name}.{self.starts}"
-            self.fleet.store.write("endpoints", self.id, self.ip)
+            cold_for = self.fleet.cold_seconds if self.starts > 1 else 0.0
+            self.standin.become_cold(cold_for, self.fleet.cold_limit)
+            self.fleet.store.write("endpoints", self.id, f"{self.ip} {cold_for}")
 
     def crash(self, seconds=RESTART_SECONDS):
         """Crash now, and restart after ``seconds``."""
@@ -91,8 +93,10 @@
         return parse_routes(text).table
 
     @staticmethod
-    def decode_endpoint(id, ip, revision):
-        return EndpointEntry(id, "svc", (ip, 80), "", 6, EndpointState.READY, revision)
+    def decode_endpoint(id, text, revision):
+        ip, cold_for = text.split()
+        address, state = (ip, 80), EndpointState.READY
+        return EndpointEntry(id, "svc", address, "", 6, state, revision, cold_for=float(cold_for))
 
 
 class _OutcomeListener(ResponseListener):
@@ -116,14 +120,28 @@
     """Endpoints that restart a second after a crash, gateways, and their callers.
 
     :param gateways: number of gateways with a store; None for a single one with a routes file.
+    :param cold_seconds: time for which a restarted endpoint is cold; it crashes after more than
+        ``cold_limit`` requests within a second.
+    :param service: further fields of the service in the routes file.
     :ivar harmless_outcomes: number of harmless requests by outcome.
     :ivar crasher_outcomes: number of requests that crash endpoints, by outcome.
     """
 
     entry_expiry_seconds = 0.5
 
-    def __init__(self, endpoints=6, gateways=None, data_centres=1, work_seconds=0.0, seed=7):
+    def __init__(
+        self,
+        endpoints=6,
+        gateways=None,
+        data_centres=1,
+        work_seconds=0.0,
+        seed=7,
+        cold_seconds=0.0,
+        cold_limit=0.0,
+        service=None,
+    ):
         self.work_seconds = work_seconds
+        self.cold_seconds, self.cold_limit = cold_seconds, cold_limit
         random.seed(seed)
         self.seed = seed
         self.network = Network()
@@ -133,7 +151,7 @@
         ]
         self.routes = json5.dumps(
             {
-                "services": [{"name": "svc"}],
+                "services": [{"name": "svc", **(service or {})}],
                 "routes": [_route(name) for name in KINDS_BY_PATH],
                 "endpoints": [
                     {
