Quarantine: crashes at one moment are one event; only later ones by themselves are failed trials

Cause: the time of refusal grew with the number of crashes, so that a popular request in flight at six endpoints that lost power together was refused for 6 h although all of them lived again a second later. Change: the time grows with failed trials: crashes by themselves, at least the first refusal's 2 s after the one before, once the request is in quarantine. The record in the store counts these too.

--- a/src/guavacleat/quarantine/record.py
+++ b/src/guavacleat/quarantine/record.py
@@ -10,6 +10,7 @@
 from twisted.internet import defer
 
 from guavacleat.quarantine.fingerprint import format_fingerprint, parse_fingerprint
+from guavacleat.quarantine.messages import QUARANTINE_CRASHES
 from guavacleat.quarantine.tracker import CrashTracker
 from guavacleat.store import ConflictError, StoreUnavailableError
 from guavacleat.store.messages import MUST_NOT_EXIST
@@ -60,7 +61,9 @@
                 self.quarantined(fingerprint)
 
     def quarantined(self, fingerprint: int) -> None:
-        self._change(fingerprint, int(self.tracker.crash_count(fingerprint)))
+        """Write the crashes that identified the request, and one for each failed trial."""
+        crashes = QUARANTINE_CRASHES + self.tracker.failed_trials(fingerprint)
+        self._change(fingerprint, crashes)
 
     def cleared(self, fingerprint: int) -> None:
         self._change(fingerprint, None)
--- a/src/guavacleat/quarantine/tracker.py
+++ b/src/guavacleat/quarantine/tracker.py
@@ -2,7 +2,11 @@
 
 A single crash does not show which of the requests in flight caused it. A request that was in flight
 at several crashes is suspected: it runs isolated from others and only once at a time. After the
-third crash it is refused for a time that grows with each further crash, and is then tried once.
+third crash it is refused for a time that grows with each failed trial, and is then tried once.
+
+Crashes at one moment are one event, whatever was in flight: a request that all endpoints ran when
+they lost power is refused no longer than one that crashed three. Only a later crash by itself is a
+failed trial.
 
 Three rules protect harmless requests. A request that completes is cleared of all earlier crashes.
 A crash is not counted against a request if another one explains it better. If several endpoints
@@ -29,7 +33,7 @@
 
 # Number of crashes from which a request runs isolated from others, one at a time.
 SUSPECT_CRASHES = 2
-# How long a request is refused after its third crash, and after each further one; the last value
+# How long a request is refused after its third crash, and after each failed trial; the last value
 # repeats.
 QUARANTINE_SECONDS = (2.0, 60.0, 600.0, 21600.0)
 # A trial that has not crashed its endpoint by then is considered over.
@@ -301,11 +305,30 @@
 
     def _refused_until(self, fingerprint: int, count: float) -> float:
         """Clock time until which the request is refused; -inf if it is not."""
-        excess = int(count) - QUARANTINE_CRASHES
-        if excess < 0:
+        if count < QUARANTINE_CRASHES:
             return float("-inf")
         last = max(crash.crashed_at for crash in self.crashes_by_fingerprint[fingerprint])
-        return last + QUARANTINE_SECONDS[min(excess, len(QUARANTINE_SECONDS) - 1)]
+        failed_trials = min(self.failed_trials(fingerprint), len(QUARANTINE_SECONDS) - 1)
+        return last + QUARANTINE_SECONDS[failed_trials]
+
+    def failed_trials(self, fingerprint: int) -> int:
+        """Number of crashes by themselves after the moment that put the request into quarantine.
+
+        A trial starts only after the request was refused for some time: a crash that follows sooner
+        has ended an earlier run.
+        """
+        crashes = self.crashes_by_fingerprint.get(fingerprint, ())
+        restored = sum(crash.restored for crash in crashes)
+        count, failed = float(restored), max(0, restored - QUARANTINE_CRASHES)
+        previous_at = float("-inf")
+        for moment in _moments([crash for crash in crashes if not crash.restored]):
+            weight = sum(self._weight(crash, fingerprint) for crash in moment)
+            follows_refusal = moment[0].crashed_at - previous_at >= QUARANTINE_SECONDS[0]
+            if count >= QUARANTINE_CRASHES and follows_refusal and len(moment) == weight == 1:
+                failed += 1
+            count += weight
+            previous_at = moment[-1].crashed_at
+        return failed
 
     def _trial(self, fingerprint: int) -> Trial | None:
         """The active trial of a request; drops one that timed out."""
@@ -432,3 +455,14 @@
         for fingerprint in list(crash.fingerprints):
             self._remove_fingerprint(crash, fingerprint)
         self.endpoint_crashes.remove(crash)
+
+
+def _moments(crashes: list[EndpointCrash]) -> list[list[EndpointCrash]]:
+    """Group crashes that are at most ``CORRELATION_WINDOW_SECONDS`` after a group's first."""
+    moments: list[list[EndpointCrash]] = []
+    for crash in sorted(crashes, key=lambda crash: crash.crashed_at):
+        if moments and crash.crashed_at - moments[-1][0].crashed_at <= CORRELATION_WINDOW_SECONDS:
+            moments[-1].append(crash)
+        else:
+            moments.append([crash])
+    return moments
