One sum of counts: backlogs, loads and their sums by key share totals.py

Cause: Backlog.add, sum_backlogs and _sum_by_service were copies of EndpointLoad.add, sum_loads and sum_loads_by_endpoint. Change: Summable, sum_of and sum_by_key serve both. Behaviour as before; tests of peers, placement and admission pass unchanged.

--- a/src/guavacleat/admission/backlog.py
+++ b/src/guavacleat/admission/backlog.py
@@ -1,9 +1,11 @@
 """The generations that wait for an engine, at one gateway or at several."""
 
-__all__ = ["Backlog", "sum_backlogs"]
+from guavacleat.totals import Summable
 
+__all__ = ["Backlog"]
 
-class Backlog:
+
+class Backlog(Summable):
     """A service's queued generations.
 
     :param gateways: number of gateways with queued generations.
@@ -17,17 +19,3 @@
         self.gateways = gateways
         self.waiting = waiting
         self.dispatched = dispatched
-
-    def add(self, other: "Backlog") -> "Backlog":
-        """Add ``other`` to this backlog and return this backlog."""
-        for slot in self.__slots__:
-            setattr(self, slot, getattr(self, slot) + getattr(other, slot))
-        return self
-
-
-def sum_backlogs(backlogs) -> Backlog:
-    """The sum of several backlogs."""
-    total = Backlog()
-    for backlog in backlogs:
-        total.add(backlog)
-    return total
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 from twisted.internet import defer, protocol, task
 
-from guavacleat.admission.backlog import Backlog, sum_backlogs
+from guavacleat.admission.backlog import Backlog
 from guavacleat.evacuations import EvacuationRegister
 from guavacleat.membership.registry import CHANGE_RETENTION_SECONDS, EndpointRegistry
 from guavacleat.peers.crashes import CrashGossip
@@ -19,12 +19,12 @@
     BATCH_SECONDS,
     FORWARDERS,
     SummaryExchange,
-    sum_loads_by_endpoint,
 )
 from guavacleat.peers.sync import ConfigurationSyncState, EndpointSyncState
 from guavacleat.peers.table import PeerTable
-from guavacleat.placement import LoadTracker
+from guavacleat.placement import EndpointLoad, LoadTracker
 from guavacleat.quarantine import CrashTracker
+from guavacleat.totals import sum_by_key
 
 __all__ = ["PeerExchange"]
 
@@ -183,7 +183,7 @@
     def local_gateways(self) -> list[str]:
         """The gateways of this data centre, this one included, that requests may be shared with.
 
-        These are the live ones. A gateway that hears of fewer than half of those it knows is
+        These are the live ones. A gateway with reports of fewer than half of those it knows is
         probably cut off, and counts all of them.
         """
         alive = {self.directory.instance, *(report.instance for report in self.peer_table.alive())}
@@ -236,8 +236,12 @@
             *(report.store_failing for report in neighbours),
         ]
         summary = self._build_report(
-            sum_loads_by_endpoint(
-                [self.load.generation_loads(), *(report.loads_by_endpoint for report in neighbours)]
+            sum_by_key(
+                EndpointLoad,
+                [
+                    self.load.generation_loads(),
+                    *(report.loads_by_endpoint for report in neighbours),
+                ],
             ),
             self._summary_schedule,
             True,
@@ -245,8 +249,9 @@
             store_failing=all(failing),
             store_silence=min(silences),
             gateway_count=self._local_count(),
-            backlogs_by_service=_sum_by_service(
-                [self.own_backlogs(), *(report.backlogs_by_service for report in neighbours)]
+            backlogs_by_service=sum_by_key(
+                Backlog,
+                [self.own_backlogs(), *(report.backlogs_by_service for report in neighbours)],
             ),
         )
         return encode_report(summary)
@@ -359,15 +364,6 @@
         log_message(message_type="peer:error", error=failure.getTraceback())
 
 
-def _sum_by_service(parts: list[dict[str, Backlog]]) -> dict[str, Backlog]:
-    """Sums of several gateways' backlogs, by service."""
-    services = set().union(*parts)
-    return {
-        service: sum_backlogs(backlogs[service] for backlogs in parts if service in backlogs)
-        for service in services
-    }
-
-
 def _same_loads(one: GatewayReport, other: GatewayReport) -> bool:
     """Whether two reports of a gateway contain the same loads."""
     loads, other_loads = one.loads_by_endpoint, other.loads_by_endpoint
--- a/src/guavacleat/peers/summaries.py
+++ b/src/guavacleat/peers/summaries.py
@@ -12,10 +12,9 @@
 
 from guavacleat.peers.directory import GatewayDirectory
 from guavacleat.peers.table import PEER_TIMEOUT_SECONDS, PeerTable
-from guavacleat.placement import EndpointLoad, sum_loads
 from guavacleat.rendezvous import select_members
 
-__all__ = ["FORWARDERS", "BATCH_SECONDS", "SummaryExchange", "sum_loads_by_endpoint"]
+__all__ = ["FORWARDERS", "BATCH_SECONDS", "SummaryExchange"]
 
 # Changes within this time are batched into one report or summary. Longer batching would let
 # several gateways choose the same engine by outdated loads.
@@ -116,9 +115,3 @@
             others = sorted(addresses.keys() - set(alive))
             alive += random.sample(others, min(len(others), RECIPIENTS - len(alive)))
         return [addresses[instance] for instance in alive[:RECIPIENTS]]
-
-
-def sum_loads_by_endpoint(parts: list[dict[str, EndpointLoad]]) -> dict[str, EndpointLoad]:
-    """Sums of several gateways' loads, by endpoint id."""
-    ids = set().union(*parts)
-    return {id: sum_loads(loads[id] for loads in parts if id in loads) for id in ids}
--- a/src/guavacleat/peers/table.py
+++ b/src/guavacleat/peers/table.py
@@ -8,9 +8,10 @@
 from eliot import log_message
 from twisted.internet.interfaces import IReactorTime
 
-from guavacleat.admission.backlog import Backlog, sum_backlogs
+from guavacleat.admission.backlog import Backlog
 from guavacleat.peers.report import GatewayReport
-from guavacleat.placement import EndpointLoad, sum_loads
+from guavacleat.placement import EndpointLoad
+from guavacleat.totals import sum_of
 
 __all__ = ["PeerTable", "GATEWAY_RESTART_SECONDS", "PEER_TIMEOUT_SECONDS"]
 
@@ -100,7 +101,7 @@
         """The service's generations that wait for an engine at the other gateways."""
         reports = [*self.alive(), *self.summaries()]
         backlogs = (report.backlogs_by_service.get(service) for report in reports)
-        return sum_backlogs(backlog for backlog in backlogs if backlog is not None)
+        return sum_of(Backlog, (backlog for backlog in backlogs if backlog is not None))
 
     def store_silence(self) -> float:
         """Seconds since the store last responded to a peer, according to their reports."""
@@ -135,4 +136,4 @@
         """Sum of all peers' load on the endpoint."""
         reports = itertools.chain(self.alive(), self.summaries())
         loads = (report.loads_by_endpoint.get(endpoint_id) for report in reports)
-        return sum_loads(load for load in loads if load is not None)
+        return sum_of(EndpointLoad, (load for load in loads if load is not None))
--- a/src/guavacleat/placement/__init__.py
+++ b/src/guavacleat/placement/__init__.py
@@ -1,6 +1,6 @@
 """Endpoint selection: the load of each endpoint, and the choice among them."""
 
 from guavacleat.placement.choice import Placement
-from guavacleat.placement.load import EndpointLoad, LoadTracker, Run, sum_loads
+from guavacleat.placement.load import EndpointLoad, LoadTracker, Run
 
-__all__ = ["EndpointLoad", "LoadTracker", "Placement", "Run", "sum_loads"]
+__all__ = ["EndpointLoad", "LoadTracker", "Placement", "Run"]
--- a/src/guavacleat/placement/load.py
+++ b/src/guavacleat/placement/load.py
@@ -2,7 +2,9 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-__all__ = ["EndpointHealth", "EndpointLoad", "LoadTracker", "Run", "sum_loads"]
+from guavacleat.totals import Summable
+
+__all__ = ["EndpointHealth", "EndpointLoad", "LoadTracker", "Run"]
 
 # Weight of the newest observation in the exponential moving averages.
 SMOOTHING = 0.2
@@ -23,7 +25,7 @@
         self.pending_prefill_tokens = pending_prefill_tokens
 
 
-class EndpointLoad:
+class EndpointLoad(Summable):
     """Number of runs on one endpoint, and the sums of their :class:`Run` fields."""
 
     __slots__ = ("runs", "peak_tokens", "pending_prefill_tokens")
@@ -33,12 +35,6 @@
         self.peak_tokens = peak_tokens
         self.pending_prefill_tokens = pending_prefill_tokens
 
-    def add(self, other: "EndpointLoad") -> "EndpointLoad":
-        """Add ``other`` to this load and return this load."""
-        for slot in self.__slots__:
-            setattr(self, slot, getattr(self, slot) + getattr(other, slot))
-        return self
-
     def same_as(self, other: "EndpointLoad") -> bool:
         return all(getattr(self, slot) == getattr(other, slot) for slot in self.__slots__)
 
@@ -127,11 +123,3 @@
         health = self.health(endpoint_id)
         health.failure_rate += SMOOTHING * (1 - health.failure_rate)
         health.failed_at = self.clock.seconds()
-
-
-def sum_loads(loads) -> EndpointLoad:
-    """The sum of several loads."""
-    total = EndpointLoad()
-    for load in loads:
-        total.add(load)
-    return total
