--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -1,5 +1,6 @@
 """Sources of routes and endpoints for an ingress: the platform's store or a routes file."""
 
+import functools
 import random
 
 from eliot import log_message
@@ -8,6 +9,7 @@
 from guavacleat.evacuations import EvacuationChange
 from guavacleat.http1.calls import PooledHttp
 from guavacleat.http1.pool import ConnectionPool
+from guavacleat.ingress.evacuations import EvacuationSync
 from guavacleat.membership.status_poll import STORE_SILENCE_SECONDS, store_silence
 from guavacleat.peers import PeerExchange
 from guavacleat.peers.directory import GatewayDirectory
@@ -37,8 +39,6 @@
 MAX_WATCH_PAUSE_SECONDS = 1.0
 # Up to this many gateways watch without a pause.
 MAX_GATEWAYS_WITHOUT_PAUSE = 8
-# Range of the delay until a starting gateway lists the evacuations, unless peers report them first.
-EVACUATION_LISTING_DELAY_SECONDS = (0.05, 0.4)
 # Gateways per data centre that read the quarantine record from the store.
 QUARANTINE_READERS_PER_DATA_CENTRE = 2
 
@@ -59,16 +59,6 @@
         self.store_era = store_era
 
 
-class _StoreAnswer:
-    """The store's revision in an answer, and the clock time of the answer."""
-
-    __slots__ = ("revision", "at")
-
-    def __init__(self, revision: int, at: float):
-        self.revision = revision
-        self.at = at
-
-
 class StoreSource:
     """Watches configuration and endpoints in the store, and exchanges reports with peers.
 
@@ -92,16 +82,11 @@
         self.watches: list[WatchLoop] = []
         self.exchange: PeerExchange | None = None
         self.port = None
-        # The last answer to a watch or listing of the endpoints.
-        self._endpoint_answer: _StoreAnswer | None = None
-        # Revisions of the received endpoint changes that no answer has covered yet.
-        self._received_revisions: set[int] = set()
 
     def start(self, ingress) -> None:
         """Start watching for an :class:`~.service.IngressService`."""
         self.holder, self.registry, self.peers = ingress.holder, ingress.registry, ingress.peers
         self.endpoints = EndpointSyncState(self.reactor)
-        self.evacuations = ingress.evacuations
         self.configuration = ConfigurationSyncState(self.reactor, lambda: self.holder.version)
         directory = GatewayDirectory(
             self.reactor, self.store, self.instance, self.address, self.data_centre
@@ -122,23 +107,22 @@
             newest_only=True,
         )
         self.configuration.on_newer = self.configuration_watch.recheck
+        self.evacuations = EvacuationSync(
+            self.reactor,
+            ingress.evacuations,
+            self.endpoints,
+            self.should_watch,
+            functools.partial(self._new_watch, self.adapter.evacuation_kind),
+        )
         self.endpoint_watch = self._new_watch(
             self.adapter.endpoint_kind,
             self._endpoint_changed,
             pause=self._endpoint_watch_pause,
             on_health=self.registry.record_store_health,
             on_listed=self._endpoints_listed,
-            on_revision=self._endpoints_known,
+            on_revision=self.evacuations.endpoints_known,
             is_suspended=self._endpoint_watch_suspended,
         )
-        self.evacuation_watch = self._new_watch(
-            self.adapter.evacuation_kind,
-            self._evacuation_changed,
-            on_listed=self._evacuations_listed,
-            on_revision=self._evacuations_known,
-            is_suspended=self._evacuation_watch_suspended,
-            wait=0.0,
-        )
         self.exchange = PeerExchange(
             self.reactor,
             directory,
@@ -147,7 +131,7 @@
             self.registry,
             self.configuration,
             self.endpoints,
-            self.evacuations,
+            ingress.evacuations,
             ingress.crash_tracker,
             self._peer_report_received,
             ingress.context.queue.backlogs_by_service,
@@ -157,10 +141,10 @@
         )
         self.quarantine_record.start()
         self.store.era_listeners.append(self._store_restored)
-        self.watches = [self.configuration_watch, self.endpoint_watch, self.evacuation_watch]
+        self.watches = [self.configuration_watch, self.endpoint_watch, self.evacuations.watch]
         self.configuration_watch.start()
         self.endpoint_watch.start()
-        self.evacuation_watch.start(random.uniform(*EVACUATION_LISTING_DELAY_SECONDS))
+        self.evacuations.start()
         host, port = self.address
         self.port = self.reactor.listenUDP(port, self.exchange, interface=host)
 
@@ -205,49 +189,6 @@
             return False
         return True
 
-    def _endpoints_known(self, revision: int) -> None:
-        """Record that all changes of endpoints up to ``revision`` are known.
-
-        A watch of the endpoints returns the store's revision. If it is later than the revisions of
-        the changes that were received, something else has changed, perhaps an evacuation: these are
-        read then, so that they need no watch of their own.
-        """
-        self._endpoint_answer = _StoreAnswer(revision, self.reactor.seconds())
-        received = {changed for changed in self._received_revisions if changed <= revision}
-        self._received_revisions -= received
-        known_to = self.evacuations.complete_to
-        if known_to is not None and _are_consecutive(received, known_to, revision):
-            self.evacuations.observe_complete(revision)
-        self._confirm_endpoints()
-        self.evacuation_watch.recheck()
-
-    def _confirm_endpoints(self) -> None:
-        """Record up to which revision both the endpoints and the evacuations are known."""
-        answer, known_to = self._endpoint_answer, self.evacuations.complete_to
-        if answer is not None and known_to is not None:
-            age = self.reactor.seconds() - min(answer.at, self.evacuations.as_of)
-            self.endpoints.record_store_answer(min(answer.revision, known_to), age)
-
-    def _evacuation_watch_suspended(self) -> bool:
-        """Whether this gateway leaves reading the evacuations to its peers for now."""
-        known_to, answer = self.evacuations.complete_to, self._endpoint_answer
-        if known_to is None:
-            return False
-        outdated = answer is not None and known_to < answer.revision
-        if not outdated and not self.evacuations.needs_listing():
-            return True
-        return not self.should_watch() and not self.endpoints.must_query_store()
-
-    def _evacuations_listed(self, names: set[str]) -> None:
-        self.evacuations.observe_listing(names, self.evacuation_watch.revision)
-
-    def _evacuations_known(self, revision: int) -> None:
-        """Record that all evacuations up to ``revision`` are known."""
-        if self.evacuations.needs_listing():
-            self.evacuation_watch.relist()
-        self.evacuations.observe_complete(revision)
-        self._confirm_endpoints()
-
     def _store_restored(self, era: int) -> None:
         """Rewrite this gateway's objects after the store was restored from a backup."""
         del era
@@ -262,12 +203,7 @@
         """Advance the endpoint watch to the revision known after a peer's report."""
         if era := self.endpoints.latest_reported_era():
             self.store.observe_era(era)
-        known_to = self.evacuations.complete_to
-        if known_to is not None and not self.evacuations.needs_listing():
-            self.evacuation_watch.skip_listing(known_to)
-            self.evacuation_watch.advance(known_to)
-            if self.endpoints.revision is None:
-                self._confirm_endpoints()
+        self.evacuations.peer_report_received()
         if self.endpoints.revision is not None:
             self.endpoint_watch.advance(self.endpoints.revision)
             self.registry.record_store_reached_by_peer(self.endpoints.as_of)
@@ -323,12 +259,8 @@
         if stored.name == self.adapter.config_name and not stored.deleted:
             self.holder.offer(self.adapter.decode_configuration(stored.value))
 
-    def _evacuation_changed(self, stored) -> None:
-        change = EvacuationChange(stored.name, stored.revision, not stored.deleted)
-        self.evacuations.observe(change)
-
     def _endpoint_changed(self, stored) -> None:
-        self._received_revisions.add(stored.revision)
+        self.evacuations.endpoint_changed(stored.revision)
         if stored.deleted:
             self.registry.remove(stored.name, stored.revision)
             return
@@ -389,8 +321,3 @@
     def local_gateways(self) -> list[str]:
         """Return no names: a single gateway shares nothing."""
         return []
-
-
-def _are_consecutive(revisions: set[int], after: int, last: int) -> bool:
-    """Whether ``revisions`` contains every revision later than ``after`` up to ``last``."""
-    return len({revision for revision in revisions if revision > after}) == last - after
--- a/tests/evacuations/test_fleet.py
+++ b/tests/evacuations/test_fleet.py
@@ -128,14 +128,21 @@
     assert kinds.count(EVACUATIONS) <= 2
 
 
-def test_evacuation_stays_in_force_when_the_store_is_restored_without_it():
-    """Guards against requests to an evacuated data centre until the operators write it again."""
+@pytest.fixture
+def restored_fleet():
+    """A fleet whose store was just restored from a copy without the evacuation of ``dc``."""
     fleet = RestoredFleet()
     fleet.pass_time(5.0)
     fleet.store.copy()
     evacuate(fleet)
     fleet.pass_time(4.0)
     fleet.restore()
+    return fleet
+
+
+def test_evacuation_stays_in_force_when_the_store_is_restored_without_it(restored_fleet):
+    """Guards against requests to an evacuated data centre until the operators write it again."""
+    fleet = restored_fleet
     for _ in range(20):
         fleet.pass_time(0.1)
         assert all_usable_ids(fleet) == [set()] * 6
@@ -148,13 +155,8 @@
     assert all_usable_ids(fleet) == [{"e1", "e2"}] * 6
 
 
-def test_evacuation_that_ended_in_a_restore_is_dropped_later():
+def test_evacuation_that_ended_in_a_restore_is_dropped_later(restored_fleet):
     """Guards against endpoints that stay unused as their evacuation is never written again."""
-    fleet = RestoredFleet()
-    fleet.pass_time(5.0)
-    fleet.store.copy()
-    evacuate(fleet)
-    fleet.pass_time(4.0)
-    fleet.restore()
+    fleet = restored_fleet
     fleet.pass_time(2 * BOUND_SECONDS)
     assert all_usable_ids(fleet) == [{"e1", "e2"}] * 6
