One connect for plain requests and streams; explain names a cold copy; plainer words for cold endpoints

Cause: plain.py and attempt_opener.py repeated six lines around the connection; a stream whose copy's engine was cold was explained as one that had crashed endpoints, which was wrong. Change: forwarding/connecting.py; its own log line stream:copy-cold and cause, with a test; the spread of dispatches in one place; a lone gateway always counts itself as a possible sender to a cold endpoint.

--- a/src/guavacleat/admission/generations.py
+++ b/src/guavacleat/admission/generations.py
@@ -166,13 +166,21 @@
 
     def schedule_dispatch(self) -> None:
         """Schedule a dispatch, after the load of an engine has changed."""
-        spreads = [self._spread(name) for name, queue in self.queues_by_service.items() if queue]
-        if spreads:
-            self._schedule_dispatch_within(self.random.uniform(0.0, min(spreads)))
+        spread = self._spread()
+        if spread is not None:
+            self._schedule_dispatch_within(self.random.uniform(0.0, spread))
 
-    def _spread(self, service: str) -> float:
-        """Time over which the gateways with queued generations spread their dispatches."""
-        return DISPATCH_JITTER_SECONDS * (1 + self._peer_backlog(service).gateways)
+    def _spread(self) -> float | None:
+        """Seconds over which the gateways spread their dispatches; None if nothing is queued here.
+
+        With queues for several services, the one for which the fewest gateways compete counts.
+        """
+        gateways = [
+            1 + self._peer_backlog(name).gateways
+            for name, queue in self.queues_by_service.items()
+            if queue
+        ]
+        return DISPATCH_JITTER_SECONDS * min(gateways) if gateways else None
 
     def _peer_backlog(self, service: str) -> Backlog:
         return Backlog() if self.peers is None else self.peers.backlog(service)
@@ -194,10 +202,10 @@
         for name, queue in list(self.queues_by_service.items()):
             while self._dispatch_next(queue) and not self._peer_backlog(name).gateways:
                 pass
-        spreads = [self._spread(name) for name, queue in self.queues_by_service.items() if queue]
-        if spreads:
-            spread = self.random.uniform(0.5, 1.0) * min(spreads)
-            self._schedule_dispatch_within(max(POLL_SECONDS, spread))
+        spread = self._spread()
+        if spread is not None:
+            delay = self.random.uniform(0.5, 1.0) * spread
+            self._schedule_dispatch_within(max(POLL_SECONDS, delay))
 
     def _dispatch_next(self, queue: _ServiceQueue) -> bool:
         """Dispatch the first request that an engine has capacity for; False if there is none.
--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -138,8 +138,8 @@
     if end.get("outcome") == "COLD":
         return Cause(
             CauseKind.COLD,
-            "The endpoints of its service were cold, and its gateway's share of the rate that they"
-            f" bear was used up for {end.get('retry_after')} s. It has not run.",
+            "The endpoints of its service were cold, and its gateway's share of their request rate"
+            f" was used up for {end.get('retry_after')} s. It has not run.",
         )
     sentences = {
         "NO_CONFIGURATION": "Its gateway had no configuration yet.",
@@ -200,6 +200,8 @@
         return "it had sent no event yet, so the request may have run and must not run elsewhere"
     if timeline.last("stream:not-resumed") is not None:
         return "its copy was not resumed because similar requests had crashed endpoints"
+    if timeline.last("stream:copy-cold") is not None:
+        return "the engine with its copy was cold and could take no more requests"
     copies = [line for line in timeline.all_of("move:copied") if line.get("source") == engine]
     if not copies:
         return "the stream had no copy elsewhere and none was attempted"
--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -1,5 +1,6 @@
 """Opens streaming attempts: connects, selects a backup target and sends the request."""
 
+from guavacleat.forwarding.connecting import connect
 from guavacleat.forwarding.memory import RunCopy, StreamMemory
 from guavacleat.forwarding.messages import ForwardingMetadata, ResumePoint
 from guavacleat.forwarding.request import ForwardedRequest
@@ -33,17 +34,12 @@
         :param with_backup: whether a backup may be requested.
         """
         run = self.memory.begin_run(entry, resumed=resume is not None)
-        warmup = self.context.placement.warmup
-        warmup.record_send(entry)
         try:
-            connection = await self.context.pool.connect(entry.address)
+            connection = await connect(self.context, entry)
         except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
             self.context.load.end(entry.id, run)
-            self.context.load.record_failure(entry.id)
-            warmup.record_unreachable(entry)
             self.log("stream:unreachable", endpoint=entry.id, error=repr(exc))
             return None
-        warmup.record_reached(entry)
         if self.session.finished or self.session.time_left() <= 0:
             self.context.load.end(entry.id, run)
             connection.abandon()
--- /dev/null
+++ b/src/guavacleat/forwarding/connecting.py
@@ -0,0 +1,24 @@
+"""Connects to an endpoint to send it a request, and records whether it was reached."""
+
+from guavacleat.membership.registry import EndpointEntry
+
+__all__ = ["connect"]
+
+
+async def connect(context, entry: EndpointEntry):
+    """Return a connection to ``entry``; raise the connection error if it can't be reached.
+
+    The request counts as sent from now on, so that others see a cold endpoint's limit as used.
+
+    :param context: the :class:`~.context.ForwardingContext`.
+    """
+    warmup = context.placement.warmup
+    warmup.record_send(entry)
+    try:
+        connection = await context.pool.connect(entry.address)
+    except Exception:
+        context.load.record_failure(entry.id)
+        warmup.record_unreachable(entry)
+        raise
+    warmup.record_reached(entry)
+    return connection
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 from twisted.internet import task
 
+from guavacleat.forwarding.connecting import connect
 from guavacleat.forwarding.isolation import place_isolated
 from guavacleat.forwarding.messages import ForwardingMetadata
 from guavacleat.forwarding.refusals import RefusalError, RefusalReason, no_endpoint
@@ -122,16 +123,11 @@
         context = self.context
         started_at = context.clock.seconds()
         response = CheckedResponse(request.exchange, request.metadata.id, context.wire)
-        warmup = context.placement.warmup
-        warmup.record_send(entry)
         try:
-            connection = await context.pool.connect(entry.address)
+            connection = await connect(context, entry)
         except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
-            context.load.record_failure(entry.id)
-            warmup.record_unreachable(entry)
             self._log_attempt(request, entry, AttemptOutcome.UNREACHABLE, response, repr(exc))
             return AttemptOutcome.UNREACHABLE, response
-        warmup.record_reached(entry)
         time_left = request.deadline - context.clock.seconds()
         if time_left <= 0 or request.exchange.disconnected:
             connection.abandon()
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -246,12 +246,12 @@
         self.memory.drop_copy()
         if copy is None or self.last_event is None or self.finished:
             return False
-        warmup = self.context.placement.warmup
-        if not may_resume_at(self.context, self.request, copy.entry) or not warmup.may_send(
-            copy.entry
-        ):
+        if not may_resume_at(self.context, self.request, copy.entry):
             self._log("stream:not-resumed", endpoint=copy.entry.id)
             return False
+        if not self.context.placement.warmup.may_send(copy.entry):
+            self._log("stream:copy-cold", endpoint=copy.entry.id)
+            return False
         self.context.budget.record_retry(self.request.service)
         point = ResumePoint(copy.source.address, copy.handle, self.last_event)
         self.moves += 1
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -47,7 +47,7 @@
     """Chooses among the ready endpoints of a service.
 
     Endpoints in evacuated data centres, and in regions that a request's route or account excludes,
-    are never chosen. Cold ones are chosen within this gateway's share of the rate that they bear.
+    are never chosen. Cold ones are chosen within this gateway's share of their request rate.
 
     :param avoided_ids: returns the ids of endpoints that get new requests only if there are no
         others.
@@ -174,7 +174,7 @@
         """The engine to move a run to, in the source's data centre if one has capacity.
 
         A copy to a remote data centre takes longer, and the source is about to leave. A cold engine
-        might not bear the requests that resume the moved runs.
+        might not accept the requests that resume the moved runs.
         """
         engine = request.traits.engine
         ready = self.ready(source.service, exclude | {source.id}, request.regions)
--- a/src/guavacleat/platform/objects.py
+++ b/src/guavacleat/platform/objects.py
@@ -11,7 +11,7 @@
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 ENDPOINT_KIND = "servers"
-# Objects of this kind bear the names of the evacuated data centres.
+# Objects of this kind have the names of the evacuated data centres.
 EVACUATION_KIND = "evacuations"
 MS_PER_SECOND = 1000
 
--- a/src/guavacleat/routes/model.py
+++ b/src/guavacleat/routes/model.py
@@ -135,7 +135,7 @@
     """Properties of a service; ``engine`` is None for a plain one.
 
     :param cold_start: seconds for which an endpoint is cold after its start.
-    :param cold_rate: requests per second that a cold endpoint bears; 0 if it has no such limit.
+    :param cold_rate: maximum requests per second to a cold endpoint; 0 if it has no such limit.
     """
 
     __slots__ = ("name", "max_connections", "engine", "cold_start", "cold_rate")
--- a/src/guavacleat/standin/routed.py
+++ b/src/guavacleat/standin/routed.py
@@ -103,7 +103,7 @@
             self._respond(exchange, headers)
 
     def become_cold(self, seconds: float, limit: float) -> None:
-        """Bear ``limit`` requests within a second for ``seconds``, and crash beyond."""
+        """Crash at more than ``limit`` requests within a second, for the next ``seconds``."""
         self.cold_until = self.clock.seconds() + seconds
         self.cold_limit = limit
 
--- a/src/guavacleat/warmup/shares.py
+++ b/src/guavacleat/warmup/shares.py
@@ -1,14 +1,14 @@
-"""A gateway's share of the rate that a cold endpoint bears.
+"""A gateway's share of the request rate of a cold endpoint.
 
-An endpoint that gets more requests per second than it bears while it is cold crashes. The gateways
-share its rate without asking each other:
+A cold endpoint crashes if it gets more requests per second than its maximum rate. The gateways
+share this rate without communicating:
 
 - Few gateways each get an equal share of the rate. A gateway that lost its peers keeps counting
   those it knew, so that its share does not grow.
-- Each gateway may send at least one request at any moment. If all of them doing so at once could
-  exceed the bound, only some of them, the senders, get a share, selected per endpoint by rendezvous
-  hashing. Within a data centre, gateways that are cut off from each other may select twice as many
-  senders; therefore half of what the bound allows is shared.
+- Each gateway with a share may send at least one request at any moment. If all of them doing so at
+  once could exceed the bound, only some of them, the senders, get a share, selected per endpoint by
+  rendezvous hashing. Within a data centre, gateways that are cut off from each other may select
+  twice as many senders; therefore half of what the bound allows is shared.
 
 The other gateways use other endpoints meanwhile.
 """
@@ -41,7 +41,7 @@
     def rate(self, endpoint_id: str, rate: float) -> float:
         """Requests per second that this gateway may send the endpoint; 0 if it is not a sender.
 
-        :param rate: requests per second that the endpoint bears from all gateways.
+        :param rate: maximum requests per second to the endpoint, from all gateways.
         """
         margin = (self.bounds.cold_overshoot - 1) * rate + self.bounds.cold_slack
         count = max(1, self.gateways.gateway_count())
@@ -57,9 +57,8 @@
         local_senders = self._local_senders(endpoint_id, senders)
         if not local_senders:
             return False
-        return self.instance in select_members(
-            self.gateways.local_gateways(), f"cold {endpoint_id}", local_senders
-        )
+        members = {self.instance, *self.gateways.local_gateways()}
+        return self.instance in select_members(members, f"cold {endpoint_id}", local_senders)
 
     def _local_senders(self, endpoint_id: str, senders: int) -> int:
         """How many of the senders are in this data centre."""
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -47,6 +47,20 @@
         "Engine e1 failed without notice, and its copy was not resumed because similar requests"
         " had crashed endpoints.",
     ),
+    "cut as the engine with its copy was cold": (
+        [
+            line(4.5, "stream:copy-cold", request="r1", endpoint="e2"),
+            line(4.5, "stream:broken", request="r1", endpoint="e1", last_event=9),
+            ended(4.5, "CUT", status=200, seconds=3.0),
+        ],
+        "Engine e1 failed without notice, and the engine with its copy was cold and could take no"
+        " more requests.",
+    ),
+    "refused as the data centres were evacuated": (
+        [ended(4.0, "EVACUATED", retry_after=1.0, status=503)],
+        "The data centres of its service's endpoints were evacuated. It has not run and may be"
+        " retried after 1.0 s.",
+    ),
     "refused under load": (
         [ended(5.0, "NO_ROOM", detail="expected to wait 4.74 s", status=503)],
         "No capacity: expected to wait 4.74 s. It has not run.",
