Rename: warmup -> throttling, WarmupLimiter -> EndpointThrottle

warmup/ -> throttling/, limiter.py -> throttle.py, tests/warmup -> tests/throttling, WarmupLimiter -> EndpointThrottle, Placement.warmup -> Placement.throttle. The slice is about to hold limits that have nothing to do with a start. No other change.

--- a/src/guavacleat/forwarding/connecting.py
+++ b/src/guavacleat/forwarding/connecting.py
@@ -12,13 +12,13 @@
 
     :param context: the :class:`~.context.ForwardingContext`.
     """
-    warmup = context.placement.warmup
-    warmup.record_send(entry)
+    throttle = context.placement.throttle
+    throttle.record_send(entry)
     try:
         connection = await context.pool.connect(entry.address)
     except Exception:
         context.load.record_failure(entry.id)
-        warmup.record_unreachable(entry)
+        throttle.record_unreachable(entry)
         raise
-    warmup.record_reached(entry)
+    throttle.record_reached(entry)
     return connection
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -179,7 +179,7 @@
             return False
         if not self.context.quarantine.is_unrestricted(self.request):
             return False
-        if not self.context.placement.warmup.may_send(self.memory.copy.entry):
+        if not self.context.placement.throttle.may_send(self.memory.copy.entry):
             return False
         self.handover = Handover(self)
         try:
@@ -249,7 +249,7 @@
         if not may_resume_at(self.context, self.request, copy.entry):
             self._log("stream:not-resumed", endpoint=copy.entry.id)
             return False
-        if not self.context.placement.warmup.may_send(copy.entry):
+        if not self.context.placement.throttle.may_send(copy.entry):
             self._log("stream:copy-cold", endpoint=copy.entry.id)
             return False
         self.context.budget.record_retry(self.request.service)
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -89,10 +89,10 @@
         self.crashes.set({}, sum(crash.confirmed for crash in tracker.endpoint_crashes))
         self.quarantined.set({}, len(tracker.quarantined_fingerprints()))
 
-    def update_availability(self, evacuations, warmup) -> None:
+    def update_availability(self, evacuations, throttle) -> None:
         """Update the gauges of evacuated data centres and cold endpoints."""
         self.evacuated.set({}, len(evacuations.evacuated_names()))
-        self.cold_endpoints.set({}, warmup.cold_count())
+        self.cold_endpoints.set({}, throttle.cold_count())
 
     def update_control_traffic(self, traffic) -> None:
         """Update the gauges from a :class:`~guavacleat.ingress.sources.ControlTraffic`."""
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -23,7 +23,7 @@
 from guavacleat.routes import CallerLimits, ServiceTraits
 from guavacleat.routes.holder import RouteHolder
 from guavacleat.settings import ProcessSettings
-from guavacleat.warmup import ShareRule, WarmupLimiter
+from guavacleat.throttling import EndpointThrottle, ShareRule
 
 __all__ = ["IngressService"]
 
@@ -83,14 +83,14 @@
         quarantine = QuarantineGuard(
             reactor, self.crash_tracker, EndpointProbe(self.pool, self.registry)
         )
-        self.warmup = WarmupLimiter(reactor, self._share_rule(), self._find_service)
+        self.throttle = EndpointThrottle(reactor, self._share_rule(), self._find_service)
         placement = Placement(
             self.registry,
             self.load,
             settings.data_centre,
             avoided_ids=quarantine.trial_endpoints,
             evacuations=self.evacuations,
-            warmup=self.warmup,
+            throttle=self.throttle,
             regions_by_data_centre=settings.regions_by_data_centre,
         )
         queue = GenerationQueue(reactor, placement, peers=self.peers)
@@ -145,24 +145,24 @@
         """Warm up the endpoints of a data centre that may have become cold meanwhile."""
         for entry in self.registry.all_ready():
             if entry.data_centre == data_centre:
-                self.warmup.mark_cold(entry)
+                self.throttle.mark_cold(entry)
         self.context.queue.schedule_dispatch()
 
     def _endpoint_cold(self, entry) -> None:
-        self.warmup.mark_cold(entry, entry.cold_for)
+        self.throttle.mark_cold(entry, entry.cold_for)
 
     def _endpoint_leaving(self, entry) -> None:
         announced = entry.state is EndpointState.DRAINING
         self.context.quarantine.endpoint_removed(entry.id, announced)
         self.load.forget(entry.id)
-        self.warmup.forget(entry.id)
+        self.throttle.forget(entry.id)
         self.pool.drop(entry.address)
         self.evacuator.endpoint_leaving(entry)
 
     def _endpoint_restarted(self, previous) -> None:
         self.context.quarantine.endpoint_removed(previous.id, announced=False)
         self.load.forget(previous.id)
-        self.warmup.mark_cold(previous)
+        self.throttle.mark_cold(previous)
         self.pool.drop(previous.address)
         self.evacuator.endpoint_restarted(previous)
 
@@ -217,7 +217,7 @@
     def _exposition(self) -> bytes:
         self.metrics.update_configuration(self.holder, self.source.failures_by_kind())
         self.metrics.update_quarantine(self.crash_tracker)
-        self.metrics.update_availability(self.evacuations, self.warmup)
+        self.metrics.update_availability(self.evacuations, self.throttle)
         self.metrics.update_control_traffic(self.source.control_traffic())
         return self.metrics.exposition()
 
@@ -225,7 +225,7 @@
         """Apply changed settings: the bounds; addresses change only at the next start."""
         self.settings = settings
         self.context.budget.bounds = settings.bounds
-        self.warmup.share.bounds = settings.bounds
+        self.throttle.share.bounds = settings.bounds
         log_message(message_type="process:reloaded", instance=settings.instance)
 
     def settings_refused(self, error: SettingsError) -> None:
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -7,7 +7,7 @@
 from guavacleat.placement.load import LoadTracker
 from guavacleat.placement.prefill import PREFILL_TOKENS_PER_SECOND, FirstEventEstimate
 from guavacleat.routes import EngineTraits
-from guavacleat.warmup import WarmupLimiter
+from guavacleat.throttling import EndpointThrottle
 
 __all__ = ["Placement"]
 
@@ -53,7 +53,7 @@
         others.
     :param evacuations: the :class:`~guavacleat.evacuations.EvacuationRegister`; None if no data
         centre is ever evacuated.
-    :param warmup: the :class:`~guavacleat.warmup.WarmupLimiter`.
+    :param throttle: the :class:`~guavacleat.throttling.EndpointThrottle`.
     :param regions_by_data_centre: the region of each data centre.
     """
 
@@ -65,13 +65,13 @@
         seed=None,
         avoided_ids=frozenset,
         evacuations: EvacuationRegister | None = None,
-        warmup: WarmupLimiter | None = None,
+        throttle: EndpointThrottle | None = None,
         regions_by_data_centre: dict[str, str] | None = None,
     ):
         self.registry = registry
         self.avoided_ids = avoided_ids
         self.evacuations = evacuations
-        self.warmup = warmup or WarmupLimiter(load.clock)
+        self.throttle = throttle or EndpointThrottle(load.clock)
         self.regions_by_data_centre = regions_by_data_centre or {}
         self.load = load
         self.data_centre = data_centre
@@ -115,12 +115,14 @@
 
     def _available(self, request, exclude: set[str]) -> list[EndpointEntry]:
         """Endpoints that ``request`` may be sent to now."""
-        return [entry for entry in self.ready_for(request, exclude) if self.warmup.may_send(entry)]
+        return [
+            entry for entry in self.ready_for(request, exclude) if self.throttle.may_send(entry)
+        ]
 
     def seconds_until_available(self, request, exclude: set[str]) -> float | None:
         """Seconds until ``request`` may be sent to an endpoint; None if there is none."""
         ready = self.ready_for(request, exclude)
-        return min(map(self.warmup.seconds_until_allowed, ready), default=None)
+        return min(map(self.throttle.seconds_until_allowed, ready), default=None)
 
     def least_loaded(self, request, exclude: set[str]) -> EndpointEntry | None:
         """The endpoint with the fewest runs, for a request that may crash it; None if all are full.
@@ -178,7 +180,7 @@
         """
         engine = request.traits.engine
         ready = self.ready(source.service, exclude | {source.id}, request.regions)
-        ready = [entry for entry in ready if not self.warmup.is_cold(entry)] or ready
+        ready = [entry for entry in ready if not self.throttle.is_cold(entry)] or ready
         local = [
             entry
             for entry in ready
@@ -205,7 +207,7 @@
             entry
             for entry in self.ready(source.service, {source.id}, request.regions)
             if self.memory_share(entry, expected, engine) <= BACKUP_MEMORY_SHARE
-            and not self.warmup.is_cold(entry)
+            and not self.throttle.is_cold(entry)
             and not self._failure_penalty(entry)
         ]
         return min(
--- a/src/guavacleat/warmup/limiter.py
+++ b/src/guavacleat/throttling/throttle.py
@@ -11,9 +11,9 @@
 
 from guavacleat.membership.registry import EndpointEntry
 from guavacleat.routes import ServiceTraits
-from guavacleat.warmup.shares import ShareRule
+from guavacleat.throttling.shares import ShareRule
 
-__all__ = ["WarmupLimiter"]
+__all__ = ["EndpointThrottle"]
 
 UNREACHABLE_SECONDS = 5.0
 UNLIMITED = ServiceTraits("", 0)
@@ -35,7 +35,7 @@
         self.unreachable = False
 
 
-class WarmupLimiter:
+class EndpointThrottle:
     """Tracks cold endpoints and the requests that this gateway sends them.
 
     :param share: this gateway's :class:`~.shares.ShareRule`; None if it is the only gateway.
--- a/tests/evacuations/test_requests.py
+++ b/tests/evacuations/test_requests.py
@@ -21,7 +21,7 @@
     register = EvacuationRegister(clock)
     register.observe_listing((), 1)
     harness.context.placement.evacuations = register
-    harness.context.placement.warmup.find_service = {"svc": COLD}.get
+    harness.context.placement.throttle.find_service = {"svc": COLD}.get
     return harness
 
 
@@ -67,9 +67,9 @@
 def test_plain_request_waits_for_a_cold_endpoint(harness, clock):
     entry = harness.registry.entries_by_id["e1"]
     evacuate(harness, "b")
-    warmup = harness.context.placement.warmup
-    warmup.mark_cold(entry)
-    warmup.record_send(entry)
+    throttle = harness.context.placement.throttle
+    throttle.mark_cold(entry)
+    throttle.record_send(entry)
     clock.advance(0.48)
     request, _ = harness.request()
     forward(harness, request)
@@ -82,9 +82,9 @@
     """Guards against a herd of requests to endpoints that return cold."""
     entry = harness.registry.entries_by_id["e1"]
     evacuate(harness, "b")
-    warmup = harness.context.placement.warmup
-    warmup.mark_cold(entry)
-    warmup.record_send(entry)
+    throttle = harness.context.placement.throttle
+    throttle.mark_cold(entry)
+    throttle.record_send(entry)
     request, _ = harness.request()
     refusal = refusal_of(forward(harness, request))
     assert refusal.reason is RefusalReason.COLD
@@ -93,7 +93,7 @@
 
 def test_generations_wait_for_a_cold_engine_at_its_rate(harness, clock):
     evacuate(harness, "b")
-    harness.context.placement.warmup.mark_cold(harness.registry.entries_by_id["e1"])
+    harness.context.placement.throttle.mark_cold(harness.registry.entries_by_id["e1"])
     for _ in range(4):
         request, _ = harness.request(kind=RequestKind.STREAM, timeout=30.0)
         forward(harness, request)
--- a/tests/warmup/test_shares.py
+++ b/tests/throttling/test_shares.py
@@ -3,7 +3,7 @@
 import pytest
 
 from guavacleat.settings import Bounds
-from guavacleat.warmup import ShareRule
+from guavacleat.throttling import ShareRule
 
 DATA_CENTRES = ["dc0", "dc1", "dc2", "dc3"]
 ENDPOINTS = [f"e{number}" for number in range(40)]
--- a/tests/warmup/test_limiter.py
+++ b/tests/throttling/test_throttle.py
@@ -3,8 +3,8 @@
 import pytest
 
 from guavacleat.routes import ServiceTraits
-from guavacleat.warmup import WarmupLimiter
-from guavacleat.warmup.limiter import UNREACHABLE_SECONDS
+from guavacleat.throttling import EndpointThrottle
+from guavacleat.throttling.throttle import UNREACHABLE_SECONDS
 from tests.forwarding.harness import make_entry
 
 TRAITS = ServiceTraits("svc", 100, cold_start=2.0, cold_rate=4.0)
@@ -13,7 +13,7 @@
 
 @pytest.fixture
 def limiter(clock):
-    return WarmupLimiter(clock, find_service={"svc": TRAITS}.get)
+    return EndpointThrottle(clock, find_service={"svc": TRAITS}.get)
 
 
 def count_allowed(limiter, clock, seconds):
@@ -71,7 +71,7 @@
 
 
 def test_service_without_a_rate_has_no_limit(clock):
-    limiter = WarmupLimiter(clock, find_service={"svc": ServiceTraits("svc", 100)}.get)
+    limiter = EndpointThrottle(clock, find_service={"svc": ServiceTraits("svc", 100)}.get)
     limiter.mark_cold(ENTRY, 5.0)
     assert not limiter.is_cold(ENTRY)
 
