Observability: endpoints' named limits in logs, metrics and a register

The logs of the incident can't tell a gateway that doesn't know of a limit from one that knows it and keeps it for itself alone: nothing says when a gateway was told, nor how many requests it has sent an endpoint since.

endpoint:limit tells each change of a limit with the requests sent under the one before, guavacleat_limited_endpoints counts endpoints with one. Answers are read as soon as their heads arrive, streams' too. Nothing decides by it yet.

--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -47,7 +47,13 @@
         backup = self._place_backup(entry) if with_backup else None
         self._log_placed(entry, backup, resume)
         self.context.quarantine.request_sent(self.request, entry.id)
-        attempt = StreamAttempt(entry, self.request.metadata.id, self.context.wire, self.session)
+        attempt = StreamAttempt(
+            entry,
+            self.request.metadata.id,
+            self.context.wire,
+            self.session,
+            self.context.feedback,
+        )
         attempt.connection, attempt.run, attempt.backup = connection, run, backup
         attempt.sent_at = self.context.clock.seconds()
         attempt.done.addBoth(self._attempt_finished, attempt)
--- a/src/guavacleat/forwarding/connecting.py
+++ b/src/guavacleat/forwarding/connecting.py
@@ -14,6 +14,7 @@
     """
     throttle = context.placement.throttle
     throttle.record_send(entry)
+    context.feedback.limits.record_send(entry.id)
     try:
         connection = await context.pool.connect(entry.address)
     except Exception:
--- a/src/guavacleat/forwarding/context.py
+++ b/src/guavacleat/forwarding/context.py
@@ -15,6 +15,7 @@
     :param budget: :class:`~guavacleat.retries.RetryBudget`.
     :param queue: :class:`~guavacleat.admission.generations.GenerationQueue`.
     :param quarantine: :class:`~guavacleat.quarantine.QuarantineGuard`.
+    :param feedback: :class:`~guavacleat.forwarding.feedback.EndpointFeedback`.
     """
 
     __slots__ = (
@@ -27,9 +28,22 @@
         "budget",
         "queue",
         "quarantine",
+        "feedback",
     )
 
-    def __init__(self, clock, pool, wire, registry, load, placement, budget, queue, quarantine):
+    def __init__(
+        self,
+        clock,
+        pool,
+        wire,
+        registry,
+        load,
+        placement,
+        budget,
+        queue,
+        quarantine,
+        feedback,
+    ):
         self.clock = clock
         self.pool = pool
         self.wire = wire
@@ -39,3 +53,4 @@
         self.budget = budget
         self.queue = queue
         self.quarantine = quarantine
+        self.feedback = feedback
--- a/src/guavacleat/forwarding/messages.py
+++ b/src/guavacleat/forwarding/messages.py
@@ -1,5 +1,7 @@
 """Metadata that the gateway exchanges with callers and endpoints."""
 
+from guavacleat.forwarding.statements import EndpointStatements
+
 __all__ = [
     "ResponseMetadata",
     "RequestMetadata",
@@ -106,15 +108,24 @@
     :param signed: whether the endpoint signed the response.
     :param not_run: whether the endpoint states that it did not execute the request.
     :param encoded: whether an intermediary encoded the body.
+    :param statements: what the endpoint says of itself.
     """
 
-    __slots__ = ("request_id", "signed", "not_run", "encoded")
+    __slots__ = ("request_id", "signed", "not_run", "encoded", "statements")
 
-    def __init__(self, request_id: str | None, signed: bool, not_run: bool, encoded: bool):
+    def __init__(
+        self,
+        request_id: str | None,
+        signed: bool,
+        not_run: bool,
+        encoded: bool,
+        statements: EndpointStatements | None = None,
+    ):
         self.request_id = request_id
         self.signed = signed
         self.not_run = not_run
         self.encoded = encoded
+        self.statements = statements or EndpointStatements()
 
 
 class EndpointStatus:
--- a/src/guavacleat/forwarding/native.py
+++ b/src/guavacleat/forwarding/native.py
@@ -3,7 +3,8 @@
 Callers send ``X-Request-Id``, ``X-Api-Key`` and ``X-Deadline`` (timeout in seconds), and for
 generations ``X-Prompt-Tokens`` and ``X-Max-Tokens``. Endpoints respond with ``X-Request-Id`` and
 ``X-Endpoint`` (their id, which marks the response as signed), or with ``X-Not-Run`` if they did
-not execute the request.
+not execute the request. ``X-Rate-Limit`` names the requests per second that an endpoint takes from
+all gateways together.
 """
 
 from guavacleat.forwarding.messages import (
@@ -13,6 +14,7 @@
     ResponseMetadata,
 )
 from guavacleat.forwarding.numbers import parse_number, parse_token_count
+from guavacleat.forwarding.statements import parse_statements
 from guavacleat.forwarding.wire import Headers, Wire
 
 __all__ = ["NativeWire"]
@@ -26,6 +28,7 @@
 PRIORITY = b"x-priority"
 ENDPOINT = b"x-endpoint"
 NOT_RUN = b"x-not-run"
+RATE_LIMIT = b"x-rate-limit"
 # Headers that the gateway removes or replaces.
 OWNED = {KEY, DEADLINE, ACCOUNT, PRIORITY, ENDPOINT}
 NOT_IMPLEMENTED = 501  # HTTP status
@@ -63,6 +66,7 @@
             signed=ENDPOINT in values,
             not_run=NOT_RUN in values,
             encoded=b"content-encoding" in values,
+            statements=parse_statements(headers, rate_limit=RATE_LIMIT),
         )
 
     def refusal_headers(self, request_id: str, retry_after: float | None) -> Headers:
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -5,6 +5,8 @@
 maximum attempts, the deadline and the shared retry budget.
 """
 
+import functools
+
 from eliot import log_message
 from twisted.internet import task
 
@@ -122,7 +124,10 @@
         """Send to one endpoint; return the :class:`AttemptOutcome` and the response."""
         context = self.context
         started_at = context.clock.seconds()
-        response = CheckedResponse(request.exchange, request.metadata.id, context.wire)
+        on_statements = functools.partial(context.feedback.observe, entry, started_at)
+        response = CheckedResponse(
+            request.exchange, request.metadata.id, context.wire, on_statements
+        )
         try:
             connection = await connect(context, entry)
         except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
--- a/src/guavacleat/forwarding/response.py
+++ b/src/guavacleat/forwarding/response.py
@@ -5,11 +5,19 @@
 from twisted.internet import defer
 
 from guavacleat.forwarding.messages import ResponseMetadata
+from guavacleat.forwarding.statements import EndpointStatements
 from guavacleat.http1.client import ResponseFailure, ResponseListener
 from guavacleat.http1.messages import ResponseHead, end_to_end_headers
 from guavacleat.http1.server import CallerExchange
 
-__all__ = ["ResponseCheck", "AttemptOutcome", "CheckedResponse", "check_response", "begin_response"]
+__all__ = [
+    "ResponseCheck",
+    "AttemptOutcome",
+    "CheckedResponse",
+    "check_response",
+    "begin_response",
+    "trusted_statements",
+]
 
 # Responses up to this size are buffered until complete, so that a truncated one can be retried or
 # reported as an error. Larger ones are streamed to the caller.
@@ -64,6 +72,15 @@
     return ResponseCheck.VALID
 
 
+def trusted_statements(
+    head: ResponseHead, metadata: ResponseMetadata, request_id: str
+) -> EndpointStatements | None:
+    """What the endpoint says of itself; None in another one's or an earlier request's response."""
+    if head.status == MISDIRECTED or metadata.request_id not in (None, request_id):
+        return None
+    return metadata.statements
+
+
 def begin_response(caller: CallerExchange, head: ResponseHead) -> None:
     """Start the caller's response with an endpoint's response head."""
     caller.start_response(head.status, head.reason, end_to_end_headers(head.headers))
@@ -74,12 +91,15 @@
 
     ``endpoint_disconnected`` tells whether the endpoint closed the connection before the response
     was complete. ``connection`` must be set before the request is sent, for backpressure.
+
+    :param on_statements: called with the :class:`~.statements.EndpointStatements` of the response.
     """
 
-    def __init__(self, caller: CallerExchange, request_id: str, wire):
+    def __init__(self, caller: CallerExchange, request_id: str, wire, on_statements):
         self.caller = caller
         self.request_id = request_id
         self.wire = wire
+        self.on_statements = on_statements
         self.done = defer.Deferred()
         self.connection = None
         self.head: ResponseHead | None = None
@@ -95,9 +115,11 @@
 
     def response_started(self, head):
         self.head = head
-        self.check = check_response(
-            head, self.wire.parse_response_metadata(head.headers), self.request_id
-        )
+        metadata = self.wire.parse_response_metadata(head.headers)
+        self.check = check_response(head, metadata, self.request_id)
+        statements = trusted_statements(head, metadata, self.request_id)
+        if statements is not None:
+            self.on_statements(statements)
         if self.check is ResponseCheck.FOREIGN:
             self._finish(AttemptOutcome.BROKEN)
             self.connection.abandon()
--- a/src/guavacleat/forwarding/stream_attempt.py
+++ b/src/guavacleat/forwarding/stream_attempt.py
@@ -6,7 +6,7 @@
 
 from guavacleat.forwarding.events import EventSplitter
 from guavacleat.forwarding.memory import RunCopy
-from guavacleat.forwarding.response import ResponseCheck, check_response
+from guavacleat.forwarding.response import ResponseCheck, check_response, trusted_statements
 from guavacleat.http1.client import ResponseFailure, ResponseListener
 from guavacleat.http1.messages import ResponseHead
 from guavacleat.membership.registry import EndpointEntry
@@ -39,13 +39,15 @@
 
     :param observer: ``attempt_started(attempt)`` is called when a valid stream starts, and
         ``attempt_event(attempt, event)`` with each complete :class:`StreamEvent`.
+    :param feedback: the :class:`~.feedback.EndpointFeedback`.
     """
 
-    def __init__(self, entry: EndpointEntry, request_id: str, wire, observer):
+    def __init__(self, entry: EndpointEntry, request_id: str, wire, observer, feedback):
         self.entry = entry
         self.request_id = request_id
         self.wire = wire
         self.observer = observer
+        self.feedback = feedback
         self.done = defer.Deferred()
         self.connection = None
         # The run's entry in the load tracker, and the backup requested with it.
@@ -77,9 +79,11 @@
 
     def response_started(self, head):
         self.head = head
-        self.check = check_response(
-            head, self.wire.parse_response_metadata(head.headers), self.request_id
-        )
+        metadata = self.wire.parse_response_metadata(head.headers)
+        self.check = check_response(head, metadata, self.request_id)
+        statements = trusted_statements(head, metadata, self.request_id)
+        if statements is not None:
+            self.feedback.observe(self.entry, self.sent_at, statements)
         if self.check is ResponseCheck.FOREIGN:
             self._reject()
         elif self.streaming and not self.ended:
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -56,6 +56,10 @@
             "guavacleat_cold_endpoints",
             "Endpoints that get a limited rate of requests because they may be cold.",
         )
+        self.limited_endpoints = self._gauge(
+            "guavacleat_limited_endpoints",
+            "Endpoints that name a limit of their request rate in their answers.",
+        )
         self.store_era = self._gauge(
             "guavacleat_store_era",
             "Latest era of the store that is known: how often it came back from a copy.",
@@ -89,10 +93,11 @@
         self.crashes.set({}, sum(crash.confirmed for crash in tracker.endpoint_crashes))
         self.quarantined.set({}, len(tracker.quarantined_fingerprints()))
 
-    def update_availability(self, evacuations, throttle) -> None:
-        """Update the gauges of evacuated data centres and cold endpoints."""
+    def update_availability(self, evacuations, throttle, limits) -> None:
+        """Update the gauges of evacuated data centres and of cold and limited endpoints."""
         self.evacuated.set({}, len(evacuations.evacuated_names()))
         self.cold_endpoints.set({}, throttle.cold_count())
+        self.limited_endpoints.set({}, limits.count())
 
     def update_control_traffic(self, traffic) -> None:
         """Update the gauges from a :class:`~guavacleat.ingress.sources.ControlTraffic`."""
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -7,6 +7,7 @@
 from guavacleat.errors import SettingsError
 from guavacleat.evacuations import EvacuationRegister
 from guavacleat.forwarding.context import ForwardingContext
+from guavacleat.forwarding.feedback import EndpointFeedback
 from guavacleat.forwarding.wire import Wire
 from guavacleat.http1.pool import ConnectionPool
 from guavacleat.http1.server import CallerExchange, CallerListener
@@ -23,7 +24,7 @@
 from guavacleat.routes import CallerLimits, ServiceTraits
 from guavacleat.routes.holder import RouteHolder
 from guavacleat.settings import ProcessSettings
-from guavacleat.throttling import EndpointThrottle, ShareRule
+from guavacleat.throttling import EndpointThrottle, LimitRegister, ShareRule
 
 __all__ = ["IngressService"]
 
@@ -83,6 +84,7 @@
         quarantine = QuarantineGuard(
             reactor, self.crash_tracker, EndpointProbe(self.pool, self.registry)
         )
+        self.limits = LimitRegister(reactor)
         self.throttle = EndpointThrottle(reactor, self._share_rule(), self._find_service)
         placement = Placement(
             self.registry,
@@ -106,6 +108,7 @@
             budget=RetryBudget(reactor, settings.bounds, source.gateway_count),
             queue=queue,
             quarantine=quarantine,
+            feedback=EndpointFeedback(self.limits),
         )
         self.context = context
         max_body_bytes = int(settings.limits.memory_bytes * BODY_MEMORY_SHARE)
@@ -156,6 +159,7 @@
         self.context.quarantine.endpoint_removed(entry.id, announced)
         self.load.forget(entry.id)
         self.throttle.forget(entry.id)
+        self.limits.forget(entry.id)
         self.pool.drop(entry.address)
         self.evacuator.endpoint_leaving(entry)
 
@@ -163,6 +167,7 @@
         self.context.quarantine.endpoint_removed(previous.id, announced=False)
         self.load.forget(previous.id)
         self.throttle.mark_cold(previous)
+        self.limits.forget(previous.id)
         self.pool.drop(previous.address)
         self.evacuator.endpoint_restarted(previous)
 
@@ -217,7 +222,7 @@
     def _exposition(self) -> bytes:
         self.metrics.update_configuration(self.holder, self.source.failures_by_kind())
         self.metrics.update_quarantine(self.crash_tracker)
-        self.metrics.update_availability(self.evacuations, self.throttle)
+        self.metrics.update_availability(self.evacuations, self.throttle, self.limits)
         self.metrics.update_control_traffic(self.source.control_traffic())
         return self.metrics.exposition()
 
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -5,8 +5,10 @@
 
 from guavacleat.admission.generations import GenerationQueue
 from guavacleat.forwarding.context import ForwardingContext
+from guavacleat.forwarding.feedback import EndpointFeedback
 from guavacleat.forwarding.messages import MoveResponse, RequestMetadata, ResponseMetadata
 from guavacleat.forwarding.request import ForwardedRequest
+from guavacleat.forwarding.statements import parse_statements
 from guavacleat.forwarding.wire import Wire
 from guavacleat.http1.client import ResponseFailure
 from guavacleat.http1.messages import RequestHead, ResponseHead
@@ -18,6 +20,7 @@
 from guavacleat.retries import RetryBudget
 from guavacleat.routes import Backend, EngineTraits, RequestKind, Route, ServiceTraits
 from guavacleat.settings import Bounds
+from guavacleat.throttling import LimitRegister
 
 ENGINE = EngineTraits(24, 30000, 163840, 24000.0, 4, moves=True, backups=False)
 
@@ -48,7 +51,11 @@
         values = dict(headers)
         id = values.get(b"id")
         return ResponseMetadata(
-            None if id is None else id.decode(), b"sealed" in values, b"not-run" in values, False
+            None if id is None else id.decode(),
+            b"sealed" in values,
+            b"not-run" in values,
+            False,
+            parse_statements(headers, rate_limit=b"limit"),
         )
 
     def refusal_headers(self, request_id, retry_after):
@@ -85,10 +92,11 @@
         self.open, self.abandoned = False, True
         self.break_connection(ResponseFailure.ABANDONED)
 
-    def begin(self, status=200, id=b"r1", signed=True, not_run=False):
+    def begin(self, status=200, id=b"r1", signed=True, not_run=False, statements=()):
         headers = [(b"id", id)] if id is not None else []
         headers += [(b"sealed", b"1")] if signed else []
         headers += [(b"not-run", b"1")] if not_run else []
+        headers += statements
         self.listener.response_started(ResponseHead(status, b"", headers))
 
     def send_body(self, data):
@@ -178,6 +186,7 @@
             self.registry, self.load, "dc", seed=1, avoided_ids=quarantine.trial_endpoints
         )
         bounds = bounds or Bounds(retry_extra=100)
+        self.limits = LimitRegister(clock)
         budget = RetryBudget(clock, bounds, lambda: 1)
         self.queue = GenerationQueue(clock, placement, seed=1)
         self.load.listeners.append(self.queue.schedule_dispatch)
@@ -191,6 +200,7 @@
             budget,
             self.queue,
             quarantine,
+            EndpointFeedback(self.limits),
         )
         for name in names:
             self.set_endpoint(name)
--- /dev/null
+++ b/tests/throttling/test_limits.py
@@ -0,0 +1,77 @@
+"""Limits that endpoints name in their answers."""
+
+import pytest
+
+from guavacleat.forwarding.feedback import EndpointFeedback
+from guavacleat.forwarding.statements import parse_statements
+from guavacleat.throttling import LimitRegister
+from guavacleat.throttling.limits import EXPIRY_SECONDS
+from tests.forwarding.harness import make_entry
+
+NAME = b"limit"
+
+
+@pytest.fixture
+def limits(clock):
+    return LimitRegister(clock)
+
+
+def answer(limits, clock, rate, after=0.05):
+    """Observe an answer that arrives ``after`` seconds after its request was sent."""
+    sent_at = clock.seconds()
+    clock.advance(after)
+    limits.observe("e1", rate, sent_at)
+
+
+def test_limit_lasts_until_an_answer_no_longer_names_it(limits, clock):
+    answer(limits, clock, 3.0)
+    answer(limits, clock, 3.0)
+    assert limits.rate("e1") == 3.0 and limits.count() == 1
+    answer(limits, clock, None)
+    assert limits.rate("e1") is None and limits.count() == 0
+
+
+def test_the_newest_limit_counts(limits, clock):
+    answer(limits, clock, 3.0)
+    answer(limits, clock, 1.0)
+    assert limits.rate("e1") == 1.0
+
+
+def test_answer_that_may_be_older_does_not_end_a_limit(limits, clock):
+    """Guards against a limit that ends by an answer that was made before the endpoint named it."""
+    sent_at = clock.seconds()
+    clock.advance(0.1)
+    answer(limits, clock, 3.0)
+    limits.observe("e1", None, sent_at)
+    assert limits.rate("e1") == 3.0
+
+
+def test_limit_that_no_answer_confirms_expires(limits, clock):
+    """Guards against an endpoint that gets no requests and can't say that its limit is over."""
+    answer(limits, clock, 3.0)
+    clock.advance(EXPIRY_SECONDS + 1)
+    assert limits.rate("e1") is None
+
+
+def test_endpoint_that_restarts_has_no_limit(limits, clock):
+    answer(limits, clock, 3.0)
+    limits.forget("e1")
+    assert limits.rate("e1") is None
+
+
+@pytest.mark.parametrize("value", [b"", b"-1", b"nan", b"inf", b"soon", b"1,2", b"0x3", b"1e999"])
+def test_invalid_value_states_nothing(limits, clock, value):
+    """Guards against a header that raises an error, or that ends or sets a limit by accident."""
+    feedback, entry = EndpointFeedback(limits), make_entry("e1")
+    for headers in ([(NAME, b"3")], [(NAME, value)], [(NAME, value)]):
+        clock.advance(0.1)
+        feedback.observe(entry, clock.seconds(), parse_statements(headers, rate_limit=NAME))
+    assert limits.rate("e1") == 3.0
+
+
+@pytest.mark.parametrize(
+    "values, rate", [([b"0"], 0.0), ([b"2.5"], 2.5), ([b"1e300"], 1e300), ([b"5", b"2"], 2.0)]
+)
+def test_valid_values(values, rate):
+    headers = [(NAME, value) for value in values]
+    assert parse_statements(headers, rate_limit=NAME).rate_limit == rate
