Failing: gateways send a limited endpoint more than the limit that it named

tests/throttling/test_limited_fleet.py: stand-in endpoints, 30 requests a second, one names a limit. 39 to 46 requests in 4 s where 11 to 23 are allowed, with one gateway as with twelve. One gateway alone sends as much as ever and no request reaches the endpoint twice: the first hypothesis holds, gateways don't act on what they are told.

--- a/src/guavacleat/standin/routed.py
+++ b/src/guavacleat/standin/routed.py
@@ -29,6 +29,7 @@
 REQUEST_ID_HEADER = b"x-request-id"
 ENDPOINT_HEADER = b"x-endpoint"
 NOT_RUN_HEADER = b"x-not-run"
+RATE_LIMIT_HEADER = b"x-rate-limit"
 MISDIRECTED = 421
 UNAVAILABLE = 503
 OK = 200
@@ -57,6 +58,8 @@
     """One endpoint; ``listener`` is the Twisted factory that serves it.
 
     :ivar on_crash: called when a request crashes the endpoint.
+    :ivar on_arrival: called with the id of each request that arrives.
+    :ivar rate_limit: requests per second that it names in its answers; None to name no limit.
     :ivar work_seconds: time that a plain response takes.
     :ivar cold_until: clock time until which it crashes if it gets more than ``cold_limit`` requests
         within a second.
@@ -67,6 +70,8 @@
         self.id = id
         self.fault = fault
         self.on_crash = lambda: None
+        self.on_arrival = lambda request_id: None
+        self.rate_limit: float | None = None
         self.work_seconds = 0.0
         self.cold_until = float("-inf")
         self.cold_limit = 0.0
@@ -75,13 +80,14 @@
         self.listener = CallerListener(clock, self._handle, CallerLimits)
 
     def _handle(self, exchange: CallerExchange) -> None:
+        request_id = dict(exchange.head.headers).get(REQUEST_ID_HEADER, b"")
+        self.on_arrival(request_id.decode("latin-1"))
         if self.fault is EndpointFault.REFUSE:
-            exchange.respond(UNAVAILABLE, [(NOT_RUN_HEADER, b"1")], b"")
+            exchange.respond(UNAVAILABLE, [(NOT_RUN_HEADER, b"1"), *self._statements()], b"")
             return
         if self.fault is EndpointFault.OTHER_INCARNATION:
             exchange.respond(MISDIRECTED, [], b"")
             return
-        request_id = dict(exchange.head.headers).get(REQUEST_ID_HEADER, b"")
         if self._is_overloaded():
             self.on_crash()
             return
@@ -120,7 +126,13 @@
         endpoint_header = (
             [] if self.fault is EndpointFault.UNSIGNED else [(ENDPOINT_HEADER, self.id.encode())]
         )
-        return [(REQUEST_ID_HEADER, id), *endpoint_header]
+        return [(REQUEST_ID_HEADER, id), *endpoint_header, *self._statements()]
+
+    def _statements(self) -> list[tuple[bytes, bytes]]:
+        """What the endpoint says of itself in each answer."""
+        if self.rate_limit is None:
+            return []
+        return [(RATE_LIMIT_HEADER, b"%g" % self.rate_limit)]
 
     def _respond(self, exchange: CallerExchange, headers) -> None:
         if exchange.disconnected:
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -172,6 +172,7 @@
         self.harmless_outcomes = collections.Counter()
         self.crasher_outcomes = collections.Counter()
         self.retry_after = []
+        self.gateways_by_request_id = {}
         for number in range(gateways or 1):
             data_centre_number = number % data_centres
             self.start_gateway(
@@ -249,7 +250,9 @@
 
     def _send(self, path, body, results, instance=None, retry=False):
         instance = instance or random.choice(sorted(self.gateways))
-        headers = [(b"host", b"h.example"), (b"x-request-id", b"r%d" % next(self.request_numbers))]
+        request_id = f"r{next(self.request_numbers)}"
+        self.gateways_by_request_id[request_id] = instance
+        headers = [(b"host", b"h.example"), (b"x-request-id", request_id.encode())]
 
         def on_outcome(outcome, answer_headers):
             results[outcome] += 1
