--- a/src/guavacleat/admission/generations.py
+++ b/src/guavacleat/admission/generations.py
@@ -22,7 +22,7 @@
 from guavacleat.admission.backlog import Backlog
 from guavacleat.admission.cost import RelativeCost
 from guavacleat.admission.queues import PROMPT_TOKEN_COST, SHORT_OUTPUT, FairQueue
-from guavacleat.forwarding.refusals import RefusalError, RefusalReason
+from guavacleat.forwarding.refusals import RefusalError, RefusalReason, throttled
 
 __all__ = ["GenerationQueue"]
 
@@ -138,6 +138,9 @@
         wait_deadline = request.arrived_at + MAX_WAIT_SHARE * (
             request.deadline - request.arrived_at
         )
+        throttled_for = self.placement.seconds_until_available(request, tried)
+        if throttled_for and now + throttled_for > wait_deadline:
+            return defer.fail(throttled(self.placement, request, tried))
         expected_wait = self._expected_wait(request.service)
         overload = min(1.0, expected_wait / OVERLOAD_WAIT_SECONDS)
         will_be_late = now <= on_time_deadline < now + cost**overload * expected_wait
--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -30,6 +30,7 @@
     QUARANTINED = "refused: crashes endpoints"
     EVACUATED = "refused: data centre evacuated"
     COLD = "refused: endpoint cold"
+    LIMITED = "refused: endpoint limits its rate"
     REFUSED = "refused: other"
     EXPIRED = "time up"
     INCOMPLETE_ANSWER = "no whole answer"
@@ -141,6 +142,12 @@
             "The endpoints of its service were cold, and its gateway's share of their request rate"
             f" was used up for {end.get('retry_after')} s. It has not run.",
         )
+    if end.get("outcome") == "LIMITED":
+        return Cause(
+            CauseKind.LIMITED,
+            "Its service's endpoints limit their request rate, and its gateway's share of it was"
+            f" used up for {end.get('retry_after')} s. It has not run.",
+        )
     sentences = {
         "NO_CONFIGURATION": "Its gateway had no configuration yet.",
         "BEHIND": "Another gateway had a newer configuration, which may allow it.",
@@ -201,7 +208,8 @@
     if timeline.last("stream:not-resumed") is not None:
         return "its copy was not resumed because similar requests had crashed endpoints"
     if timeline.last("stream:copy-cold") is not None:
-        return "the engine with its copy was cold and could take no more requests"
+        cause = timeline.last("stream:copy-cold").get("cause") or "was cold"
+        return f"the engine with its copy {cause} and could take no more requests"
     copies = [line for line in timeline.all_of("move:copied") if line.get("source") == engine]
     if not copies:
         return "the stream had no copy elsewhere and none was attempted"
--- a/src/guavacleat/forwarding/connecting.py
+++ b/src/guavacleat/forwarding/connecting.py
@@ -2,24 +2,32 @@
 
 from guavacleat.membership.registry import EndpointEntry
 
-__all__ = ["connect"]
+__all__ = ["EndpointThrottledError", "connect"]
+
+
+class EndpointThrottledError(Exception):
+    """The endpoint may get no request now; another one has to be chosen."""
 
 
 async def connect(context, entry: EndpointEntry):
     """Return a connection to ``entry``; raise the connection error if it can't be reached.
 
-    The request counts as sent from now on, so that others see a cold endpoint's limit as used.
+    The request counts as sent from now on, so that others see the endpoint's limit as used.
 
     :param context: the :class:`~.context.ForwardingContext`.
+    :raises EndpointThrottledError: if the endpoint's limit was used up since it was chosen.
     """
     throttle = context.placement.throttle
+    if not throttle.may_send(entry):
+        raise EndpointThrottledError(f"{entry.id} {throttle.cause(entry).value}")
     throttle.record_send(entry)
-    context.feedback.limits.record_send(entry.id)
     try:
         connection = await context.pool.connect(entry.address)
     except Exception:
         context.load.record_failure(entry.id)
-        throttle.record_unreachable(entry)
+        throttle.cold.record_unreachable(entry)
         raise
-    throttle.record_reached(entry)
+    throttle.cold.record_reached(entry)
+    # The request arrives only now; the next one keeps its distance from this one.
+    throttle.space_next(entry)
     return connection
--- a/src/guavacleat/forwarding/refusals.py
+++ b/src/guavacleat/forwarding/refusals.py
@@ -1,11 +1,16 @@
 """Error responses that the gateway generates itself."""
 
 import enum
+import math
 
-__all__ = ["RefusalError", "RefusalReason", "no_endpoint"]
+from guavacleat.throttling import ThrottleCause
+
+__all__ = ["RefusalError", "RefusalReason", "no_endpoint", "throttled"]
 
 RETRY_AFTER_NO_ENDPOINT_SECONDS = 1.0
 MIN_RETRY_AFTER_SECONDS = 0.1
+# Other gateways have the shares in the endpoints' request rates, and a retry may reach one of them.
+RETRY_AFTER_NO_SHARE_SECONDS = 0.2
 
 
 class RefusalReason(enum.Enum):
@@ -21,6 +26,7 @@
     NO_ENDPOINT = (503, "no endpoint is ready")
     EVACUATED = (503, "all data centres with endpoints of the service are evacuated")
     COLD = (503, "the endpoints are cold and get no more requests for now")
+    LIMITED = (503, "the endpoints limit their request rate, and this gateway's share is used up")
     NO_ROOM = (503, "no capacity before the deadline")
     NO_MEMORY = (503, "request body memory limit reached")
     STOPPING = (503, "gateway shuts down before the request could finish")
@@ -46,11 +52,32 @@
         self.detail = detail
 
 
+REASONS_BY_CAUSE = {
+    ThrottleCause.COLD: RefusalReason.COLD,
+    ThrottleCause.LIMIT: RefusalReason.LIMITED,
+}
+
+
+def throttled(placement, request, tried: set[str]) -> RefusalError | None:
+    """The refusal of a request to whose endpoints nothing may be sent now; None if it may.
+
+    :param placement: the :class:`~guavacleat.placement.Placement`.
+    """
+    entry = placement.next_available(request, tried)
+    cause = None if entry is None else placement.throttle.cause(entry)
+    if cause is None:
+        return None
+    wait = placement.throttle.promise(entry)
+    if math.isinf(wait):
+        wait = RETRY_AFTER_NO_SHARE_SECONDS
+    return RefusalError(REASONS_BY_CAUSE[cause], max(MIN_RETRY_AFTER_SECONDS, wait))
+
+
 def no_endpoint(context, request) -> RefusalError:
     """The refusal of a request for which there is no endpoint at present."""
-    wait = context.placement.seconds_until_available(request, set())
-    if wait:
-        return RefusalError(RefusalReason.COLD, max(MIN_RETRY_AFTER_SECONDS, wait))
+    refusal = throttled(context.placement, request, set())
+    if refusal is not None:
+        return refusal
     ready = context.registry.ready(request.service)
     reason = RefusalReason.NO_ENDPOINT
     if any(not context.placement.is_allowed(entry) for entry in ready):
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -249,8 +249,9 @@
         if not may_resume_at(self.context, self.request, copy.entry):
             self._log("stream:not-resumed", endpoint=copy.entry.id)
             return False
-        if not self.context.placement.throttle.may_send(copy.entry):
-            self._log("stream:copy-cold", endpoint=copy.entry.id)
+        throttle_cause = self.context.placement.throttle.cause(copy.entry)
+        if throttle_cause is not None:
+            self._log("stream:copy-cold", endpoint=copy.entry.id, cause=throttle_cause.value)
             return False
         self.context.budget.record_retry(self.request.service)
         point = ResumePoint(copy.source.address, copy.handle, self.last_event)
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -93,11 +93,11 @@
         self.crashes.set({}, sum(crash.confirmed for crash in tracker.endpoint_crashes))
         self.quarantined.set({}, len(tracker.quarantined_fingerprints()))
 
-    def update_availability(self, evacuations, throttle, limits) -> None:
+    def update_availability(self, evacuations, throttle) -> None:
         """Update the gauges of evacuated data centres and of cold and limited endpoints."""
         self.evacuated.set({}, len(evacuations.evacuated_names()))
-        self.cold_endpoints.set({}, throttle.cold_count())
-        self.limited_endpoints.set({}, limits.count())
+        self.cold_endpoints.set({}, throttle.cold.count())
+        self.limited_endpoints.set({}, throttle.limits.count())
 
     def update_control_traffic(self, traffic) -> None:
         """Update the gauges from a :class:`~guavacleat.ingress.sources.ControlTraffic`."""
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -23,8 +23,14 @@
 from guavacleat.retries import RetryBudget
 from guavacleat.routes import CallerLimits, ServiceTraits
 from guavacleat.routes.holder import RouteHolder
-from guavacleat.settings import ProcessSettings
-from guavacleat.throttling import EndpointThrottle, LimitRegister, ShareRule
+from guavacleat.settings import Bounds, ProcessSettings
+from guavacleat.throttling import (
+    ColdEndpoints,
+    EndpointThrottle,
+    LimitRegister,
+    RateBound,
+    ShareRule,
+)
 
 __all__ = ["IngressService"]
 
@@ -85,7 +91,13 @@
             reactor, self.crash_tracker, EndpointProbe(self.pool, self.registry)
         )
         self.limits = LimitRegister(reactor)
-        self.throttle = EndpointThrottle(reactor, self._share_rule(), self._find_service)
+        self.throttle = EndpointThrottle(
+            reactor,
+            ColdEndpoints(reactor, self._find_service),
+            self.limits,
+            self._share_rule(),
+            _cold_bound(settings.bounds),
+        )
         placement = Placement(
             self.registry,
             self.load,
@@ -133,7 +145,6 @@
             settings.instance,
             settings.data_centre,
             settings.regions_by_data_centre,
-            settings.bounds,
             self.source,
         )
 
@@ -148,26 +159,25 @@
         """Warm up the endpoints of a data centre that may have become cold meanwhile."""
         for entry in self.registry.all_ready():
             if entry.data_centre == data_centre:
-                self.throttle.mark_cold(entry)
+                self.throttle.cold.mark_cold(entry)
         self.context.queue.schedule_dispatch()
 
     def _endpoint_cold(self, entry) -> None:
-        self.throttle.mark_cold(entry, entry.cold_for)
+        self.throttle.cold.mark_cold(entry, entry.cold_for)
 
     def _endpoint_leaving(self, entry) -> None:
         announced = entry.state is EndpointState.DRAINING
         self.context.quarantine.endpoint_removed(entry.id, announced)
         self.load.forget(entry.id)
         self.throttle.forget(entry.id)
-        self.limits.forget(entry.id)
         self.pool.drop(entry.address)
         self.evacuator.endpoint_leaving(entry)
 
     def _endpoint_restarted(self, previous) -> None:
         self.context.quarantine.endpoint_removed(previous.id, announced=False)
         self.load.forget(previous.id)
-        self.throttle.mark_cold(previous)
-        self.limits.forget(previous.id)
+        self.throttle.forget(previous.id)
+        self.throttle.cold.mark_cold(previous)
         self.pool.drop(previous.address)
         self.evacuator.endpoint_restarted(previous)
 
@@ -222,7 +232,7 @@
     def _exposition(self) -> bytes:
         self.metrics.update_configuration(self.holder, self.source.failures_by_kind())
         self.metrics.update_quarantine(self.crash_tracker)
-        self.metrics.update_availability(self.evacuations, self.throttle, self.limits)
+        self.metrics.update_availability(self.evacuations, self.throttle)
         self.metrics.update_control_traffic(self.source.control_traffic())
         return self.metrics.exposition()
 
@@ -230,7 +240,7 @@
         """Apply changed settings: the bounds; addresses change only at the next start."""
         self.settings = settings
         self.context.budget.bounds = settings.bounds
-        self.throttle.share.bounds = settings.bounds
+        self.throttle.cold_bound = _cold_bound(settings.bounds)
         log_message(message_type="process:reloaded", instance=settings.instance)
 
     def settings_refused(self, error: SettingsError) -> None:
@@ -259,3 +269,8 @@
             port.stopListening()
         log_message(message_type="process:stopped", unfinished=self.dispatch.in_flight)
         yield task.deferLater(self.reactor, STOP_POLL_SECONDS)
+
+
+def _cold_bound(bounds: Bounds) -> RateBound:
+    """By how much the rate of a cold endpoint may be exceeded within a second."""
+    return RateBound(bounds.cold_overshoot, bounds.cold_slack, 1.0)
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -133,6 +133,7 @@
             self.endpoints,
             ingress.evacuations,
             ingress.crash_tracker,
+            ingress.limits,
             self._peer_report_received,
             ingress.context.queue.backlogs_by_service,
         )
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -14,6 +14,7 @@
 from guavacleat.membership.registry import CHANGE_RETENTION_SECONDS, EndpointRegistry
 from guavacleat.peers.crashes import CrashGossip
 from guavacleat.peers.directory import GatewayDirectory
+from guavacleat.peers.limits import LimitGossip
 from guavacleat.peers.report import BadReportError, GatewayReport, decode_report, encode_report
 from guavacleat.peers.summaries import (
     BATCH_SECONDS,
@@ -24,6 +25,7 @@
 from guavacleat.peers.table import PeerTable
 from guavacleat.placement import EndpointLoad, LoadTracker
 from guavacleat.quarantine import CrashTracker
+from guavacleat.throttling import LimitRegister
 from guavacleat.totals import sum_by_key
 
 __all__ = ["PeerExchange"]
@@ -35,17 +37,19 @@
 # ``CHANGE_RETENTION_SECONDS``.
 RECENT_CHANGE_SECONDS = 1.0
 FULL_REPORT_SECONDS = 2.0
-# Interval at which recent crashes are repeated, as datagrams may be lost.
+# Intervals at which recent crashes and limits are repeated, as datagrams may be lost.
 CRASH_REPEAT_SECONDS = 0.25
+LIMIT_REPEAT_SECONDS = 0.5
 
 
 class _GossipSchedule:
-    """Decides whether a report contains older changes, and whether it contains crashes."""
+    """Decides whether a report contains older changes, crashes and limits."""
 
     def __init__(self, clock):
         self.clock = clock
         self._full_report_at = float("-inf")
-        self._crashes_sent_at = float("-inf")
+        self.crashes = _RepeatSchedule(clock, CRASH_REPEAT_SECONDS)
+        self.limits = _RepeatSchedule(clock, LIMIT_REPEAT_SECONDS)
 
     def should_send_full_report(self) -> bool:
         """Whether a full report is due; if so, record it as sent."""
@@ -55,19 +59,25 @@
         self._full_report_at = now
         return True
 
-    def should_send_crashes(self, changed_at: float) -> bool:
-        """Whether crashes changed or are to be repeated; if so, record them as sent.
 
-        Load is reported many times a second. With recent crashes in each of these reports, the
-        loss of a rack would multiply the traffic between gateways.
-        """
+class _RepeatSchedule:
+    """Decides whether a report contains one kind of recent observations.
+
+    Load is reported many times a second. With recent crashes in each of these reports, the loss of
+    a rack would multiply the traffic between gateways.
+    """
+
+    def __init__(self, clock, interval: float):
+        self.clock = clock
+        self.interval = interval
+        self._sent_at = float("-inf")
+
+    def is_due(self, changed_at: float) -> bool:
+        """Whether they changed or are to be repeated; if so, record them as sent."""
         now = self.clock.seconds()
-        if (
-            changed_at < self._crashes_sent_at
-            and now - self._crashes_sent_at < CRASH_REPEAT_SECONDS
-        ):
+        if changed_at < self._sent_at and now - self._sent_at < self.interval:
             return False
-        self._crashes_sent_at = now
+        self._sent_at = now
         return True
 
 
@@ -79,6 +89,7 @@
     :param endpoints: an :class:`~.sync.EndpointSyncState`.
     :param evacuations: this gateway's :class:`~guavacleat.evacuations.EvacuationRegister`.
     :param crash_tracker: this gateway's :class:`~guavacleat.quarantine.CrashTracker`.
+    :param limits: this gateway's :class:`~guavacleat.throttling.LimitRegister`.
     :param on_report: called after each accepted report.
     :param own_backlogs: returns this gateway's :class:`~guavacleat.admission.backlog.Backlog` by
         service.
@@ -95,6 +106,7 @@
         endpoints: EndpointSyncState,
         evacuations: EvacuationRegister,
         crash_tracker: CrashTracker,
+        limits: LimitRegister,
         on_report=lambda: None,
         own_backlogs=dict,
     ):
@@ -107,6 +119,7 @@
         self.endpoints = endpoints
         self.evacuations = evacuations
         self.crash_gossip = CrashGossip(reactor, crash_tracker)
+        self.limit_gossip = LimitGossip(reactor, limits)
         self.on_report = on_report
         self.own_backlogs = own_backlogs
         self.summaries = SummaryExchange(
@@ -131,6 +144,7 @@
         load.listeners.append(self.on_load_change)
         registry.on_change = self._endpoint_changed
         evacuations.on_change = self._endpoint_changed
+        limits.on_change = self._endpoint_changed
         crash_tracker.on_local_change = self._endpoint_changed
         crash_tracker.on_remote_change = self.summaries.endpoint_changed
 
@@ -265,13 +279,13 @@
             CHANGE_RETENTION_SECONDS if should_send_full_report else RECENT_CHANGE_SECONDS
         )
         crashes = None
-        if (
-            schedule.should_send_crashes(self.crash_gossip.tracker.changed_at)
-            or should_send_full_report
-        ):
+        if schedule.crashes.is_due(self.crash_gossip.tracker.changed_at) or should_send_full_report:
             crashes = self.crash_gossip.build_message(
                 change_seconds, include_remote, include_quarantined=should_send_full_report
             )
+        limits = None
+        if schedule.limits.is_due(self.limit_gossip.register.changed_at):
+            limits = self.limit_gossip.build_message(include_neighbours="gateway_count" in fields)
         self.sequence += 1
         return GatewayReport(
             self.directory.instance,
@@ -287,6 +301,7 @@
             changes_since=self.endpoints.complete_since(change_seconds),
             crashes=crashes,
             evacuations=tuple(self.evacuations.changes_by_data_centre.values()),
+            limits=limits,
             **fields,
         )
 
@@ -356,6 +371,8 @@
             self.registry.observe_peer_change(change, self.endpoints.revision)
         if report.crashes is not None:
             self.crash_gossip.apply_message(report.crashes)
+        if report.limits is not None:
+            self.limit_gossip.apply_message(report.limits, same_data_centre=not report.is_summary)
         self.endpoints.observe_report(report)
         self.configuration.observe_report(report)
         self.on_report()
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -41,6 +41,7 @@
     :param crashes: requests that crash endpoints, see ``peers.crashes``.
     :param evacuations: the sender's register of evacuations, complete to ``endpoints_revision``;
         None from a sender of a release without evacuations.
+    :param limits: what endpoints say of their request rates, see ``peers.limits``.
     :param backlogs_by_service: generations that wait for an engine; in a summary those of all
         gateways that it covers.
     """
@@ -64,6 +65,7 @@
         "crashes",
         "evacuations",
         "backlogs_by_service",
+        "limits",
     )
 
     def __init__(
@@ -86,6 +88,7 @@
         crashes: ttypes.Crashes | None = None,
         evacuations: tuple[EvacuationChange, ...] | None = (),
         backlogs_by_service: dict[str, Backlog] | None = None,
+        limits: list[ttypes.EndpointLimit] | None = None,
     ):
         self.instance = instance
         self.incarnation = incarnation
@@ -105,6 +108,7 @@
         self.crashes = crashes
         self.evacuations = evacuations
         self.backlogs_by_service = backlogs_by_service or {}
+        self.limits = limits
 
     @property
     def is_summary(self) -> bool:
@@ -141,6 +145,7 @@
             ttypes.Backlog(name, backlog.gateways, backlog.waiting, backlog.dispatched)
             for name, backlog in report.backlogs_by_service.items()
         ],
+        report.limits,
     )
     buffer = TMemoryBuffer()
     message.write(TCompactProtocolAccelerated(buffer))
@@ -192,6 +197,7 @@
             backlog.service_name: Backlog(backlog.gateways, backlog.waiting, backlog.dispatched)
             for backlog in message.backlogs or ()
         },
+        message.limits,
     )
 
 
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -47,7 +47,7 @@
     """Chooses among the ready endpoints of a service.
 
     Endpoints in evacuated data centres, and in regions that a request's route or account excludes,
-    are never chosen. Cold ones are chosen within this gateway's share of their request rate.
+    are never chosen. Those with a limited request rate are chosen within this gateway's share.
 
     :param avoided_ids: returns the ids of endpoints that get new requests only if there are no
         others.
@@ -120,9 +120,17 @@
         ]
 
     def seconds_until_available(self, request, exclude: set[str]) -> float | None:
-        """Seconds until ``request`` may be sent to an endpoint; None if there is none."""
+        """Seconds until ``request`` may be sent to an endpoint; None if there is none.
+
+        Infinite if this gateway has no share in the request rate of any of them.
+        """
+        next_entry = self.next_available(request, exclude)
+        return None if next_entry is None else self.throttle.seconds_until_allowed(next_entry)
+
+    def next_available(self, request, exclude: set[str]) -> EndpointEntry | None:
+        """The endpoint to which ``request`` may be sent next."""
         ready = self.ready_for(request, exclude)
-        return min(map(self.throttle.seconds_until_allowed, ready), default=None)
+        return min(ready, key=self.throttle.seconds_until_allowed, default=None)
 
     def least_loaded(self, request, exclude: set[str]) -> EndpointEntry | None:
         """The endpoint with the fewest runs, for a request that may crash it; None if all are full.
@@ -175,12 +183,12 @@
     ) -> EndpointEntry | None:
         """The engine to move a run to, in the source's data centre if one has capacity.
 
-        A copy to a remote data centre takes longer, and the source is about to leave. A cold engine
-        might not accept the requests that resume the moved runs.
+        A copy to a remote data centre takes longer, and the source is about to leave. A cold or
+        limited engine might not accept the requests that resume the moved runs.
         """
         engine = request.traits.engine
         ready = self.ready(source.service, exclude | {source.id}, request.regions)
-        ready = [entry for entry in ready if not self.throttle.is_cold(entry)] or ready
+        ready = [entry for entry in ready if not self.throttle.is_throttled(entry)] or ready
         local = [
             entry
             for entry in ready
@@ -207,7 +215,7 @@
             entry
             for entry in self.ready(source.service, {source.id}, request.regions)
             if self.memory_share(entry, expected, engine) <= BACKUP_MEMORY_SHARE
-            and not self.throttle.is_cold(entry)
+            and not self.throttle.is_throttled(entry)
             and not self._failure_penalty(entry)
         ]
         return min(
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -949,6 +949,102 @@
         return not (self == other)
 
 
+class EndpointLimit(object):
+    """
+    Attributes:
+     - endpoint
+     - age
+     - rate
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'age',
+        'rate',
+    )
+
+
+    def __init__(self, endpoint=None, age=None, rate=None,):
+        self.endpoint = endpoint
+        self.age = age
+        self.rate = rate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLimit')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 2)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 3)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.age is None:
+            raise TProtocolException(message='Required field age is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerReport(object):
     """
     Attributes:
@@ -971,6 +1067,7 @@
      - revisions_from
      - evacuations
      - backlogs
+     - limits
 
     """
 
@@ -994,10 +1091,11 @@
         'revisions_from',
         'evacuations',
         'backlogs',
+        'limits',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None, crashes=None, revisions_from=None, evacuations=None, backlogs=None,):
+    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None, crashes=None, revisions_from=None, evacuations=None, backlogs=None, limits=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
@@ -1017,6 +1115,7 @@
         self.revisions_from = revisions_from
         self.evacuations = evacuations
         self.backlogs = backlogs
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1147,6 +1246,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype55, _size52) = iprot.readListBegin()
+                    for _i56 in range(_size52):
+                        _elem57 = EndpointLimit()
+                        _elem57.read(iprot)
+                        self.limits.append(_elem57)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1172,15 +1282,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter52 in self.loads:
-                iter52.write(oprot)
+            for iter58 in self.loads:
+                iter58.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter53 in self.changes:
-                iter53.write(oprot)
+            for iter59 in self.changes:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stops_in is not None:
@@ -1234,15 +1344,22 @@
         if self.evacuations is not None:
             oprot.writeFieldBegin('evacuations', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
-            for iter54 in self.evacuations:
-                iter54.write(oprot)
+            for iter60 in self.evacuations:
+                iter60.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backlogs is not None:
             oprot.writeFieldBegin('backlogs', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.backlogs))
-            for iter55 in self.backlogs:
-                iter55.write(oprot)
+            for iter61 in self.backlogs:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter62 in self.limits:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1342,6 +1459,13 @@
     (3, TType.I32, 'waiting', None, None, ),  # 3
     (4, TType.I32, 'dispatched', None, None, ),  # 4
 )
+all_structs.append(EndpointLimit)
+EndpointLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'age', None, None, ),  # 2
+    (3, TType.DOUBLE, 'rate', None, None, ),  # 3
+)
 all_structs.append(PeerReport)
 PeerReport.thrift_spec = (
     None,  # 0
@@ -1364,6 +1488,7 @@
     (17, TType.I64, 'revisions_from', None, None, ),  # 17
     (18, TType.LIST, 'evacuations', (TType.STRUCT, [Evacuation, None], False), None, ),  # 18
     (19, TType.LIST, 'backlogs', (TType.STRUCT, [Backlog, None], False), None, ),  # 19
+    (20, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/guavacleat/throttling/__init__.py
+++ b/src/guavacleat/throttling/__init__.py
@@ -1,7 +1,16 @@
 """Limits of the requests to endpoints that are cold or name a rate, and this gateway's share."""
 
+from guavacleat.throttling.cold import ColdEndpoints
 from guavacleat.throttling.limits import LimitRegister, LimitStatement
-from guavacleat.throttling.shares import ShareRule
-from guavacleat.throttling.throttle import EndpointThrottle
+from guavacleat.throttling.shares import RateBound, ShareRule
+from guavacleat.throttling.throttle import EndpointThrottle, ThrottleCause
 
-__all__ = ["EndpointThrottle", "LimitRegister", "LimitStatement", "ShareRule"]
+__all__ = [
+    "ColdEndpoints",
+    "EndpointThrottle",
+    "LimitRegister",
+    "LimitStatement",
+    "RateBound",
+    "ShareRule",
+    "ThrottleCause",
+]
--- a/src/guavacleat/throttling/limits.py
+++ b/src/guavacleat/throttling/limits.py
@@ -4,8 +4,17 @@
 Answers may overtake each other. A limit therefore counts from the arrival of the answer that names
 it, its end only from the time at which the request was sent: an answer that may be older than the
 latest statement doesn't end it.
+
+Gateways report their statements to each other, so that a limit is known to those that have not sent
+the endpoint anything, and its end to those whose share allows no request. They repeat statements,
+with their ages, while they are recent. A gateway reports only what endpoints told it, and a data
+centre's summary only what they told its gateways: a statement that came back would count as newer
+each time.
 """
 
+import heapq
+import math
+
 from eliot import log_message
 from twisted.internet.interfaces import IReactorTime
 
@@ -15,6 +24,13 @@
 EXPIRY_SECONDS = 60.0
 # How long the end of a limit is remembered, so that older statements don't bring it back.
 END_RETENTION_SECONDS = 15.0
+# Statements up to this age are reported to peers: longer than the usual pause between the requests
+# of a gateway with a small share.
+REPORT_SECONDS = 5.0
+# Bounds the size of a report; the latest statements are included.
+MAX_STATEMENTS_PER_REPORT = 64
+# Maximum delay of a peer's statement beyond its stated age, when it is relayed at a heartbeat.
+RELAY_SECONDS = 1.0
 
 
 class LimitStatement:
@@ -22,7 +38,7 @@
 
     :param rate: requests per second from all gateways together; None if there is no limit.
     :param at: clock time for which it holds at the latest.
-    :param since: clock time of the first statement of this rate.
+    :param since: clock time from which this gateway has known of this rate.
     """
 
     __slots__ = ("endpoint", "rate", "at", "since")
@@ -39,28 +55,71 @@
 
     def __init__(self, clock: IReactorTime):
         self.clock = clock
+        self.on_change = lambda: None
+        # Clock time of the last change that an endpoint told this gateway.
+        self.changed_at = float("-inf")
         self.latest_by_id: dict[str, LimitStatement] = {}
+        # What endpoints told this gateway, and what they told any gateway of its data centre.
+        self._own_by_id: dict[str, LimitStatement] = {}
+        self._local_by_id: dict[str, LimitStatement] = {}
         # Requests sent to each endpoint since its limit began or changed, for the log.
         self._sent_by_id: dict[str, int] = {}
 
     def observe(self, endpoint_id: str, rate: float | None, sent_at: float) -> None:
         """Apply an answer that has just arrived, to a request sent at clock time ``sent_at``."""
-        if rate is not None:
-            self._apply(LimitStatement(endpoint_id, rate, self.clock.seconds()), "answer")
-        elif endpoint_id in self.latest_by_id:
-            self._apply(LimitStatement(endpoint_id, None, sent_at), "answer")
+        if rate is None and endpoint_id not in self.latest_by_id:
+            return
+        at = sent_at if rate is None else self.clock.seconds()
+        statement = LimitStatement(endpoint_id, rate, at)
+        _keep_later(self._own_by_id, statement)
+        _keep_later(self._local_by_id, statement)
+        if self._apply(statement, "answer"):
+            self.changed_at = self.clock.seconds()
+            self.on_change()
+
+    def observe_peer(
+        self, endpoint_id: str, rate: float | None, age: float, same_data_centre: bool
+    ) -> None:
+        """Apply a statement that a peer reports, made ``age`` seconds ago."""
+        if not 0 <= age < math.inf or not (rate is None or 0 <= rate < math.inf):
+            return
+        at = self.clock.seconds() - age - (RELAY_SECONDS if rate is None else 0.0)
+        statement = LimitStatement(endpoint_id, rate, at)
+        if rate is None and endpoint_id not in self.latest_by_id:
+            return
+        if same_data_centre:
+            _keep_later(self._local_by_id, statement)
+        self._apply(statement, "peer")
+
+    def reportable(self, include_neighbours: bool) -> list[LimitStatement]:
+        """Recent statements to report to peers.
+
+        :param include_neighbours: whether to include what endpoints told other gateways of this
+            data centre.
+        """
+        for statement in list(self.latest_by_id.values()):
+            if self._is_outdated(statement):
+                self._drop(statement)
+        statements = self._local_by_id if include_neighbours else self._own_by_id
+        oldest = self.clock.seconds() - REPORT_SECONDS
+        recent = (statement for statement in statements.values() if statement.at >= oldest)
+        return heapq.nlargest(MAX_STATEMENTS_PER_REPORT, recent, key=lambda recent: recent.at)
+
+    def find(self, endpoint_id: str) -> LimitStatement | None:
+        """The statement of the limit that the endpoint has now; None if it has none."""
+        statement = self.latest_by_id.get(endpoint_id)
+        if statement is None or statement.rate is None or self._is_outdated(statement):
+            return None
+        return statement
 
     def rate(self, endpoint_id: str) -> float | None:
         """The endpoint's limit in requests per second; None if it has none."""
-        statement = self.latest_by_id.get(endpoint_id)
-        if statement is not None and self._is_outdated(statement):
-            self._drop(statement)
-            return None
+        statement = self.find(endpoint_id)
         return None if statement is None else statement.rate
 
     def count(self) -> int:
         """The number of endpoints with a limit."""
-        return sum(self.rate(id) is not None for id in list(self.latest_by_id))
+        return sum(self.find(id) is not None for id in self.latest_by_id)
 
     def record_send(self, endpoint_id: str) -> None:
         """Count a request sent to the endpoint."""
@@ -69,19 +128,22 @@
 
     def forget(self, endpoint_id: str) -> None:
         """Discard the state of an endpoint that has left or restarted."""
-        self.latest_by_id.pop(endpoint_id, None)
-        self._sent_by_id.pop(endpoint_id, None)
+        for by_id in (self.latest_by_id, self._own_by_id, self._local_by_id, self._sent_by_id):
+            by_id.pop(endpoint_id, None)
 
-    def _apply(self, statement: LimitStatement, source: str) -> None:
-        """Apply a statement unless a later one is known."""
+    def _apply(self, statement: LimitStatement, source: str) -> bool:
+        """Apply a statement unless a later one is known; return whether it changes the limit."""
         latest = self.latest_by_id.get(statement.endpoint)
         if latest is not None and statement.at < latest.at:
-            return
-        if latest is not None and latest.rate == statement.rate:
-            statement.since = latest.since
-        else:
+            return False
+        changed = latest is None or latest.rate != statement.rate
+        since = self.clock.seconds() if changed else latest.since
+        if changed:
             self._log_change(statement, latest, source)
-        self.latest_by_id[statement.endpoint] = statement
+        self.latest_by_id[statement.endpoint] = LimitStatement(
+            statement.endpoint, statement.rate, statement.at, since
+        )
+        return changed
 
     def _is_outdated(self, statement: LimitStatement) -> bool:
         now = self.clock.seconds()
@@ -109,3 +171,9 @@
         )
         if statement.rate is not None:
             self._sent_by_id[endpoint] = 0
+
+
+def _keep_later(by_id: dict[str, LimitStatement], statement: LimitStatement) -> None:
+    latest = by_id.get(statement.endpoint)
+    if latest is None or statement.at >= latest.at:
+        by_id[statement.endpoint] = statement
--- a/src/guavacleat/throttling/shares.py
+++ b/src/guavacleat/throttling/shares.py
@@ -1,7 +1,7 @@
-"""A gateway's share of the request rate of a cold endpoint.
+"""A gateway's share of the maximum request rate of an endpoint.
 
-A cold endpoint crashes if it gets more requests per second than its maximum rate. The gateways
-share this rate without communicating:
+A cold endpoint crashes if it gets more requests per second than its maximum rate; others name a
+maximum rate in their answers. The gateways share such a rate without communicating:
 
 - Few gateways each get an equal share of the rate. A gateway that lost its peers keeps counting
   those it knew, so that its share does not grow.
@@ -14,14 +14,32 @@
 """
 
 from guavacleat.rendezvous import select_members
-from guavacleat.settings import Bounds
 
-__all__ = ["ShareRule"]
+__all__ = ["RateBound", "ShareRule"]
 
 # Share of the rate that the senders use together, as there may be twice as many of them.
 SENDERS_RATE_SHARE = 0.5
 
 
+class RateBound:
+    """By how much all gateways together may exceed a maximum rate for a short time.
+
+    Within any ``window`` seconds an endpoint may get ``overshoot`` times the requests that the rate
+    allows in that time, and ``slack`` more.
+    """
+
+    __slots__ = ("overshoot", "slack", "window")
+
+    def __init__(self, overshoot: float, slack: float, window: float):
+        self.overshoot = overshoot
+        self.slack = slack
+        self.window = window
+
+    def requests(self, rate: float) -> float:
+        """Maximum requests within the window at ``rate`` requests per second."""
+        return self.overshoot * rate * self.window + self.slack
+
+
 class ShareRule:
     """Computes this gateway's share.
 
@@ -31,24 +49,22 @@
         returns the names of the gateways in this data centre as far as they are reachable.
     """
 
-    def __init__(self, instance: str, data_centre: str, data_centres, bounds: Bounds, gateways):
+    def __init__(self, instance: str, data_centre: str, data_centres, gateways):
         self.instance = instance
         self.data_centre = data_centre
         self.data_centres = sorted({data_centre, *data_centres})
-        self.bounds = bounds
         self.gateways = gateways
 
-    def rate(self, endpoint_id: str, rate: float) -> float:
+    def rate(self, endpoint_id: str, rate: float, bound: RateBound) -> float:
         """Requests per second that this gateway may send the endpoint; 0 if it is not a sender.
 
         :param rate: maximum requests per second to the endpoint, from all gateways.
         """
-        margin = (self.bounds.cold_overshoot - 1) * rate + self.bounds.cold_slack
+        allowed, sustained = bound.requests(rate), rate * bound.window
         count = max(1, self.gateways.gateway_count())
-        if count <= margin:
+        if sustained + count <= allowed:
             return rate / count
-        allowed = self.bounds.cold_overshoot * rate + self.bounds.cold_slack
-        senders = max(1, int(allowed / 2 - SENDERS_RATE_SHARE * rate))
+        senders = max(1, int(allowed / 2 - SENDERS_RATE_SHARE * sustained))
         if not self._is_sender(endpoint_id, senders):
             return 0.0
         return SENDERS_RATE_SHARE * rate / senders
--- a/src/guavacleat/throttling/throttle.py
+++ b/src/guavacleat/throttling/throttle.py
@@ -1,144 +1,174 @@
-"""Limits the requests to cold endpoints.
+"""When this gateway may send a request to an endpoint whose request rate is limited.
 
-An endpoint is cold for some time after its start, after an evacuation of its data centre, and
-whenever it says so. An endpoint that could not be reached may restart: it is considered cold until
-``cold_start`` seconds after it was reached again. A gateway whose share allows no request to it
-considers it warm after ``UNREACHABLE_SECONDS``; the endpoint's entry says if it is still cold.
+There are two reasons for a limit: the endpoint is cold, or it named a limit in its answers. An
+endpoint for which both hold gets the lower rate. The gateways share either rate by the same rule,
+see ``shares``.
 """
 
+import enum
+import math
+
 from eliot import log_message
 from twisted.internet.interfaces import IReactorTime
 
 from guavacleat.membership.registry import EndpointEntry
-from guavacleat.routes import ServiceTraits
-from guavacleat.throttling.shares import ShareRule
+from guavacleat.throttling.cold import ColdEndpoints
+from guavacleat.throttling.limits import LimitRegister
+from guavacleat.throttling.shares import RateBound, ShareRule
+
+__all__ = ["EndpointThrottle", "ThrottleCause"]
+
+# By how much endpoints let the limits that they name be exceeded, as the platform documents it.
+NAMED_LIMIT_BOUND = RateBound(overshoot=1.5, slack=5.0, window=4.0)
+# Requests per second assumed of an endpoint that names a lower limit: without any request it could
+# not say that its limit is over.
+MIN_RATE = 0.25
+# Refused callers are told to return one after another, within this time.
+MAX_PROMISE_SECONDS = 5.0
 
-__all__ = ["EndpointThrottle"]
 
-UNREACHABLE_SECONDS = 5.0
-UNLIMITED = ServiceTraits("", 0)
+class ThrottleCause(enum.Enum):
+    """Why an endpoint gets no request now; the values complete a sentence in the logs."""
 
+    COLD = "was cold"
+    LIMIT = "limited its rate"
 
-class _ColdEndpoint:
-    """The state of one cold endpoint.
 
-    :ivar cold_until: clock time at which it is considered warm.
-    :ivar next_send_at: clock time at which this gateway may send it the next request.
-    :ivar unreachable: whether it could not be reached and has not been reached since.
+class _Limit:
+    """One reason for a limit.
+
+    :param share: requests per second that this gateway may send.
+    :param since: clock time from which requests are counted.
+    :param until: clock time at which the limit ends; infinite if unknown.
     """
 
-    __slots__ = ("cold_until", "next_send_at", "unreachable")
+    __slots__ = ("cause", "share", "since", "until")
+
+    def __init__(self, cause: ThrottleCause, share: float, since: float, until: float):
+        self.cause = cause
+        self.share = share
+        self.since = since
+        self.until = until
+
+    @property
+    def interval(self) -> float:
+        """Seconds between two requests of this gateway."""
+        return 1 / self.share if self.share > 0 else math.inf
 
-    def __init__(self, cold_until: float):
-        self.cold_until = cold_until
-        self.next_send_at = float("-inf")
-        self.unreachable = False
+    def allowed_at(self, last_sent_at: float) -> float:
+        """Clock time from which the next request may be sent."""
+        return min(self.until, max(self.since, last_sent_at) + self.interval)
 
 
 class EndpointThrottle:
-    """Tracks cold endpoints and the requests that this gateway sends them.
+    """Spaces this gateway's requests to endpoints with a limited rate.
 
+    :param cold: the :class:`~.cold.ColdEndpoints`.
+    :param limits: the :class:`~.limits.LimitRegister`.
     :param share: this gateway's :class:`~.shares.ShareRule`; None if it is the only gateway.
-    :param find_service: returns the :class:`~guavacleat.routes.ServiceTraits` of a service's name,
-        or None.
+    :param cold_bound: by how much the rate of a cold endpoint may be exceeded.
     """
 
     def __init__(
         self,
         clock: IReactorTime,
+        cold: ColdEndpoints | None = None,
+        limits: LimitRegister | None = None,
         share: ShareRule | None = None,
-        find_service=lambda name: None,
+        cold_bound: RateBound | None = None,
     ):
         self.clock = clock
+        self.cold = cold or ColdEndpoints(clock)
+        self.limits = limits or LimitRegister(clock)
         self.share = share
-        self.find_service = find_service
-        self.cold_by_id: dict[str, _ColdEndpoint] = {}
-
-    def mark_cold(self, entry: EndpointEntry, seconds: float | None = None) -> None:
-        """Consider an endpoint cold for ``seconds``; by default as long as after a start."""
-        traits = self._traits(entry)
-        if not traits.cold_rate:
-            return
-        seconds = traits.cold_start if seconds is None else seconds
-        self._extend(entry, self.clock.seconds() + seconds)
-
-    def record_unreachable(self, entry: EndpointEntry) -> None:
-        """Consider an endpoint cold until some time after it is reached again."""
-        traits = self._traits(entry)
-        if traits.cold_rate:
-            seconds = UNREACHABLE_SECONDS + traits.cold_start
-            self._extend(entry, self.clock.seconds() + seconds).unreachable = True
-
-    def record_reached(self, entry: EndpointEntry) -> None:
-        """Record that the endpoint accepted a connection."""
-        cold = self._find(entry)
-        if cold is not None and cold.unreachable:
-            cold.unreachable = False
-            cold.cold_until = self.clock.seconds() + self._traits(entry).cold_start
+        self.cold_bound = cold_bound or RateBound(overshoot=1.5, slack=5.0, window=1.0)
+        self.cold.on_cold = self._log_cold
+        # Clock times of the last requests to endpoints with a limit, and the latest times at which
+        # refused callers were told to return for them.
+        self._sent_at_by_id: dict[str, float] = {}
+        self._promised_at_by_id: dict[str, float] = {}
 
-    def forget(self, endpoint_id: str) -> None:
-        """Discard the state of an endpoint that has left."""
-        self.cold_by_id.pop(endpoint_id, None)
-
-    def is_cold(self, entry: EndpointEntry) -> bool:
-        return self._find(entry) is not None
-
-    def cold_count(self) -> int:
-        """The number of cold endpoints."""
-        now = self.clock.seconds()
-        return sum(cold.cold_until > now for cold in self.cold_by_id.values())
+    def is_throttled(self, entry: EndpointEntry) -> bool:
+        """Whether there is any limit for the endpoint, used up or not."""
+        return bool(self._limits(entry))
 
     def may_send(self, entry: EndpointEntry) -> bool:
-        """Whether a request to the endpoint is within this gateway's share."""
-        cold = self._find(entry)
-        if cold is None:
+        """Whether a request to the endpoint is within this gateway's share now."""
+        if not self.cold.cold_by_id and not self.limits.latest_by_id:
             return True
-        return cold.next_send_at <= self.clock.seconds() and self._share(entry) > 0
+        return self.seconds_until_allowed(entry) <= 0
 
     def seconds_until_allowed(self, entry: EndpointEntry) -> float:
-        """Seconds until :meth:`may_send` becomes true."""
-        cold = self._find(entry)
-        if cold is None:
-            return 0.0
-        allowed_at = cold.next_send_at if self._share(entry) > 0 else cold.cold_until
-        return max(0.0, allowed_at - self.clock.seconds())
+        """Seconds until :meth:`may_send` becomes true; infinite if this gateway has no share."""
+        allowed_at = self._allowed_at_by_cause(entry).values()
+        return max(0.0, max(allowed_at, default=0.0) - self.clock.seconds())
+
+    def cause(self, entry: EndpointEntry) -> ThrottleCause | None:
+        """Why the endpoint gets no request now; None if it may get one."""
+        if self.may_send(entry):
+            return None
+        allowed_at = self._allowed_at_by_cause(entry)
+        return max(allowed_at, key=allowed_at.get)
 
     def record_send(self, entry: EndpointEntry) -> None:
         """Count a request that is being sent to the endpoint."""
-        cold = self._find(entry)
-        if cold is None:
-            return
-        share = self._share(entry)
-        cold.next_send_at = self.clock.seconds() + 1 / share if share else cold.cold_until
-
-    def _traits(self, entry: EndpointEntry) -> ServiceTraits:
-        return self.find_service(entry.service) or UNLIMITED
-
-    def _share(self, entry: EndpointEntry) -> float:
-        rate = self._traits(entry).cold_rate
-        return rate if self.share is None else self.share.rate(entry.id, rate)
-
-    def _find(self, entry: EndpointEntry) -> _ColdEndpoint | None:
-        """The endpoint's state while it is cold; drops it when the endpoint is warm."""
-        cold = self.cold_by_id.get(entry.id)
-        if cold is None:
-            return None
-        if cold.cold_until <= self.clock.seconds():
-            del self.cold_by_id[entry.id]
-            return None
-        return cold
-
-    def _extend(self, entry: EndpointEntry, cold_until: float) -> _ColdEndpoint:
-        cold = self._find(entry)
-        if cold is not None:
-            cold.cold_until = max(cold.cold_until, cold_until)
-            return cold
-        cold = self.cold_by_id[entry.id] = _ColdEndpoint(cold_until)
+        self.limits.record_send(entry.id)
+        self.space_next(entry)
+
+    def space_next(self, entry: EndpointEntry) -> None:
+        """Space the next request to the endpoint from now on."""
+        if self.is_throttled(entry):
+            self._sent_at_by_id[entry.id] = self.clock.seconds()
+        else:
+            self._sent_at_by_id.pop(entry.id, None)
+            self._promised_at_by_id.pop(entry.id, None)
+
+    def promise(self, entry: EndpointEntry) -> float:
+        """Seconds after which a caller that is refused now may return; each gets another time."""
+        now = self.clock.seconds()
+        interval = max((limit.interval for limit in self._limits(entry)), default=0.0)
+        allowed_at = now + self.seconds_until_allowed(entry)
+        if math.isinf(interval):
+            return allowed_at - now
+        promised_at = self._promised_at_by_id.get(entry.id, -math.inf) + interval
+        if not allowed_at <= promised_at <= now + MAX_PROMISE_SECONDS:
+            promised_at = allowed_at
+        self._promised_at_by_id[entry.id] = promised_at
+        return promised_at - now
+
+    def forget(self, endpoint_id: str) -> None:
+        """Discard the state of an endpoint that has left or restarted."""
+        self.cold.forget(endpoint_id)
+        self.limits.forget(endpoint_id)
+        self._sent_at_by_id.pop(endpoint_id, None)
+        self._promised_at_by_id.pop(endpoint_id, None)
+
+    def _allowed_at_by_cause(self, entry: EndpointEntry) -> dict[ThrottleCause, float]:
+        sent_at = self._sent_at_by_id.get(entry.id, -math.inf)
+        return {limit.cause: limit.allowed_at(sent_at) for limit in self._limits(entry)}
+
+    def _limits(self, entry: EndpointEntry) -> list[_Limit]:
+        """The limits for the endpoint; empty in the usual case that there is none."""
+        limits = []
+        cold_until = self.cold.cold_until(entry)
+        if cold_until is not None:
+            share = self._share(entry, self.cold.rate(entry), self.cold_bound)
+            limits.append(_Limit(ThrottleCause.COLD, share, -math.inf, cold_until))
+        statement = self.limits.find(entry.id)
+        if statement is not None:
+            share = self._share(entry, max(MIN_RATE, statement.rate), NAMED_LIMIT_BOUND)
+            limits.append(_Limit(ThrottleCause.LIMIT, share, statement.since, math.inf))
+        return limits
+
+    def _log_cold(self, entry: EndpointEntry, seconds: float) -> None:
+        rate = self.cold.rate(entry)
         log_message(
             message_type="endpoint:cold",
             endpoint=entry.id,
-            seconds=round(cold_until - self.clock.seconds(), 3),
-            rate=self._traits(entry).cold_rate,
-            share=round(self._share(entry), 3),
+            seconds=round(seconds, 3),
+            rate=rate,
+            share=round(self._share(entry, rate, self.cold_bound), 3),
         )
-        return cold
+
+    def _share(self, entry: EndpointEntry, rate: float, bound: RateBound) -> float:
+        return rate if self.share is None else self.share.rate(entry.id, rate, bound)
--- a/tests/evacuations/test_requests.py
+++ b/tests/evacuations/test_requests.py
@@ -21,7 +21,7 @@
     register = EvacuationRegister(clock)
     register.observe_listing((), 1)
     harness.context.placement.evacuations = register
-    harness.context.placement.throttle.find_service = {"svc": COLD}.get
+    harness.context.placement.throttle.cold.find_service = {"svc": COLD}.get
     return harness
 
 
@@ -68,7 +68,7 @@
     entry = harness.registry.entries_by_id["e1"]
     evacuate(harness, "b")
     throttle = harness.context.placement.throttle
-    throttle.mark_cold(entry)
+    throttle.cold.mark_cold(entry)
     throttle.record_send(entry)
     clock.advance(0.48)
     request, _ = harness.request()
@@ -83,7 +83,7 @@
     entry = harness.registry.entries_by_id["e1"]
     evacuate(harness, "b")
     throttle = harness.context.placement.throttle
-    throttle.mark_cold(entry)
+    throttle.cold.mark_cold(entry)
     throttle.record_send(entry)
     request, _ = harness.request()
     refusal = refusal_of(forward(harness, request))
@@ -93,7 +93,7 @@
 
 def test_generations_wait_for_a_cold_engine_at_its_rate(harness, clock):
     evacuate(harness, "b")
-    harness.context.placement.throttle.mark_cold(harness.registry.entries_by_id["e1"])
+    harness.context.placement.throttle.cold.mark_cold(harness.registry.entries_by_id["e1"])
     for _ in range(4):
         request, _ = harness.request(kind=RequestKind.STREAM, timeout=30.0)
         forward(harness, request)
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -20,7 +20,7 @@
 from guavacleat.retries import RetryBudget
 from guavacleat.routes import Backend, EngineTraits, RequestKind, Route, ServiceTraits
 from guavacleat.settings import Bounds
-from guavacleat.throttling import LimitRegister
+from guavacleat.throttling import EndpointThrottle, LimitRegister
 
 ENGINE = EngineTraits(24, 30000, 163840, 24000.0, 4, moves=True, backups=False)
 
@@ -182,11 +182,16 @@
         quarantine = QuarantineGuard(
             clock, self.crash_tracker, EndpointProbe(self.pool, self.registry)
         )
+        self.limits = LimitRegister(clock)
         placement = Placement(
-            self.registry, self.load, "dc", seed=1, avoided_ids=quarantine.trial_endpoints
+            self.registry,
+            self.load,
+            "dc",
+            seed=1,
+            avoided_ids=quarantine.trial_endpoints,
+            throttle=EndpointThrottle(clock, limits=self.limits),
         )
         bounds = bounds or Bounds(retry_extra=100)
-        self.limits = LimitRegister(clock)
         budget = RetryBudget(clock, bounds, lambda: 1)
         self.queue = GenerationQueue(clock, placement, seed=1)
         self.load.listeners.append(self.queue.schedule_dispatch)
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -23,6 +23,7 @@
 from guavacleat.routes.model import CallerLimits, RouteTable
 from guavacleat.store import ConflictError, StoredObject, StoreUnavailableError, WatchBatch
 from guavacleat.store.messages import HistoryLostError
+from guavacleat.throttling import LimitRegister
 from tests.forwarding.harness import make_entry
 from tests.platform.test_settings import SETTINGS_TEXT
 
@@ -168,6 +169,7 @@
         self.load = LoadTracker(self.clock)
         self.peers = PeerTable(self.clock)
         self.crash_tracker = CrashTracker(self.clock)
+        self.limits = LimitRegister(self.clock)
         self.load.peers = self.peers
         self.context = types.SimpleNamespace(queue=GenerationQueue(self.clock, None))
         self.evacuations = EvacuationRegister(self.clock)
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -22,6 +22,7 @@
 from guavacleat.placement import EndpointLoad, LoadTracker, Run
 from guavacleat.quarantine import CrashTracker
 from guavacleat.store import ConflictError, StoredObject, StoreUnavailableError, WatchBatch
+from guavacleat.throttling import LimitRegister
 from tests.forwarding.harness import make_entry
 
 COUNTS = st.integers(0, 2**31 - 1)
@@ -149,6 +150,7 @@
         EndpointSyncState(clock),
         EvacuationRegister(clock),
         CrashTracker(clock),
+        LimitRegister(clock),
     )
     peer_exchange.transport = FakeTransport()
     peer_exchange.startProtocol()
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -124,6 +124,8 @@
         ``cold_limit`` requests within a second.
     :param service: further fields of the service in the routes file.
     :ivar harmless_outcomes: number of harmless requests by outcome.
+    :ivar harmless_retry_after: Retry-After of each refused harmless request, in seconds.
+    :ivar longest_refusal_seconds: longest time that the refusal of a harmless request took.
     :ivar crasher_outcomes: number of requests that crash endpoints, by outcome.
     """
 
@@ -172,6 +174,8 @@
         self.harmless_outcomes = collections.Counter()
         self.crasher_outcomes = collections.Counter()
         self.retry_after = []
+        self.harmless_retry_after = []
+        self.longest_refusal_seconds = 0.0
         self.gateways_by_request_id = {}
         for number in range(gateways or 1):
             data_centre_number = number % data_centres
@@ -254,8 +258,14 @@
         self.gateways_by_request_id[request_id] = instance
         headers = [(b"host", b"h.example"), (b"x-request-id", request_id.encode())]
 
+        sent_at = self.network.seconds()
+
         def on_outcome(outcome, answer_headers):
             results[outcome] += 1
+            if results is self.harmless_outcomes and outcome == 503:
+                self.harmless_retry_after.append(float(answer_headers[b"retry-after"]))
+                seconds = self.network.seconds() - sent_at
+                self.longest_refusal_seconds = max(self.longest_refusal_seconds, seconds)
             if results is self.harmless_outcomes and outcome == 503 and retry:
                 wait = float(answer_headers[b"retry-after"])
                 self.network.callLater(wait, self._send, path, body, results)
--- a/tests/throttling/limited_fleet.py
+++ b/tests/throttling/limited_fleet.py
@@ -71,6 +71,14 @@
         self._schedule_repeatedly(1 / per_second, until, lambda: self.send_harmless(retry=retry))
         self.network.pass_time(seconds)
 
+    def send_to(self, gateway, seconds, per_second=10.0):
+        """Send harmless requests at one gateway."""
+        until = self.network.seconds() + seconds
+        self._schedule_repeatedly(
+            1 / per_second, until, lambda: self.send_harmless(gateway=gateway)
+        )
+        self.network.pass_time(seconds)
+
     @staticmethod
     def allowed(rate):
         return OVERSHOOT * WINDOW_SECONDS * rate + SLACK_REQUESTS
--- a/tests/throttling/test_limited_fleet.py
+++ b/tests/throttling/test_limited_fleet.py
@@ -1,5 +1,7 @@
 """Gateways together stay within the limits that endpoints name in their answers."""
 
+import itertools
+
 import pytest
 
 from tests.throttling.limited_fleet import LimitedFleet
@@ -14,3 +16,85 @@
     fleet.send(15.0)
     assert fleet.logs[0].most_in_window() <= fleet.allowed(rate)
     assert fleet.harmless_outcomes[200] == sum(fleet.harmless_outcomes.values())
+
+
+def test_limit_that_is_halved_counts_at_once():
+    """Guards against gateways that keep to the first limit that an endpoint named."""
+    fleet = LimitedFleet()
+    fleet.logs[0].name_limit(4.0)
+    fleet.send(6.0)
+    fleet.logs[0].name_limit(1.0)
+    fleet.send(10.0)
+    assert fleet.logs[0].most_in_window() <= fleet.allowed(1.0)
+
+
+@pytest.mark.parametrize("gateways, rate", [(1, 2.0), (4, 1.0), (12, 0.0)])
+def test_endpoint_is_used_again_after_its_limit_ends(gateways, rate):
+    """Guards against an endpoint that gets too few requests to say that its limit is over."""
+    fleet = LimitedFleet(gateways=gateways)
+    fleet.logs[0].name_limit(rate)
+    fleet.send(6.0)
+    fleet.logs[0].endpoint.standin.rate_limit = None
+    fleet.send(20.0 if rate == 0 else 8.0)
+    ended_at = fleet.network.seconds()
+    fleet.send(5.0)
+    assert fleet.logs[0].count_between(ended_at, ended_at + 5.0) > 30
+
+
+def test_requests_are_refused_at_once_when_all_endpoints_limit_their_rate():
+    """Guards against callers that wait for a share which is used up, or that return together."""
+    fleet = LimitedFleet()
+    for log in fleet.logs:
+        log.name_limit(1.0)
+    fleet.send(10.0, retry=True)
+    assert all(log.most_in_window() <= fleet.allowed(1.0) for log in fleet.logs)
+    assert set(fleet.harmless_outcomes) == {200, 503}
+    assert fleet.harmless_outcomes[200] >= 25
+    assert fleet.longest_refusal_seconds < 0.25
+    assert min(fleet.harmless_retry_after) > 0
+    assert len(set(fleet.harmless_retry_after)) > len(fleet.harmless_retry_after) / 2
+
+
+def test_limit_of_one_endpoint_does_not_push_another_beyond_its_own():
+    fleet = LimitedFleet()
+    fleet.logs[0].name_limit(1.0)
+    fleet.logs[1].name_limit(3.0)
+    fleet.send(12.0)
+    assert fleet.logs[0].most_in_window() <= fleet.allowed(1.0)
+    assert fleet.logs[1].most_in_window() <= fleet.allowed(3.0)
+    assert fleet.harmless_outcomes[200] == sum(fleet.harmless_outcomes.values())
+
+
+def test_gateway_that_starts_during_a_limit_hears_of_it():
+    """Guards against a herd from gateways that have just started and were told nothing yet."""
+    fleet = LimitedFleet()
+    fleet.logs[0].name_limit(1.0)
+    fleet.send(4.0)
+    for number in range(3):
+        fleet.start_gateway(f"new{number}", f"10.0.1.{number}", "dc0")
+    fleet.send(1.0)
+    started_at = fleet.network.seconds()
+    fleet.send(6.0)
+    assert fleet.logs[0].count_between(started_at, started_at + 6.0) <= 12
+
+
+def test_gateway_that_is_cut_off_keeps_to_its_share():
+    """Guards against a gateway that takes over the shares of those it no longer hears of."""
+    fleet = LimitedFleet()
+    fleet.logs[0].name_limit(1.0)
+    fleet.send(4.0)
+    addresses = [gateway.settings.ip for gateway in fleet.gateways.values()]
+    fleet.network.blocked_links |= set(itertools.permutations(addresses, 2))
+    fleet.send(12.0)
+    assert fleet.logs[0].most_in_window() <= fleet.allowed(1.0)
+
+
+def test_gateways_without_requests_learn_of_a_limit_and_of_its_end():
+    fleet = LimitedFleet()
+    gateways = fleet.gateways.values()
+    fleet.logs[0].name_limit(3.0)
+    fleet.send_to("g0", 2.0)
+    assert [gateway.limits.rate(fleet.logs[0].endpoint.id) for gateway in gateways] == [3.0] * 4
+    fleet.logs[0].endpoint.standin.rate_limit = None
+    fleet.send_to("g0", 4.0)
+    assert [gateway.limits.rate(fleet.logs[0].endpoint.id) for gateway in gateways] == [None] * 4
--- a/tests/throttling/test_shares.py
+++ b/tests/throttling/test_shares.py
@@ -1,11 +1,14 @@
-"""Shares of a cold endpoint's rate among gateways that do not ask each other."""
+"""Shares of an endpoint's maximum rate among gateways that do not ask each other."""
 
 import pytest
 
 from guavacleat.settings import Bounds
-from guavacleat.throttling import ShareRule
+from guavacleat.throttling import RateBound, ShareRule
 
 DATA_CENTRES = ["dc0", "dc1", "dc2", "dc3"]
+# Of cold endpoints, and of those that name a limit.
+COLD = RateBound(Bounds().cold_overshoot, Bounds().cold_slack, 1.0)
+NAMED = RateBound(1.5, 5.0, 4.0)
 ENDPOINTS = [f"e{number}" for number in range(40)]
 
 
@@ -31,7 +34,6 @@
             name,
             data_centre,
             data_centres,
-            Bounds(),
             Gateways(
                 count,
                 [
@@ -45,23 +47,25 @@
     ]
 
 
-def worst_second(rules, endpoint, rate):
-    """Requests within a second if every gateway sends as soon as it may."""
-    shares = [rule.rate(endpoint, rate) for rule in rules]
-    return sum(1 + share for share in shares if share)
+def worst_window(rules, endpoint, rate, bound):
+    """Requests within the bound's window if every gateway sends as soon as it may."""
+    shares = [rule.rate(endpoint, rate, bound) for rule in rules]
+    return sum(1 + share * bound.window for share in shares if share)
 
 
-@pytest.mark.parametrize("rate", [1.0, 2.0, 10.0, 36.0, 200.0])
+@pytest.mark.parametrize("bound", [COLD, NAMED])
+@pytest.mark.parametrize("rate", [0.1, 1.0, 2.0, 10.0, 36.0, 200.0])
 @pytest.mark.parametrize("count", [1, 5, 28, 68, 300])
-def test_all_gateways_together_stay_within_the_bound(count, rate):
-    bound = Bounds().cold_overshoot * rate + Bounds().cold_slack
+def test_all_gateways_together_stay_within_the_bound(count, rate, bound):
+    allowed = bound.overshoot * rate * bound.window + bound.slack
     rules = make_rules(count)
-    assert max(worst_second(rules, id, rate) for id in ENDPOINTS) <= bound
+    assert max(worst_window(rules, id, rate, bound) for id in ENDPOINTS) <= allowed
 
 
-@pytest.mark.parametrize("rate", [1.0, 2.0, 10.0, 36.0])
+@pytest.mark.parametrize("bound", [COLD, NAMED])
+@pytest.mark.parametrize("rate", [0.1, 1.0, 2.0, 10.0, 36.0])
 @pytest.mark.parametrize("count", [28, 68, 300])
-def test_halves_that_are_cut_off_from_each_other_stay_within_the_bound(count, rate):
+def test_halves_that_are_cut_off_from_each_other_stay_within_the_bound(count, rate, bound):
     """Guards against gateways that take over the shares of those they do not reach."""
 
     def same_half(one, other):
@@ -71,27 +75,28 @@
             or (int(one[1:]) % 8 >= 4 and int(other[1:]) % 8 >= 4)
         )
 
-    bound = Bounds().cold_overshoot * rate + Bounds().cold_slack
+    allowed = bound.overshoot * rate * bound.window + bound.slack
     rules = make_rules(count, is_reachable=same_half)
-    assert max(worst_second(rules, id, rate) for id in ENDPOINTS) <= bound
+    assert max(worst_window(rules, id, rate, bound) for id in ENDPOINTS) <= allowed
 
 
-@pytest.mark.parametrize("rate", [1.0, 2.0, 36.0])
+@pytest.mark.parametrize("bound", [COLD, NAMED])
+@pytest.mark.parametrize("rate", [0.1, 1.0, 2.0, 36.0])
 @pytest.mark.parametrize("count", [1, 5, 28, 68, 300])
-def test_every_endpoint_gets_requests_from_some_gateway(count, rate):
-    """Guards against a cold endpoint that no gateway may use."""
+def test_every_endpoint_gets_requests_from_some_gateway(count, rate, bound):
+    """Guards against an endpoint with a limited rate that no gateway may use."""
     rules = make_rules(count)
     for id in ENDPOINTS:
-        assert sum(rule.rate(id, rate) for rule in rules) >= 0.25 * rate
+        assert sum(rule.rate(id, rate, bound) for rule in rules) >= 0.25 * rate
 
 
 def test_few_gateways_share_the_whole_rate():
     rules = make_rules(5)
-    assert sum(rule.rate("e1", 36.0) for rule in rules) == pytest.approx(36.0)
+    assert sum(rule.rate("e1", 36.0, COLD) for rule in rules) == pytest.approx(36.0)
 
 
 def test_every_gateway_may_send_to_some_cold_endpoint():
     """Guards against a gateway without any endpoint while all of them are cold."""
     rules = make_rules(28)
-    counts = [sum(rule.rate(id, 36.0) > 0 for id in ENDPOINTS) for rule in rules]
+    counts = [sum(rule.rate(id, 36.0, COLD) > 0 for id in ENDPOINTS) for rule in rules]
     assert min(counts) >= 4
--- a/tests/throttling/test_throttle.py
+++ b/tests/throttling/test_throttle.py
@@ -3,8 +3,8 @@
 import pytest
 
 from guavacleat.routes import ServiceTraits
-from guavacleat.throttling import EndpointThrottle
-from guavacleat.throttling.throttle import UNREACHABLE_SECONDS
+from guavacleat.throttling import ColdEndpoints, EndpointThrottle
+from guavacleat.throttling.cold import UNREACHABLE_SECONDS
 from tests.forwarding.harness import make_entry
 
 TRAITS = ServiceTraits("svc", 100, cold_start=2.0, cold_rate=4.0)
@@ -13,7 +13,7 @@
 
 @pytest.fixture
 def limiter(clock):
-    return EndpointThrottle(clock, find_service={"svc": TRAITS}.get)
+    return EndpointThrottle(clock, ColdEndpoints(clock, {"svc": TRAITS}.get))
 
 
 def count_allowed(limiter, clock, seconds):
@@ -32,51 +32,51 @@
 
 
 def test_cold_endpoint_gets_requests_at_its_rate(limiter, clock):
-    limiter.mark_cold(ENTRY)
+    limiter.cold.mark_cold(ENTRY)
     assert 7 <= count_allowed(limiter, clock, 2.0) <= 9
-    assert limiter.may_send(ENTRY) and not limiter.is_cold(ENTRY)
+    assert limiter.may_send(ENTRY) and not limiter.is_throttled(ENTRY)
 
 
 def test_endpoint_that_says_so_stays_cold_for_that_time(limiter, clock):
-    limiter.mark_cold(ENTRY, 5.0)
+    limiter.cold.mark_cold(ENTRY, 5.0)
     clock.advance(4.9)
-    assert limiter.is_cold(ENTRY)
+    assert limiter.is_throttled(ENTRY)
     clock.advance(0.2)
-    assert not limiter.is_cold(ENTRY)
+    assert not limiter.is_throttled(ENTRY)
 
 
 def test_a_shorter_time_does_not_end_a_longer_one(limiter, clock):
-    limiter.mark_cold(ENTRY, 5.0)
-    limiter.mark_cold(ENTRY, 1.0)
+    limiter.cold.mark_cold(ENTRY, 5.0)
+    limiter.cold.mark_cold(ENTRY, 1.0)
     clock.advance(2.0)
-    assert limiter.is_cold(ENTRY)
+    assert limiter.is_throttled(ENTRY)
 
 
 def test_endpoint_is_cold_after_it_was_unreachable(limiter, clock):
     """Guards against a burst of waiting requests to an endpoint that has just restarted."""
-    limiter.record_unreachable(ENTRY)
+    limiter.cold.record_unreachable(ENTRY)
     clock.advance(1.0)
-    limiter.record_reached(ENTRY)
+    limiter.cold.record_reached(ENTRY)
     clock.advance(TRAITS.cold_start - 0.1)
-    assert limiter.is_cold(ENTRY)
+    assert limiter.is_throttled(ENTRY)
     clock.advance(0.2)
-    assert not limiter.is_cold(ENTRY)
+    assert not limiter.is_throttled(ENTRY)
 
 
 def test_an_unreachable_endpoint_is_not_lost(limiter, clock):
     """Guards against a gateway that waits for ever for a connection that it never tries."""
-    limiter.record_unreachable(ENTRY)
+    limiter.cold.record_unreachable(ENTRY)
     clock.advance(UNREACHABLE_SECONDS + TRAITS.cold_start + 0.1)
-    assert limiter.may_send(ENTRY) and not limiter.is_cold(ENTRY)
+    assert limiter.may_send(ENTRY) and not limiter.is_throttled(ENTRY)
 
 
 def test_service_without_a_rate_has_no_limit(clock):
-    limiter = EndpointThrottle(clock, find_service={"svc": ServiceTraits("svc", 100)}.get)
-    limiter.mark_cold(ENTRY, 5.0)
-    assert not limiter.is_cold(ENTRY)
+    limiter = EndpointThrottle(clock, ColdEndpoints(clock, {"svc": ServiceTraits("svc", 100)}.get))
+    limiter.cold.mark_cold(ENTRY, 5.0)
+    assert not limiter.is_throttled(ENTRY)
 
 
 def test_seconds_until_allowed_is_the_interval_between_requests(limiter):
-    limiter.mark_cold(ENTRY)
+    limiter.cold.mark_cold(ENTRY)
     limiter.record_send(ENTRY)
     assert limiter.seconds_until_allowed(ENTRY) == pytest.approx(0.25)
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -82,6 +82,14 @@
   4: required i32 dispatched,
 }
 
+// An endpoint's limit of its request rate, as it said in an answer ``age`` seconds ago.
+struct EndpointLimit {
+  1: required string endpoint,
+  2: required double age,
+  // Requests per second from all gateways together; left out if it no longer names a limit.
+  3: optional double rate,
+}
+
 // ``incarnation`` is drawn at each start of the sender; ``sequence`` grows by one a report.
 struct PeerReport {
   1: required string instance,
@@ -114,4 +122,6 @@
   // that does not know of evacuations.
   18: optional list<Evacuation> evacuations,
   19: optional list<Backlog> backlogs,
+  // What endpoints told the sender lately; in a summary, the gateways that it covers.
+  20: optional list<EndpointLimit> limits,
 }
