Observability: what endpoints say of leaving and of pauses, in logs

Logs can't tell a gateway that isn't told from one that is told and forgets it: nothing says when an answer carried Server-Leaving or, on a 503, Retry-After. Both are decoded (Retry-After also as a date, against the answer's own Date) and logged as endpoint:says-leaving, once per endpoint with its state as known here, and endpoint:pause. Nothing decides by them yet.

--- a/src/guavacleat/forwarding/feedback.py
+++ b/src/guavacleat/forwarding/feedback.py
@@ -20,7 +20,7 @@
 
     def __init__(self, limits: LimitRegister):
         self.limits = limits
-        self._logged: set[tuple[str, bytes]] = set()
+        self._logged: set[tuple[str, str]] = set()
 
     def observe(self, entry: EndpointEntry, sent_at: float, statements: EndpointStatements) -> None:
         """Apply the statements of an answer that has just arrived from ``entry``.
@@ -28,18 +28,20 @@
         :param sent_at: clock time at which the request was sent; the answer may be as old.
         """
         for name in statements.unreadable:
-            self._log_unreadable(entry, name)
-        if not statements.unreadable:
+            self._log_once(entry, name, "endpoint:unreadable-answer", statement=name)
+        if "rate_limit" not in statements.unreadable:
             self.limits.observe(entry.id, statements.rate_limit, sent_at)
-
-    def _log_unreadable(self, entry: EndpointEntry, name: bytes) -> None:
-        key = (entry.id, name)
-        if key in self._logged or len(self._logged) >= MAX_LOGGED:
-            return
-        self._logged.add(key)
-        log_message(
-            message_type="endpoint:unreadable-answer",
-            endpoint=entry.id,
-            header=name.decode("latin-1"),
-            action="ignored; correct the header that the endpoint sends",
-        )
+        if statements.leaving:
+            self._log_once(entry, "leaving", "endpoint:says-leaving", state=entry.state.value)
+        if statements.pause:
+            log_message(
+                message_type="endpoint:pause",
+                endpoint=entry.id,
+                seconds=round(statements.pause, 3),
+            )
+
+    def _log_once(self, entry: EndpointEntry, name: str, message_type: str, **fields) -> None:
+        key = (entry.id, f"{message_type} {name}")
+        if key not in self._logged and len(self._logged) < MAX_LOGGED:
+            self._logged.add(key)
+            log_message(message_type=message_type, endpoint=entry.id, **fields)
--- a/src/guavacleat/forwarding/native.py
+++ b/src/guavacleat/forwarding/native.py
@@ -4,7 +4,8 @@
 generations ``X-Prompt-Tokens`` and ``X-Max-Tokens``. Endpoints respond with ``X-Request-Id`` and
 ``X-Endpoint`` (their id, which marks the response as signed), or with ``X-Not-Run`` if they did
 not execute the request. ``X-Rate-Limit`` names the requests per second that an endpoint takes from
-all gateways together.
+all gateways together, ``X-Leaving: 1`` says that it will shut down soon, and ``Retry-After`` in a
+503 for how many seconds it wants nothing from this gateway.
 """
 
 from guavacleat.forwarding.messages import (
@@ -14,7 +15,7 @@
     ResponseMetadata,
 )
 from guavacleat.forwarding.numbers import parse_number, parse_token_count
-from guavacleat.forwarding.statements import parse_statements
+from guavacleat.forwarding.statements import StatementHeaders, parse_statements
 from guavacleat.forwarding.wire import Headers, Wire
 
 __all__ = ["NativeWire"]
@@ -28,7 +29,7 @@
 PRIORITY = b"x-priority"
 ENDPOINT = b"x-endpoint"
 NOT_RUN = b"x-not-run"
-RATE_LIMIT = b"x-rate-limit"
+STATEMENTS = StatementHeaders(rate_limit=b"x-rate-limit", leaving=b"x-leaving")
 # Headers that the gateway removes or replaces.
 OWNED = {KEY, DEADLINE, ACCOUNT, PRIORITY, ENDPOINT}
 NOT_IMPLEMENTED = 501  # HTTP status
@@ -58,7 +59,7 @@
         kept.append((DEADLINE, b"%.3f" % metadata.time_left))
         return kept
 
-    def parse_response_metadata(self, headers: Headers) -> ResponseMetadata:
+    def parse_response_metadata(self, status: int, headers: Headers) -> ResponseMetadata:
         values = dict(headers)
         id = values.get(REQUEST_ID)
         return ResponseMetadata(
@@ -66,7 +67,7 @@
             signed=ENDPOINT in values,
             not_run=NOT_RUN in values,
             encoded=b"content-encoding" in values,
-            statements=parse_statements(headers, rate_limit=RATE_LIMIT),
+            statements=parse_statements(status, headers, STATEMENTS),
         )
 
     def refusal_headers(self, request_id: str, retry_after: float | None) -> Headers:
--- a/src/guavacleat/forwarding/response.py
+++ b/src/guavacleat/forwarding/response.py
@@ -115,7 +115,7 @@
 
     def response_started(self, head):
         self.head = head
-        metadata = self.wire.parse_response_metadata(head.headers)
+        metadata = self.wire.parse_response_metadata(head.status, head.headers)
         self.check = check_response(head, metadata, self.request_id)
         statements = trusted_statements(head, metadata, self.request_id)
         if statements is not None:
--- a/src/guavacleat/forwarding/statements.py
+++ b/src/guavacleat/forwarding/statements.py
@@ -1,9 +1,30 @@
 """What an endpoint says of itself in an answer, beside the answer to the request."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable
+from email.utils import parsedate_to_datetime
 
-__all__ = ["EndpointStatements", "parse_statements"]
+__all__ = ["EndpointStatements", "StatementHeaders", "parse_statements"]
+
+UNAVAILABLE = 503
+RETRY_AFTER = b"retry-after"
+DATE = b"date"
+# A longer pause is probably a mistake, and the endpoint would be lost for good.
+MAX_PAUSE_SECONDS = 600.0
+
+
+class StatementHeaders:
+    """The names of the headers that differ between wire formats, in lower case.
+
+    :param rate_limit: header with requests per second.
+    :param leaving: header that is ``1`` while the endpoint is leaving.
+    """
+
+    __slots__ = ("rate_limit", "leaving")
+
+    def __init__(self, rate_limit: bytes, leaving: bytes):
+        self.rate_limit = rate_limit
+        self.leaving = leaving
 
 
 class EndpointStatements:
@@ -11,31 +32,51 @@
 
     :param rate_limit: requests per second that it takes from all gateways together; None if it
         names no limit.
-    :param unreadable: the headers whose values are invalid; they state nothing.
+    :param leaving: whether it will shut down soon.
+    :param pause: seconds for which it wants no requests from this gateway; None if it takes them.
+    :param unreadable: names of the attributes whose headers are invalid; these state nothing.
     """
 
-    __slots__ = ("rate_limit", "unreadable")
+    __slots__ = ("rate_limit", "leaving", "pause", "unreadable")
 
-    def __init__(self, rate_limit: float | None = None, unreadable: tuple[bytes, ...] = ()):
+    def __init__(
+        self,
+        rate_limit: float | None = None,
+        leaving: bool = False,
+        pause: float | None = None,
+        unreadable: tuple[str, ...] = (),
+    ):
         self.rate_limit = rate_limit
+        self.leaving = leaving
+        self.pause = pause
         self.unreadable = unreadable
 
 
 def parse_statements(
-    headers: Iterable[tuple[bytes, bytes]], *, rate_limit: bytes
+    status: int, headers: list[tuple[bytes, bytes]], names: StatementHeaders
 ) -> EndpointStatements:
-    """Decode the headers with the given names, in lower case; a repeated one means the strictest.
+    """Decode the statements in an answer's head; of a repeated header the strictest value counts.
 
-    Endpoints are trusted no more than callers are: values that are not finite and non-negative are
-    listed as unreadable.
+    Endpoints are trusted no more than callers are: invalid values are listed as unreadable.
     """
-    values = [value for name, value in headers if name == rate_limit]
-    if not values:
-        return EndpointStatements()
-    try:
-        return EndpointStatements(min(map(_non_negative, values)))
-    except ValueError:
-        return EndpointStatements(unreadable=(rate_limit,))
+    statements, unreadable = EndpointStatements(), []
+
+    def read(attribute: str, name: bytes, parse: Callable, strictest: Callable) -> None:
+        values = [value for header, value in headers if header == name]
+        if not values:
+            return
+        try:
+            setattr(statements, attribute, strictest(map(parse, values)))
+        except (ValueError, TypeError, OverflowError):
+            unreadable.append(attribute)
+
+    read("rate_limit", names.rate_limit, _non_negative, min)
+    read("leaving", names.leaving, _flag, any)
+    if status == UNAVAILABLE:
+        date = dict(headers).get(DATE)
+        read("pause", RETRY_AFTER, lambda value: _delay(value, date), max)
+    statements.unreadable = tuple(unreadable)
+    return statements
 
 
 def _non_negative(value: bytes) -> float:
@@ -43,3 +84,24 @@
     if not 0 <= number < math.inf:
         raise ValueError(f"{value!r} is not a finite, non-negative number")
     return number
+
+
+def _flag(value: bytes) -> bool:
+    if value.strip() not in (b"0", b"1"):
+        raise ValueError(f"{value!r} is neither 0 nor 1")
+    return value.strip() == b"1"
+
+
+def _delay(value: bytes, date: bytes | None) -> float:
+    """Seconds of a Retry-After header, which may be a date; this is compared to the answer's own.
+
+    The clock of the endpoint may differ from that of the gateway.
+    """
+    try:
+        seconds = _non_negative(value)
+    except ValueError:
+        if date is None:
+            raise
+        until = parsedate_to_datetime(value.decode("latin-1"))
+        seconds = (until - parsedate_to_datetime(date.decode("latin-1"))).total_seconds()
+    return min(max(0.0, seconds), MAX_PAUSE_SECONDS)
--- a/src/guavacleat/forwarding/wire.py
+++ b/src/guavacleat/forwarding/wire.py
@@ -23,7 +23,7 @@
         """Return the caller's headers with those that the gateway sets for an endpoint."""
         raise NotImplementedError
 
-    def parse_response_metadata(self, headers: Headers) -> ResponseMetadata:
+    def parse_response_metadata(self, status: int, headers: Headers) -> ResponseMetadata:
         raise NotImplementedError
 
     def refusal_headers(self, request_id: str, retry_after: float | None) -> Headers:
--- a/src/guavacleat/platform/headers.py
+++ b/src/guavacleat/platform/headers.py
@@ -8,7 +8,7 @@
     ResponseMetadata,
 )
 from guavacleat.forwarding.numbers import parse_number, parse_token_count
-from guavacleat.forwarding.statements import parse_statements
+from guavacleat.forwarding.statements import StatementHeaders, parse_statements
 
 __all__ = [
     "parse_response_metadata",
@@ -32,7 +32,7 @@
 TOKENS = b"token-usage"
 LENGTH_HINT = b"length-hint"
 RETRY_AFTER = b"retry-after"
-RATE_LIMIT = b"server-limit"
+STATEMENTS = StatementHeaders(rate_limit=b"server-limit", leaving=b"server-leaving")
 MS_PER_SECOND = 1000
 # Callers' headers that are not forwarded: credentials, and those that only the gateway may send.
 RESERVED_HEADERS = {KEY, ACCOUNT, PRIORITY, DEADLINE, b"hold", b"pin-ms"}
@@ -86,7 +86,7 @@
     return result
 
 
-def parse_response_metadata(headers: list[tuple[bytes, bytes]]) -> ResponseMetadata:
+def parse_response_metadata(status: int, headers: list[tuple[bytes, bytes]]) -> ResponseMetadata:
     """Decode the metadata of an endpoint's response."""
     values = dict(headers)
     return ResponseMetadata(
@@ -94,7 +94,7 @@
         signed=SEAL in values,
         not_run=NOT_RUN in values,
         encoded=b"content-encoding" in values,
-        statements=parse_statements(headers, rate_limit=RATE_LIMIT),
+        statements=parse_statements(status, headers, STATEMENTS),
     )
 
 
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -8,7 +8,7 @@
 from guavacleat.forwarding.feedback import EndpointFeedback
 from guavacleat.forwarding.messages import MoveResponse, RequestMetadata, ResponseMetadata
 from guavacleat.forwarding.request import ForwardedRequest
-from guavacleat.forwarding.statements import parse_statements
+from guavacleat.forwarding.statements import StatementHeaders, parse_statements
 from guavacleat.forwarding.wire import Wire
 from guavacleat.http1.client import ResponseFailure
 from guavacleat.http1.messages import RequestHead, ResponseHead
@@ -23,6 +23,7 @@
 from guavacleat.throttling import EndpointThrottle, LimitRegister
 
 ENGINE = EngineTraits(24, 30000, 163840, 24000.0, 4, moves=True, backups=False)
+STATEMENTS = StatementHeaders(rate_limit=b"limit", leaving=b"leaving")
 
 
 class FakeWire(Wire):
@@ -47,7 +48,7 @@
             kept.append((b"copy-to", metadata.backup_target[0].encode()))
         return kept
 
-    def parse_response_metadata(self, headers):
+    def parse_response_metadata(self, status, headers):
         values = dict(headers)
         id = values.get(b"id")
         return ResponseMetadata(
@@ -55,7 +56,7 @@
             b"sealed" in values,
             b"not-run" in values,
             False,
-            parse_statements(headers, rate_limit=b"limit"),
+            parse_statements(status, headers, STATEMENTS),
         )
 
     def refusal_headers(self, request_id, retry_after):
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import math
+from email.utils import format_datetime
 
 import pytest
 from hypothesis import given
@@ -10,6 +11,7 @@
 
 from guavacleat.evacuations import EvacuationChange
 from guavacleat.forwarding.messages import ForwardingMetadata, ResumePoint
+from guavacleat.forwarding.statements import MAX_PAUSE_SECONDS
 from guavacleat.lengths import LengthForecast
 from guavacleat.membership.registry import EndpointChange, EndpointState
 from guavacleat.peers.report import GatewayReport, decode_report, encode_report
@@ -231,10 +233,10 @@
 
 
 def test_response_metadata_is_decoded():
-    metadata = parse_response_metadata([(b"attempt-id", b"r1"), (b"response-seal", b"s")])
+    metadata = parse_response_metadata(200, [(b"attempt-id", b"r1"), (b"response-seal", b"s")])
     assert (metadata.request_id, metadata.signed, metadata.not_run) == ("r1", True, False)
-    assert parse_response_metadata([(b"not-executed", b"1")]).not_run
-    assert parse_response_metadata([(b"content-encoding", b"gzip")]).encoded
+    assert parse_response_metadata(503, [(b"not-executed", b"1")]).not_run
+    assert parse_response_metadata(200, [(b"content-encoding", b"gzip")]).encoded
 
 
 def test_refusal_has_the_request_id_and_retry_after():
@@ -291,7 +293,45 @@
     """Invalid values are treated as missing."""
     metadata = parse_request_metadata(headers)
     assert metadata.caller_timeout is None or metadata.caller_timeout >= 0
-    parse_response_metadata(headers)
+    parse_response_metadata(200, headers)
+
+
+def test_what_an_endpoint_says_of_itself_is_decoded():
+    headers = [(b"server-limit", b"2.5"), (b"server-leaving", b"1"), (b"retry-after", b"1.5")]
+    statements = parse_response_metadata(503, headers).statements
+    assert (statements.rate_limit, statements.leaving, statements.pause) == (2.5, True, 1.5)
+    assert parse_response_metadata(200, headers).statements.pause is None
+
+
+def test_retry_after_may_be_a_date():
+    headers = [
+        (b"date", b"Thu, 03 Dec 2026 15:00:00 GMT"),
+        (b"retry-after", b"Thu, 03 Dec 2026 15:00:04 GMT"),
+    ]
+    assert parse_response_metadata(503, headers).statements.pause == 4.0
+    assert parse_response_metadata(503, headers[1:]).statements.unreadable == ("pause",)
+
+
+STATEMENT_VALUES = st.one_of(
+    st.binary(max_size=30),
+    st.sampled_from(EXTREME_NUMBERS),
+    st.datetimes().map(lambda time: format_datetime(time).encode()),
+)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([b"server-limit", b"server-leaving", b"retry-after", b"date"]),
+            STATEMENT_VALUES,
+        )
+    )
+)
+def test_any_statement_of_an_endpoint_decodes(headers):
+    """Guards against an error towards the caller by what an endpoint says of itself."""
+    statements = parse_response_metadata(503, headers).statements
+    assert statements.rate_limit is None or 0 <= statements.rate_limit < float("inf")
+    assert statements.pause is None or 0 <= statements.pause <= MAX_PAUSE_SECONDS
 
 
 def test_null_and_float_values_are_accepted():
--- a/tests/throttling/test_limits.py
+++ b/tests/throttling/test_limits.py
@@ -3,12 +3,13 @@
 import pytest
 
 from guavacleat.forwarding.feedback import EndpointFeedback
-from guavacleat.forwarding.statements import parse_statements
+from guavacleat.forwarding.statements import StatementHeaders, parse_statements
 from guavacleat.throttling import LimitRegister
 from guavacleat.throttling.limits import EXPIRY_SECONDS
 from tests.forwarding.harness import make_entry
 
 NAME = b"limit"
+HEADERS = StatementHeaders(rate_limit=NAME, leaving=b"leaving")
 
 
 @pytest.fixture
@@ -65,7 +66,7 @@
     feedback, entry = EndpointFeedback(limits), make_entry("e1")
     for headers in ([(NAME, b"3")], [(NAME, value)], [(NAME, value)]):
         clock.advance(0.1)
-        feedback.observe(entry, clock.seconds(), parse_statements(headers, rate_limit=NAME))
+        feedback.observe(entry, clock.seconds(), parse_statements(200, headers, HEADERS))
     assert limits.rate("e1") == 3.0
 
 
@@ -74,4 +75,4 @@
 )
 def test_valid_values(values, rate):
     headers = [(NAME, value) for value in values]
-    assert parse_statements(headers, rate_limit=NAME).rate_limit == rate
+    assert parse_statements(200, headers, HEADERS).rate_limit == rate
