Failing: endpoints that said they leave still get requests

tests/throttling/test_leaving_fleet.py: an endpoint says in its answers that it leaves, its entry in the store still says ready (the store is away, or heartbeats go on). All gateways go on sending it requests, however long ago they were told.

--- a/src/guavacleat/standin/routed.py
+++ b/src/guavacleat/standin/routed.py
@@ -30,6 +30,8 @@
 ENDPOINT_HEADER = b"x-endpoint"
 NOT_RUN_HEADER = b"x-not-run"
 RATE_LIMIT_HEADER = b"x-rate-limit"
+LEAVING_HEADER = b"x-leaving"
+RETRY_AFTER_HEADER = b"retry-after"
 MISDIRECTED = 421
 UNAVAILABLE = 503
 OK = 200
@@ -60,6 +62,8 @@
     :ivar on_crash: called when a request crashes the endpoint.
     :ivar on_arrival: called with the id of each request that arrives.
     :ivar rate_limit: requests per second that it names in its answers; None to name no limit.
+    :ivar leaving: whether it says in its answers that it will shut down.
+    :ivar pause: seconds that it names in ``Retry-After`` when it refuses; None to name none.
     :ivar work_seconds: time that a plain response takes.
     :ivar cold_until: clock time until which it crashes if it gets more than ``cold_limit`` requests
         within a second.
@@ -72,6 +76,8 @@
         self.on_crash = lambda: None
         self.on_arrival = lambda request_id: None
         self.rate_limit: float | None = None
+        self.leaving = False
+        self.pause: float | None = None
         self.work_seconds = 0.0
         self.cold_until = float("-inf")
         self.cold_limit = 0.0
@@ -83,7 +89,7 @@
         request_id = dict(exchange.head.headers).get(REQUEST_ID_HEADER, b"")
         self.on_arrival(request_id.decode("latin-1"))
         if self.fault is EndpointFault.REFUSE:
-            exchange.respond(UNAVAILABLE, [(NOT_RUN_HEADER, b"1"), *self._statements()], b"")
+            self._refuse(exchange)
             return
         if self.fault is EndpointFault.OTHER_INCARNATION:
             exchange.respond(MISDIRECTED, [], b"")
@@ -130,9 +136,16 @@
 
     def _statements(self) -> list[tuple[bytes, bytes]]:
         """What the endpoint says of itself in each answer."""
-        if self.rate_limit is None:
-            return []
-        return [(RATE_LIMIT_HEADER, b"%g" % self.rate_limit)]
+        headers = [(LEAVING_HEADER, b"1")] if self.leaving else []
+        if self.rate_limit is not None:
+            headers.append((RATE_LIMIT_HEADER, b"%g" % self.rate_limit))
+        return headers
+
+    def _refuse(self, exchange: CallerExchange) -> None:
+        headers = [(NOT_RUN_HEADER, b"1"), *self._statements()]
+        if self.pause is not None:
+            headers.append((RETRY_AFTER_HEADER, b"%g" % self.pause))
+        exchange.respond(UNAVAILABLE, headers, b"")
 
     def _respond(self, exchange: CallerExchange, headers) -> None:
         if exchange.disconnected:
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -176,7 +176,8 @@
         self.retry_after = []
         self.harmless_retry_after = []
         self.longest_refusal_seconds = 0.0
-        self.gateways_by_request_id = {}
+        # The gateway and the time of each request that a caller sent.
+        self.sent_by_request_id = {}
         for number in range(gateways or 1):
             data_centre_number = number % data_centres
             self.start_gateway(
@@ -255,10 +256,9 @@
     def _send(self, path, body, results, instance=None, retry=False):
         instance = instance or random.choice(sorted(self.gateways))
         request_id = f"r{next(self.request_numbers)}"
-        self.gateways_by_request_id[request_id] = instance
-        headers = [(b"host", b"h.example"), (b"x-request-id", request_id.encode())]
-
         sent_at = self.network.seconds()
+        self.sent_by_request_id[request_id] = (instance, sent_at)
+        headers = [(b"host", b"h.example"), (b"x-request-id", request_id.encode())]
 
         def on_outcome(outcome, answer_headers):
             results[outcome] += 1
--- a/tests/throttling/test_limited_fleet.py
+++ b/tests/throttling/test_limits_fleet.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from tests.throttling.limited_fleet import LimitedFleet
+from tests.throttling.statement_fleet import StatementFleet
 
 
 @pytest.mark.parametrize("gateways, rate", [(1, 2.0), (4, 1.0), (4, 3.0), (12, 2.0)])
 def test_endpoint_gets_no_more_than_the_limit_that_it_named(gateways, rate):
     """Guards against gateways that ignore a limit, or of which each uses the whole of it."""
-    fleet = LimitedFleet(gateways=gateways)
+    fleet = StatementFleet(gateways=gateways)
     fleet.send(2.0)
     fleet.logs[0].name_limit(rate)
     fleet.send(15.0)
@@ -20,7 +20,7 @@
 
 def test_limit_that_is_halved_counts_at_once():
     """Guards against gateways that keep to the first limit that an endpoint named."""
-    fleet = LimitedFleet()
+    fleet = StatementFleet()
     fleet.logs[0].name_limit(4.0)
     fleet.send(6.0)
     fleet.logs[0].name_limit(1.0)
@@ -31,7 +31,7 @@
 @pytest.mark.parametrize("gateways, rate", [(1, 2.0), (4, 1.0), (12, 0.0)])
 def test_endpoint_is_used_again_after_its_limit_ends(gateways, rate):
     """Guards against an endpoint that gets too few requests to say that its limit is over."""
-    fleet = LimitedFleet(gateways=gateways)
+    fleet = StatementFleet(gateways=gateways)
     fleet.logs[0].name_limit(rate)
     fleet.send(6.0)
     fleet.logs[0].endpoint.standin.rate_limit = None
@@ -43,7 +43,7 @@
 
 def test_requests_are_refused_at_once_when_all_endpoints_limit_their_rate():
     """Guards against callers that wait for a share which is used up, or that return together."""
-    fleet = LimitedFleet()
+    fleet = StatementFleet()
     for log in fleet.logs:
         log.name_limit(1.0)
     fleet.send(10.0, retry=True)
@@ -56,7 +56,7 @@
 
 
 def test_limit_of_one_endpoint_does_not_push_another_beyond_its_own():
-    fleet = LimitedFleet()
+    fleet = StatementFleet()
     fleet.logs[0].name_limit(1.0)
     fleet.logs[1].name_limit(3.0)
     fleet.send(12.0)
@@ -67,7 +67,7 @@
 
 def test_gateway_that_starts_during_a_limit_hears_of_it():
     """Guards against a herd from gateways that have just started and were told nothing yet."""
-    fleet = LimitedFleet()
+    fleet = StatementFleet()
     fleet.logs[0].name_limit(1.0)
     fleet.send(4.0)
     for number in range(3):
@@ -80,7 +80,7 @@
 
 def test_gateway_that_is_cut_off_keeps_to_its_share():
     """Guards against a gateway that takes over the shares of those it no longer hears of."""
-    fleet = LimitedFleet()
+    fleet = StatementFleet()
     fleet.logs[0].name_limit(1.0)
     fleet.send(4.0)
     addresses = [gateway.settings.ip for gateway in fleet.gateways.values()]
@@ -90,7 +90,7 @@
 
 
 def test_gateways_without_requests_learn_of_a_limit_and_of_its_end():
-    fleet = LimitedFleet()
+    fleet = StatementFleet()
     gateways = fleet.gateways.values()
     fleet.logs[0].name_limit(3.0)
     fleet.send_to("g0", 2.0)
