membership/entries.py: entries of endpoints apart from their registry

EndpointEntry, EndpointChange and EndpointState move from membership/registry.py to membership/entries.py; imports follow. No other change.

--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -5,7 +5,7 @@
 from guavacleat.forwarding.messages import ForwardingMetadata, ResumePoint
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.stream_attempt import StreamAttempt, StreamOutcome
-from guavacleat.membership.registry import EndpointEntry
+from guavacleat.membership.entries import EndpointEntry
 
 __all__ = ["AttemptOpener"]
 
--- a/src/guavacleat/forwarding/connecting.py
+++ b/src/guavacleat/forwarding/connecting.py
@@ -1,6 +1,6 @@
 """Connects to an endpoint to send it a request, and records whether it was reached."""
 
-from guavacleat.membership.registry import EndpointEntry
+from guavacleat.membership.entries import EndpointEntry
 
 __all__ = ["EndpointThrottledError", "connect"]
 
--- a/src/guavacleat/forwarding/feedback.py
+++ b/src/guavacleat/forwarding/feedback.py
@@ -3,7 +3,7 @@
 from eliot import log_message
 
 from guavacleat.forwarding.statements import EndpointStatements
-from guavacleat.membership.registry import EndpointEntry
+from guavacleat.membership.entries import EndpointEntry
 from guavacleat.throttling import LimitRegister
 
 __all__ = ["EndpointFeedback"]
--- a/src/guavacleat/forwarding/isolation.py
+++ b/src/guavacleat/forwarding/isolation.py
@@ -2,7 +2,7 @@
 
 from guavacleat.forwarding.refusals import RefusalError, RefusalReason
 from guavacleat.forwarding.request import ForwardedRequest
-from guavacleat.membership.registry import EndpointEntry
+from guavacleat.membership.entries import EndpointEntry
 from guavacleat.quarantine import QuarantineState, QuarantineStatus
 
 __all__ = ["check_quarantine", "may_resume_at", "place_isolated"]
--- a/src/guavacleat/forwarding/memory.py
+++ b/src/guavacleat/forwarding/memory.py
@@ -1,7 +1,7 @@
 """Tracks the engine memory of one stream: its run and a copy on another engine."""
 
 from guavacleat.forwarding.request import ForwardedRequest
-from guavacleat.membership.registry import EndpointEntry
+from guavacleat.membership.entries import EndpointEntry
 from guavacleat.placement import LoadTracker, Run
 
 __all__ = ["RunCopy", "StreamMemory"]
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -16,7 +16,7 @@
 from guavacleat.forwarding.refusals import RefusalError, RefusalReason, no_endpoint
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.response import AttemptOutcome, CheckedResponse, begin_response
-from guavacleat.membership.registry import EndpointEntry
+from guavacleat.membership.entries import EndpointEntry
 from guavacleat.placement import Run
 from guavacleat.routes import RequestKind
 
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -20,7 +20,7 @@
 from guavacleat.forwarding.response import begin_response
 from guavacleat.forwarding.stream_attempt import StreamAttempt, StreamOutcome
 from guavacleat.forwarding.timings import StreamTimings
-from guavacleat.membership.registry import EndpointEntry
+from guavacleat.membership.entries import EndpointEntry
 
 __all__ = ["StreamSession"]
 
--- a/src/guavacleat/forwarding/stream_attempt.py
+++ b/src/guavacleat/forwarding/stream_attempt.py
@@ -9,7 +9,7 @@
 from guavacleat.forwarding.response import ResponseCheck, check_response, trusted_statements
 from guavacleat.http1.client import ResponseFailure, ResponseListener
 from guavacleat.http1.messages import ResponseHead
-from guavacleat.membership.registry import EndpointEntry
+from guavacleat.membership.entries import EndpointEntry
 from guavacleat.placement import Run
 
 __all__ = ["StreamAttempt", "StreamOutcome"]
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -13,8 +13,9 @@
 from guavacleat.http1.server import CallerExchange, CallerListener
 from guavacleat.ingress.dispatch import Dispatch
 from guavacleat.ingress.metrics import IngressMetrics
+from guavacleat.membership.entries import EndpointState
 from guavacleat.membership.liveness import EndpointProbe
-from guavacleat.membership.registry import EndpointRegistry, EndpointState
+from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.membership.status_poll import EndpointStatusPoller
 from guavacleat.migration import Evacuator
 from guavacleat.peers import PeerTable
--- a/src/guavacleat/membership/liveness.py
+++ b/src/guavacleat/membership/liveness.py
@@ -3,7 +3,8 @@
 from eliot import log_message
 from twisted.internet.error import ConnectionRefusedError
 
-from guavacleat.membership.registry import EndpointRegistry, EndpointState
+from guavacleat.membership.entries import EndpointState
+from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.quarantine import Liveness
 
 __all__ = ["EndpointProbe"]
--- a/src/guavacleat/membership/status_poll.py
+++ b/src/guavacleat/membership/status_poll.py
@@ -16,7 +16,8 @@
 from twisted.internet.interfaces import IReactorTime
 
 from guavacleat.http1.calls import CallBrokenError, call
-from guavacleat.membership.registry import EndpointEntry, EndpointRegistry
+from guavacleat.membership.entries import EndpointEntry
+from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.periodic import Periodic
 from guavacleat.rendezvous import select_members
 
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -16,7 +16,7 @@
 from guavacleat.forwarding.messages import MoveResponse
 from guavacleat.forwarding.session import StreamSession
 from guavacleat.http1.calls import CallBrokenError, call
-from guavacleat.membership.registry import EndpointEntry
+from guavacleat.membership.entries import EndpointEntry
 from guavacleat.placement import Run
 
 __all__ = ["Evacuator"]
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -8,7 +8,7 @@
 
 from guavacleat.admission.backlog import Backlog
 from guavacleat.evacuations import EvacuationChange
-from guavacleat.membership.registry import EndpointChange, EndpointEntry, EndpointState
+from guavacleat.membership.entries import EndpointChange, EndpointEntry, EndpointState
 from guavacleat.placement import EndpointLoad
 from guavacleat.protocol.gen.peers import ttypes
 from guavacleat.store import Revision
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -3,7 +3,8 @@
 import random
 
 from guavacleat.evacuations import EvacuationRegister
-from guavacleat.membership.registry import EndpointEntry, EndpointRegistry
+from guavacleat.membership.entries import EndpointEntry
+from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.placement.load import LoadTracker
 from guavacleat.placement.prefill import PREFILL_TOKENS_PER_SECOND, FirstEventEstimate
 from guavacleat.routes import EngineTraits
--- a/src/guavacleat/platform/decode.py
+++ b/src/guavacleat/platform/decode.py
@@ -3,7 +3,7 @@
 import ipaddress
 import math
 
-from guavacleat.membership.registry import EndpointEntry, EndpointState
+from guavacleat.membership.entries import EndpointEntry, EndpointState
 from guavacleat.routes import (
     Account,
     Backend,
--- a/src/guavacleat/routes/loader.py
+++ b/src/guavacleat/routes/loader.py
@@ -18,7 +18,7 @@
     text_list,
 )
 from guavacleat.errors import SettingsError
-from guavacleat.membership.registry import EndpointEntry, EndpointState
+from guavacleat.membership.entries import EndpointEntry, EndpointState
 from guavacleat.routes.model import (
     Account,
     Backend,
--- a/src/guavacleat/throttling/cold.py
+++ b/src/guavacleat/throttling/cold.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from guavacleat.membership.registry import EndpointEntry
+from guavacleat.membership.entries import EndpointEntry
 from guavacleat.routes import ServiceTraits
 
 __all__ = ["ColdEndpoints"]
--- a/src/guavacleat/throttling/throttle.py
+++ b/src/guavacleat/throttling/throttle.py
@@ -11,7 +11,7 @@
 from eliot import log_message
 from twisted.internet.interfaces import IReactorTime
 
-from guavacleat.membership.registry import EndpointEntry
+from guavacleat.membership.entries import EndpointEntry
 from guavacleat.throttling.cold import ColdEndpoints
 from guavacleat.throttling.limits import LimitRegister
 from guavacleat.throttling.shares import RateBound, ShareRule
--- a/tests/admission/test_generations.py
+++ b/tests/admission/test_generations.py
@@ -4,7 +4,7 @@
 
 from guavacleat.admission.generations import DISPATCH_JITTER_SECONDS, MAX_WAIT_SHARE, POLL_SECONDS
 from guavacleat.forwarding.refusals import RefusalError, RefusalReason
-from guavacleat.membership.registry import EndpointState
+from guavacleat.membership.entries import EndpointState
 from guavacleat.placement import Run
 from guavacleat.placement.choice import MAX_PENDING_PREFILL_TOKENS
 from guavacleat.routes import Account, RequestKind
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -13,8 +13,9 @@
 from guavacleat.http1.client import ResponseFailure
 from guavacleat.http1.messages import RequestHead, ResponseHead
 from guavacleat.http1.server import CallerExchange
+from guavacleat.membership.entries import EndpointEntry, EndpointState
 from guavacleat.membership.liveness import EndpointProbe
-from guavacleat.membership.registry import EndpointEntry, EndpointRegistry, EndpointState
+from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.placement import LoadTracker, Placement
 from guavacleat.quarantine import CrashTracker, QuarantineGuard
 from guavacleat.retries import RetryBudget
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -6,12 +6,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from twisted.internet.task import Clock
 
+from guavacleat.membership.entries import EndpointChange, EndpointState
 from guavacleat.membership.registry import (
     CHANGE_RETENTION_SECONDS,
     REREGISTRATION_SECONDS,
-    EndpointChange,
     EndpointRegistry,
-    EndpointState,
 )
 from tests.conftest import examples
 from tests.forwarding.harness import make_entry
--- a/tests/membership/test_status_poll.py
+++ b/tests/membership/test_status_poll.py
@@ -11,7 +11,8 @@
 
 from guavacleat.forwarding.messages import EndpointStatus
 from guavacleat.http1.calls import CallBrokenError
-from guavacleat.membership.registry import EndpointRegistry, EndpointState
+from guavacleat.membership.entries import EndpointState
+from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.membership.status_poll import (
     POLL_INTERVAL_SECONDS,
     STORE_SILENCE_ALONE_SECONDS,
--- a/tests/migration/test_evacuation.py
+++ b/tests/migration/test_evacuation.py
@@ -6,7 +6,7 @@
 from guavacleat.forwarding.memory import RunCopy
 from guavacleat.forwarding.messages import MoveResponse
 from guavacleat.forwarding.session import StreamSession
-from guavacleat.membership.registry import EndpointState
+from guavacleat.membership.entries import EndpointState
 from guavacleat.migration import Evacuator
 from guavacleat.routes import RequestKind
 from tests.forwarding.harness import ForwardingHarness, encode_event, make_entry
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -13,7 +13,8 @@
 from guavacleat.admission.generations import GenerationQueue
 from guavacleat.evacuations import EvacuationRegister
 from guavacleat.ingress.sources import StoreSource
-from guavacleat.membership.registry import EndpointRegistry, EndpointState
+from guavacleat.membership.entries import EndpointState
+from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.peers import PeerTable
 from guavacleat.placement import LoadTracker
 from guavacleat.platform.adapter import PlatformAdapter
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -8,7 +8,8 @@
 from twisted.internet import defer
 
 from guavacleat.evacuations import EvacuationRegister
-from guavacleat.membership.registry import EndpointChange, EndpointRegistry, EndpointState
+from guavacleat.membership.entries import EndpointChange, EndpointState
+from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.peers import PeerExchange, PeerTable
 from guavacleat.peers.directory import GatewayDirectory
 from guavacleat.peers.exchange import (
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from guavacleat.membership.registry import EndpointState
+from guavacleat.membership.entries import EndpointState
 from guavacleat.peers import PeerTable
 from guavacleat.peers.report import GatewayReport
 from guavacleat.placement import EndpointLoad, Run
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -13,7 +13,7 @@
 from guavacleat.forwarding.messages import ForwardingMetadata, ResumePoint
 from guavacleat.forwarding.statements import MAX_PAUSE_SECONDS
 from guavacleat.lengths import LengthForecast
-from guavacleat.membership.registry import EndpointChange, EndpointState
+from guavacleat.membership.entries import EndpointChange, EndpointState
 from guavacleat.peers.report import GatewayReport, decode_report, encode_report
 from guavacleat.placement import EndpointLoad
 from guavacleat.platform.decode import decode_configuration, decode_endpoint
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -12,7 +12,7 @@
 from guavacleat.http1.client import EndpointConnection, ResponseListener
 from guavacleat.ingress import IngressService
 from guavacleat.ingress.sources import FileSource, StoreSource
-from guavacleat.membership.registry import EndpointEntry, EndpointState
+from guavacleat.membership.entries import EndpointEntry, EndpointState
 from guavacleat.platform.adapter import PlatformAdapter
 from guavacleat.routes.loader import parse_routes
 from guavacleat.settings import Bounds, ProcessSettings
--- a/tests/restore/test_gateways.py
+++ b/tests/restore/test_gateways.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from guavacleat.membership.registry import EndpointState
+from guavacleat.membership.entries import EndpointState
 from guavacleat.peers.sync import WATCHERS
 from tests.restore.fleet import RestoredFleet
 
