Endpoints that say they leave get nothing new, whatever the store says

Callers' side: a request reached an endpoint 2.5 s after a gateway had passed on an answer in which it said that it leaves, allowed are 2 s (DRAIN).

Cause: an endpoint's departure was known from the store alone, whose notice took 13 s in the incident (the store was away), and from a poll of engines with generations, which the next entry in the store undoes. What endpoints say in answers wasn't read.

Change: the registry has a second source of leaving endpoints, LeavingEndpoints, for the process that said so: heartbeats, lapses and new listings don't undo it, another process of the same id isn't concerned. Peers get it as a change that no later revision supersedes. Gauge guavacleat_leaving_endpoints.

--- a/src/guavacleat/forwarding/feedback.py
+++ b/src/guavacleat/forwarding/feedback.py
@@ -4,6 +4,7 @@
 
 from guavacleat.forwarding.statements import EndpointStatements
 from guavacleat.membership.entries import EndpointEntry
+from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.throttling import LimitRegister
 
 __all__ = ["EndpointFeedback"]
@@ -15,10 +16,12 @@
 class EndpointFeedback:
     """Receives the statements of all answers, as soon as their heads arrive.
 
+    :param registry: this gateway's :class:`~guavacleat.membership.registry.EndpointRegistry`.
     :param limits: this gateway's :class:`~guavacleat.throttling.LimitRegister`.
     """
 
-    def __init__(self, limits: LimitRegister):
+    def __init__(self, registry: EndpointRegistry, limits: LimitRegister):
+        self.registry = registry
         self.limits = limits
         self._logged: set[tuple[str, str]] = set()
 
@@ -33,6 +36,7 @@
             self.limits.observe(entry.id, statements.rate_limit, sent_at)
         if statements.leaving:
             self._log_once(entry, "leaving", "endpoint:says-leaving", state=entry.state.value)
+            self.registry.observe_said_leaving(entry)
         if statements.pause:
             log_message(
                 message_type="endpoint:pause",
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -60,6 +60,10 @@
             "guavacleat_limited_endpoints",
             "Endpoints that name a limit of their request rate in their answers.",
         )
+        self.leaving_endpoints = self._gauge(
+            "guavacleat_leaving_endpoints",
+            "Registered endpoints that said in their answers that they are leaving.",
+        )
         self.store_era = self._gauge(
             "guavacleat_store_era",
             "Latest era of the store that is known: how often it came back from a copy.",
@@ -93,11 +97,12 @@
         self.crashes.set({}, sum(crash.confirmed for crash in tracker.endpoint_crashes))
         self.quarantined.set({}, len(tracker.quarantined_fingerprints()))
 
-    def update_availability(self, evacuations, throttle) -> None:
-        """Update the gauges of evacuated data centres and of cold and limited endpoints."""
+    def update_availability(self, evacuations, throttle, registry) -> None:
+        """Update the gauges of evacuated data centres and of endpoints with restrictions."""
         self.evacuated.set({}, len(evacuations.evacuated_names()))
         self.cold_endpoints.set({}, throttle.cold.count())
         self.limited_endpoints.set({}, throttle.limits.count())
+        self.leaving_endpoints.set({}, registry.said_leaving_count())
 
     def update_control_traffic(self, traffic) -> None:
         """Update the gauges from a :class:`~guavacleat.ingress.sources.ControlTraffic`."""
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -121,7 +121,7 @@
             budget=RetryBudget(reactor, settings.bounds, source.gateway_count),
             queue=queue,
             quarantine=quarantine,
-            feedback=EndpointFeedback(self.limits),
+            feedback=EndpointFeedback(self.registry, self.limits),
         )
         self.context = context
         max_body_bytes = int(settings.limits.memory_bytes * BODY_MEMORY_SHARE)
@@ -233,7 +233,7 @@
     def _exposition(self) -> bytes:
         self.metrics.update_configuration(self.holder, self.source.failures_by_kind())
         self.metrics.update_quarantine(self.crash_tracker)
-        self.metrics.update_availability(self.evacuations, self.throttle)
+        self.metrics.update_availability(self.evacuations, self.throttle, self.registry)
         self.metrics.update_control_traffic(self.source.control_traffic())
         return self.metrics.exposition()
 
--- a/src/guavacleat/membership/entries.py
+++ b/src/guavacleat/membership/entries.py
@@ -23,6 +23,7 @@
     :param revision: the store's revision of the entry.
     :param started_ms: start time of its process in Unix milliseconds; None if unknown.
     :param cold_for: seconds for which it stays cold after the entry was written; 0 if it is warm.
+    :param said_leaving: whether the endpoint said in an answer that it is leaving.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         "revision",
         "started_ms",
         "cold_for",
+        "said_leaving",
     )
 
     def __init__(
@@ -48,6 +50,7 @@
         revision: int = 0,
         started_ms: int | None = None,
         cold_for: float = 0.0,
+        said_leaving: bool = False,
     ):
         self.id = id
         self.service = service
@@ -58,6 +61,7 @@
         self.revision = revision
         self.started_ms = started_ms
         self.cold_for = cold_for
+        self.said_leaving = said_leaving
 
     def is_same_process(self, other: "EndpointEntry") -> bool:
         """Whether both entries describe the same process."""
@@ -69,7 +73,9 @@
             return False
         return self.started_ms < other.started_ms
 
-    def in_state(self, state: EndpointState, revision: int) -> "EndpointEntry":
+    def in_state(
+        self, state: EndpointState, revision: int, said_leaving: bool = False
+    ) -> "EndpointEntry":
         """A copy of this entry with another state and revision."""
         return EndpointEntry(
             self.id,
@@ -81,6 +87,7 @@
             revision,
             self.started_ms,
             self.cold_for,
+            said_leaving,
         )
 
 
--- a/src/guavacleat/membership/registry.py
+++ b/src/guavacleat/membership/registry.py
@@ -15,6 +15,7 @@
 
 from guavacleat.addresses import format_address
 from guavacleat.membership.entries import EndpointChange, EndpointEntry, EndpointState
+from guavacleat.membership.leaving import LeavingEndpoints
 from guavacleat.store import Revision
 
 __all__ = ["EndpointRegistry", "REREGISTRATION_SECONDS"]
@@ -48,6 +49,7 @@
         self.on_change = lambda: None
         # Endpoints reported to ``on_leaving`` that are neither removed nor ready again.
         self.leaving_ids: set[str] = set()
+        self.said_leaving = LeavingEndpoints()
         self.last_leaving_at_by_service: dict[str, float] = {}
         self.changes_by_id: dict[str, EndpointChange] = {}
         # Endpoints removed from the store around an outage, which may register again.
@@ -67,6 +69,8 @@
         latest = self.changes_by_id.get(entry.id)
         if latest is not None and latest.revision > entry.revision:
             return
+        if entry.state is not EndpointState.DRAINING and entry in self.said_leaving:
+            entry = entry.in_state(EndpointState.DRAINING, entry.revision, said_leaving=True)
         previous = self.entries_by_id.get(entry.id)
         if self._is_from_backup(entry, latest, previous):
             return
@@ -126,6 +130,14 @@
         """
         self.observe(entry.in_state(EndpointState.DRAINING, entry.revision + 1))
 
+    def observe_said_leaving(self, entry: EndpointEntry) -> None:
+        """Mark an endpoint as draining that said so in an answer, whatever its entry says."""
+        if not self.said_leaving.record(entry) or not self.is_current(entry):
+            return
+        current = self.entries_by_id[entry.id]
+        if current.state is not EndpointState.DRAINING:
+            self.observe(current.in_state(EndpointState.DRAINING, current.revision, True))
+
     @property
     def store_lost(self) -> bool:
         """Whether the last watch call failed and the store has not responded to a peer since."""
@@ -171,6 +183,8 @@
         :param complete_to_revision: the store's revision up to which this gateway knows all
             changes. An unknown endpoint with an earlier revision was removed before it.
         """
+        if change.entry is not None and change.entry.said_leaving:
+            self.observe_said_leaving(change.entry)
         latest = self.changes_by_id.get(change.id)
         if latest is not None and latest.revision >= change.revision:
             return
@@ -279,6 +293,10 @@
             entry for entry in self.entries_by_id.values() if entry.state is EndpointState.READY
         ]
 
+    def said_leaving_count(self) -> int:
+        """The number of known endpoints that said in an answer that they are leaving."""
+        return sum(entry.said_leaving for entry in self.entries_by_id.values())
+
     def seconds_since_leaving(self, service: str) -> float:
         """Seconds since an endpoint of the service was last reported as leaving."""
         return self.clock.seconds() - self.last_leaving_at_by_service.get(service, float("-inf"))
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -224,6 +224,7 @@
         entry.started_ms,
         entry.state is EndpointState.UNUSABLE,
         entry.cold_for or None,
+        entry.said_leaving or None,
     )
 
 
@@ -241,6 +242,7 @@
         revision,
         change.started_ms,
         change.cold_for or 0.0,
+        bool(change.said_leaving),
     )
     return EndpointChange(change.endpoint, revision, entry)
 
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -142,6 +142,7 @@
      - started_ms
      - unusable
      - cold_for
+     - said_leaving
 
     """
 
@@ -157,10 +158,11 @@
         'started_ms',
         'unusable',
         'cold_for',
+        'said_leaving',
     )
 
 
-    def __init__(self, endpoint=None, revision=None, service_name=None, ip=None, port=None, data_centre=None, slots=None, draining=None, started_ms=None, unusable=None, cold_for=None,):
+    def __init__(self, endpoint=None, revision=None, service_name=None, ip=None, port=None, data_centre=None, slots=None, draining=None, started_ms=None, unusable=None, cold_for=None, said_leaving=None,):
         self.endpoint = endpoint
         self.revision = revision
         self.service_name = service_name
@@ -172,6 +174,7 @@
         self.started_ms = started_ms
         self.unusable = unusable
         self.cold_for = cold_for
+        self.said_leaving = said_leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -237,6 +240,11 @@
                     self.cold_for = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.said_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -291,6 +299,10 @@
             oprot.writeFieldBegin('cold_for', TType.DOUBLE, 11)
             oprot.writeDouble(self.cold_for)
             oprot.writeFieldEnd()
+        if self.said_leaving is not None:
+            oprot.writeFieldBegin('said_leaving', TType.BOOL, 12)
+            oprot.writeBool(self.said_leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1415,6 +1427,7 @@
     (9, TType.I64, 'started_ms', None, None, ),  # 9
     (10, TType.BOOL, 'unusable', None, None, ),  # 10
     (11, TType.DOUBLE, 'cold_for', None, None, ),  # 11
+    (12, TType.BOOL, 'said_leaving', None, None, ),  # 12
 )
 all_structs.append(Evacuation)
 Evacuation.thrift_spec = (
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -207,7 +207,7 @@
             budget,
             self.queue,
             quarantine,
-            EndpointFeedback(self.limits),
+            EndpointFeedback(self.registry, self.limits),
         )
         for name in names:
             self.set_endpoint(name)
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -184,6 +184,29 @@
     assert ready_ids(registry) == ["e1", "e2"]
 
 
+def is_ready(registry, id):
+    return id in {entry.id for entry in registry.ready("svc")}
+
+
+def test_what_an_endpoint_said_holds_for_its_process(registry, leaving):
+    """Guards against an entry that still says ready and undoes what the endpoint said itself."""
+    registry.observe(make_entry("e1", revision=3, started_ms=1000))
+    registry.observe_said_leaving(registry.entries_by_id["e1"])
+    registry.observe(make_entry("e1", revision=9, started_ms=1000))
+    assert not is_ready(registry, "e1") and [entry.id for entry in leaving] == ["e1"]
+    registry.remove("e1", 10)
+    registry.observe(make_entry("e1", revision=11, started_ms=1000))
+    assert not is_ready(registry, "e1")
+    registry.observe(make_entry("e1", revision=12, started_ms=2000))
+    assert is_ready(registry, "e1")
+
+
+def test_notice_of_a_former_process_does_not_concern_the_next(registry):
+    registry.observe(make_entry("e1", revision=3, started_ms=2000))
+    registry.observe_said_leaving(make_entry("e1", started_ms=1000))
+    assert is_ready(registry, "e1")
+
+
 def test_an_unreadable_entry_does_not_cancel_a_drain(registry, leaving):
     registry.observe(make_entry("e1", revision=5, state=DRAINING))
     registry.observe_unreadable("e1", 6, "KeyError('service')")
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -32,6 +32,8 @@
   10: optional bool unusable,
   // Seconds for which the endpoint stays cold after the change.
   11: optional double cold_for,
+  // The endpoint said in an answer that it leaves: it drains, whatever its entry says later.
+  12: optional bool said_leaving,
 }
 
 // The evacuation of a data centre, or its end, at a revision of the store.
