Endpoints that turn a gateway away get the pause that they ask for

Callers' side: an endpoint that had turned a gateway away with Retry-After: 3 got three to five requests from it within that time, allowed are two (BUDGET).

Cause: Retry-After of endpoints wasn't read.

Change: PauseRegister is the third reason in EndpointThrottle, with no share until the pause ends. It is checked when an endpoint is chosen, when a connection is asked for and when it is open. Outcome PAUSED, gauge guavacleat_paused_endpoints.

--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -31,6 +31,7 @@
     EVACUATED = "refused: data centre evacuated"
     COLD = "refused: endpoint cold"
     LIMITED = "refused: endpoint limits its rate"
+    PAUSED = "refused: endpoint asked for a pause"
     REFUSED = "refused: other"
     EXPIRED = "time up"
     INCOMPLETE_ANSWER = "no whole answer"
@@ -148,6 +149,12 @@
             "Its service's endpoints limit their request rate, and its gateway's share of it was"
             f" used up for {end.get('retry_after')} s. It has not run.",
         )
+    if end.get("outcome") == "PAUSED":
+        return Cause(
+            CauseKind.PAUSED,
+            "The endpoints of its service had turned its gateway away and asked for a pause; it may"
+            f" be retried after {end.get('retry_after')} s. It has not run.",
+        )
     sentences = {
         "NO_CONFIGURATION": "Its gateway had no configuration yet.",
         "BEHIND": "Another gateway had a newer configuration, which may allow it.",
--- a/src/guavacleat/forwarding/connecting.py
+++ b/src/guavacleat/forwarding/connecting.py
@@ -1,6 +1,7 @@
 """Connects to an endpoint to send it a request, and records whether it was reached."""
 
 from guavacleat.membership.entries import EndpointEntry
+from guavacleat.throttling import ThrottleCause
 
 __all__ = ["EndpointThrottledError", "connect"]
 
@@ -15,7 +16,7 @@
     The request counts as sent from now on, so that others see the endpoint's limit as used.
 
     :param context: the :class:`~.context.ForwardingContext`.
-    :raises EndpointThrottledError: if the endpoint's limit was used up since it was chosen.
+    :raises EndpointThrottledError: if the endpoint takes no more requests since it was chosen.
     """
     throttle = context.placement.throttle
     if not throttle.may_send(entry):
@@ -28,6 +29,10 @@
         throttle.cold.record_unreachable(entry)
         raise
     throttle.cold.record_reached(entry)
+    if throttle.is_paused(entry):
+        # It turned away another request meanwhile.
+        connection.abandon()
+        raise EndpointThrottledError(f"{entry.id} {ThrottleCause.PAUSE.value}")
     # The request arrives only now; the next one keeps its distance from this one.
     throttle.space_next(entry)
     return connection
--- a/src/guavacleat/forwarding/feedback.py
+++ b/src/guavacleat/forwarding/feedback.py
@@ -5,7 +5,7 @@
 from guavacleat.forwarding.statements import EndpointStatements
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.membership.registry import EndpointRegistry
-from guavacleat.throttling import LimitRegister
+from guavacleat.throttling import EndpointThrottle
 
 __all__ = ["EndpointFeedback"]
 
@@ -17,12 +17,12 @@
     """Receives the statements of all answers, as soon as their heads arrive.
 
     :param registry: this gateway's :class:`~guavacleat.membership.registry.EndpointRegistry`.
-    :param limits: this gateway's :class:`~guavacleat.throttling.LimitRegister`.
+    :param throttle: this gateway's :class:`~guavacleat.throttling.EndpointThrottle`.
     """
 
-    def __init__(self, registry: EndpointRegistry, limits: LimitRegister):
+    def __init__(self, registry: EndpointRegistry, throttle: EndpointThrottle):
         self.registry = registry
-        self.limits = limits
+        self.throttle = throttle
         self._logged: set[tuple[str, str]] = set()
 
     def observe(self, entry: EndpointEntry, sent_at: float, statements: EndpointStatements) -> None:
@@ -33,16 +33,12 @@
         for name in statements.unreadable:
             self._log_once(entry, name, "endpoint:unreadable-answer", statement=name)
         if "rate_limit" not in statements.unreadable:
-            self.limits.observe(entry.id, statements.rate_limit, sent_at)
+            self.throttle.limits.observe(entry.id, statements.rate_limit, sent_at)
         if statements.leaving:
             self._log_once(entry, "leaving", "endpoint:says-leaving", state=entry.state.value)
             self.registry.observe_said_leaving(entry)
         if statements.pause:
-            log_message(
-                message_type="endpoint:pause",
-                endpoint=entry.id,
-                seconds=round(statements.pause, 3),
-            )
+            self.throttle.pauses.observe(entry.id, statements.pause)
 
     def _log_once(self, entry: EndpointEntry, name: str, message_type: str, **fields) -> None:
         key = (entry.id, f"{message_type} {name}")
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -13,7 +13,7 @@
 from guavacleat.forwarding.connecting import connect
 from guavacleat.forwarding.isolation import place_isolated
 from guavacleat.forwarding.messages import ForwardingMetadata
-from guavacleat.forwarding.refusals import RefusalError, RefusalReason, no_endpoint
+from guavacleat.forwarding.refusals import RefusalError, RefusalReason, no_endpoint, throttled
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.response import AttemptOutcome, CheckedResponse, begin_response
 from guavacleat.membership.entries import EndpointEntry
@@ -207,7 +207,8 @@
 
     def _give_up(self, request: ForwardedRequest, runs: int) -> None:
         if runs == 0:
-            raise RefusalError(RefusalReason.NO_ROOM, RETRY_AFTER_NO_ROOM_SECONDS)
+            no_room = RefusalError(RefusalReason.NO_ROOM, RETRY_AFTER_NO_ROOM_SECONDS)
+            raise throttled(self.context.placement, request, set()) or no_room
         if self.context.clock.seconds() >= request.deadline:
             raise RefusalError(RefusalReason.EXPIRED)
         raise RefusalError(RefusalReason.BROKEN)
--- a/src/guavacleat/forwarding/refusals.py
+++ b/src/guavacleat/forwarding/refusals.py
@@ -27,6 +27,7 @@
     EVACUATED = (503, "all data centres with endpoints of the service are evacuated")
     COLD = (503, "the endpoints are cold and get no more requests for now")
     LIMITED = (503, "the endpoints limit their request rate, and this gateway's share is used up")
+    PAUSED = (503, "the endpoints turned this gateway away and asked for a pause")
     NO_ROOM = (503, "no capacity before the deadline")
     NO_MEMORY = (503, "request body memory limit reached")
     STOPPING = (503, "gateway shuts down before the request could finish")
@@ -55,6 +56,7 @@
 REASONS_BY_CAUSE = {
     ThrottleCause.COLD: RefusalReason.COLD,
     ThrottleCause.LIMIT: RefusalReason.LIMITED,
+    ThrottleCause.PAUSE: RefusalReason.PAUSED,
 }
 
 
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -15,7 +15,7 @@
 from guavacleat.forwarding.isolation import check_quarantine, may_resume_at, place_isolated
 from guavacleat.forwarding.memory import StreamMemory
 from guavacleat.forwarding.messages import ResumePoint
-from guavacleat.forwarding.refusals import RefusalError, RefusalReason, no_endpoint
+from guavacleat.forwarding.refusals import RefusalError, RefusalReason, no_endpoint, throttled
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.response import begin_response
 from guavacleat.forwarding.stream_attempt import StreamAttempt, StreamOutcome
@@ -140,7 +140,8 @@
                 break
         if not tried:
             raise no_endpoint(self.context, request)
-        raise RefusalError(RefusalReason.NO_ROOM, RETRY_AFTER_NO_ROOM_SECONDS)
+        no_room = RefusalError(RefusalReason.NO_ROOM, RETRY_AFTER_NO_ROOM_SECONDS)
+        raise throttled(self.context.placement, request, set()) or no_room
 
     async def _choose_endpoint(self, tried: set[str]) -> EndpointEntry | None:
         """Return the endpoint to send to; None if none is available or the caller left."""
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -60,6 +60,10 @@
             "guavacleat_limited_endpoints",
             "Endpoints that name a limit of their request rate in their answers.",
         )
+        self.paused_endpoints = self._gauge(
+            "guavacleat_paused_endpoints",
+            "Endpoints that turned this gateway away and asked it for a pause.",
+        )
         self.leaving_endpoints = self._gauge(
             "guavacleat_leaving_endpoints",
             "Registered endpoints that said in their answers that they are leaving.",
@@ -102,6 +106,7 @@
         self.evacuated.set({}, len(evacuations.evacuated_names()))
         self.cold_endpoints.set({}, throttle.cold.count())
         self.limited_endpoints.set({}, throttle.limits.count())
+        self.paused_endpoints.set({}, throttle.pauses.count())
         self.leaving_endpoints.set({}, registry.said_leaving_count())
 
     def update_control_traffic(self, traffic) -> None:
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -96,8 +96,8 @@
             reactor,
             ColdEndpoints(reactor, self._find_service),
             self.limits,
-            self._share_rule(),
-            _cold_bound(settings.bounds),
+            share=self._share_rule(),
+            cold_bound=_cold_bound(settings.bounds),
         )
         placement = Placement(
             self.registry,
@@ -121,7 +121,7 @@
             budget=RetryBudget(reactor, settings.bounds, source.gateway_count),
             queue=queue,
             quarantine=quarantine,
-            feedback=EndpointFeedback(self.registry, self.limits),
+            feedback=EndpointFeedback(self.registry, self.throttle),
         )
         self.context = context
         max_body_bytes = int(settings.limits.memory_bytes * BODY_MEMORY_SHARE)
--- a/src/guavacleat/throttling/throttle.py
+++ b/src/guavacleat/throttling/throttle.py
@@ -1,8 +1,8 @@
-"""When this gateway may send a request to an endpoint whose request rate is limited.
+"""When this gateway may send a request to an endpoint that takes only some.
 
-There are two reasons for a limit: the endpoint is cold, or it named a limit in its answers. An
-endpoint for which both hold gets the lower rate. The gateways share either rate by the same rule,
-see ``shares``.
+There are three reasons: the endpoint is cold, it named a limit of its rate in its answers, or it
+turned this gateway away and asked for a pause. If several hold, the strictest counts. The gateways
+share the rates by one rule, see ``shares``; a pause concerns this gateway alone.
 """
 
 import enum
@@ -15,6 +15,7 @@
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.throttling.cold import ColdEndpoints
 from guavacleat.throttling.limits import LimitRegister
+from guavacleat.throttling.pauses import PauseRegister
 from guavacleat.throttling.shares import RateBound, ShareRule
 
 __all__ = ["EndpointThrottle", "ThrottleCause"]
@@ -26,6 +27,8 @@
 MIN_RATE = 0.25
 # Refused callers are told to return one after another, within this time.
 MAX_PROMISE_SECONDS = 5.0
+# After an endpoint's pause, callers return spread over this time.
+RETURN_SECONDS = 1.0
 
 
 class ThrottleCause(enum.Enum):
@@ -33,6 +36,7 @@
 
     COLD = "was cold"
     LIMIT = "limited its rate"
+    PAUSE = "had asked for a pause"
 
 
 class _Limit:
@@ -62,10 +66,11 @@
 
 
 class EndpointThrottle:
-    """Spaces this gateway's requests to endpoints with a limited rate.
+    """Spaces this gateway's requests to endpoints that take only some.
 
     :param cold: the :class:`~.cold.ColdEndpoints`.
     :param limits: the :class:`~.limits.LimitRegister`.
+    :param pauses: the :class:`~.pauses.PauseRegister`.
     :param share: this gateway's :class:`~.shares.ShareRule`; None if it is the only gateway.
     :param cold_bound: by how much the rate of a cold endpoint may be exceeded.
     """
@@ -75,12 +80,14 @@
         clock: IReactorTime,
         cold: ColdEndpoints | None = None,
         limits: LimitRegister | None = None,
+        pauses: PauseRegister | None = None,
         share: ShareRule | None = None,
         cold_bound: RateBound | None = None,
     ):
         self.clock = clock
         self.cold = cold or ColdEndpoints(clock)
         self.limits = limits or LimitRegister(clock)
+        self.pauses = pauses or PauseRegister(clock)
         self.share = share
         self.cold_bound = cold_bound or RateBound(overshoot=1.5, slack=5.0, window=1.0)
         self.cold.on_cold = self._log_cold
@@ -94,9 +101,13 @@
         """Whether there is any limit for the endpoint, used up or not."""
         return bool(self._limits(entry))
 
+    def is_paused(self, entry: EndpointEntry) -> bool:
+        """Whether the endpoint wants nothing from this gateway for now."""
+        return self.pauses.until(entry.id) is not None
+
     def may_send(self, entry: EndpointEntry) -> bool:
         """Whether a request to the endpoint is within this gateway's share now."""
-        if not self.cold.cold_by_id and not self.limits.latest_by_id:
+        if not (self.cold.cold_by_id or self.limits.latest_by_id or self.pauses.until_by_id):
             return True
         return self.seconds_until_allowed(entry) <= 0
 
@@ -131,7 +142,7 @@
         interval = max((limit.interval for limit in self._limits(entry)), default=0.0)
         allowed_at = now + self.seconds_until_allowed(entry)
         if math.isinf(interval):
-            return allowed_at - now
+            return allowed_at - now + self.random.uniform(0.0, RETURN_SECONDS)
         promised_at = max(allowed_at, self._promised_at_by_id.get(entry.id, now) + interval)
         if entry.id not in self._promised_at_by_id or promised_at - interval < now:
             promised_at = allowed_at
@@ -145,6 +156,7 @@
         """Discard the state of an endpoint that has left or restarted."""
         self.cold.forget(endpoint_id)
         self.limits.forget(endpoint_id)
+        self.pauses.forget(endpoint_id)
         self._sent_at_by_id.pop(endpoint_id, None)
         self._promised_at_by_id.pop(endpoint_id, None)
 
@@ -163,6 +175,9 @@
         if statement is not None:
             share = self._share(entry, max(MIN_RATE, statement.rate), NAMED_LIMIT_BOUND)
             limits.append(_Limit(ThrottleCause.LIMIT, share, statement.since, math.inf))
+        paused_until = self.pauses.until(entry.id)
+        if paused_until is not None:
+            limits.append(_Limit(ThrottleCause.PAUSE, 0.0, -math.inf, paused_until))
         return limits
 
     def _log_cold(self, entry: EndpointEntry, seconds: float) -> None:
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -21,7 +21,7 @@
 from guavacleat.retries import RetryBudget
 from guavacleat.routes import Backend, EngineTraits, RequestKind, Route, ServiceTraits
 from guavacleat.settings import Bounds
-from guavacleat.throttling import EndpointThrottle, LimitRegister
+from guavacleat.throttling import EndpointThrottle
 
 ENGINE = EngineTraits(24, 30000, 163840, 24000.0, 4, moves=True, backups=False)
 STATEMENTS = StatementHeaders(rate_limit=b"limit", leaving=b"leaving")
@@ -184,14 +184,13 @@
         quarantine = QuarantineGuard(
             clock, self.crash_tracker, EndpointProbe(self.pool, self.registry)
         )
-        self.limits = LimitRegister(clock)
         placement = Placement(
             self.registry,
             self.load,
             "dc",
             seed=1,
             avoided_ids=quarantine.trial_endpoints,
-            throttle=EndpointThrottle(clock, limits=self.limits),
+            throttle=EndpointThrottle(clock),
         )
         bounds = bounds or Bounds(retry_extra=100)
         budget = RetryBudget(clock, bounds, lambda: 1)
@@ -207,7 +206,7 @@
             budget,
             self.queue,
             quarantine,
-            EndpointFeedback(self.registry, self.limits),
+            EndpointFeedback(self.registry, placement.throttle),
         )
         for name in names:
             self.set_endpoint(name)
--- a/tests/throttling/test_limits.py
+++ b/tests/throttling/test_limits.py
@@ -5,7 +5,7 @@
 from guavacleat.forwarding.feedback import EndpointFeedback
 from guavacleat.forwarding.statements import StatementHeaders, parse_statements
 from guavacleat.membership.registry import EndpointRegistry
-from guavacleat.throttling import LimitRegister
+from guavacleat.throttling import EndpointThrottle, LimitRegister
 from guavacleat.throttling.limits import EXPIRY_SECONDS
 from tests.forwarding.harness import make_entry
 
@@ -64,7 +64,9 @@
 @pytest.mark.parametrize("value", [b"", b"-1", b"nan", b"inf", b"soon", b"1,2", b"0x3", b"1e999"])
 def test_invalid_value_states_nothing(limits, clock, value):
     """Guards against a header that raises an error, or that ends or sets a limit by accident."""
-    feedback, entry = EndpointFeedback(EndpointRegistry(clock), limits), make_entry("e1")
+    feedback, entry = EndpointFeedback(
+        EndpointRegistry(clock), EndpointThrottle(clock, limits=limits)
+    ), make_entry("e1")
     for headers in ([(NAME, b"3")], [(NAME, value)], [(NAME, value)]):
         clock.advance(0.1)
         feedback.observe(entry, clock.seconds(), parse_statements(200, headers, HEADERS))
