--- a/tests/throttling/statement_fleet.py
+++ b/tests/throttling/statement_fleet.py
@@ -23,6 +23,28 @@
 REQUESTS_PER_PAUSE = 2
 
 
+class _LimitPeriod:
+    """The time in which an endpoint named one limit, and the arrivals to which the rule applies."""
+
+    def __init__(self, rate, started_at):
+        self.rate, self.started_at = rate, started_at
+        self.told_at_by_gateway = {}
+        self.times = []
+
+    def record(self, now, gateway):
+        told_at = self.told_at_by_gateway.setdefault(gateway, now)
+        if now >= max(self.started_at + SETTLING_SECONDS, told_at + NOTICE_SECONDS):
+            self.times.append(now)
+
+    def most_in_window(self):
+        """The most such arrivals within any ``WINDOW_SECONDS``."""
+        ends = (bisect.bisect_right(self.times, start + WINDOW_SECONDS) for start in self.times)
+        return max((end - index for index, end in enumerate(ends)), default=0)
+
+    def allowed(self):
+        return OVERSHOOT * WINDOW_SECONDS * self.rate + SLACK_REQUESTS
+
+
 class _ArrivalLog:
     """The requests that reach one endpoint, and when it told which gateway what."""
 
@@ -32,17 +54,18 @@
         # (time, gateway) of each arrival, (time, gateway, seconds) of each pause asked for.
         self.arrivals: list[tuple[float, str]] = []
         self.pauses: list[tuple[float, str, float]] = []
-        self.told_limit_at_by_gateway = {}
+        self.limits: list[_LimitPeriod] = []
         self.told_leaving_at_by_gateway = {}
-        self.named_at = None
         # Seconds by which arrivals were too late at an endpoint that had said that it leaves.
         self.late_arrivals = []
         self.standin.on_arrival = self._record
 
     def name_limit(self, rate):
         self.standin.rate_limit = rate
-        self.named_at = self.fleet.network.seconds()
-        self.told_limit_at_by_gateway.clear()
+        self.limits.append(_LimitPeriod(rate, self.fleet.network.seconds()))
+
+    def end_limit(self):
+        self.standin.rate_limit = None
 
     def turn_away(self, seconds):
         """Refuse all requests and ask for a pause of ``seconds``."""
@@ -51,6 +74,22 @@
     def serve(self):
         self.standin.fault, self.standin.pause = EndpointFault.NONE, None
 
+    def restart(self):
+        """Crash; the next process says nothing of itself, and was told nothing."""
+        self.serve()
+        self.end_limit()
+        self.standin.leaving = False
+        self.told_leaving_at_by_gateway.clear()
+        self.pauses.clear()
+        self.endpoint.crash()
+
+    def forget_gateway(self, gateway):
+        """Forget what a gateway was told that has restarted."""
+        self.told_leaving_at_by_gateway.pop(gateway, None)
+        self.pauses = [pause for pause in self.pauses if pause[1] != gateway]
+        for period in self.limits:
+            period.told_at_by_gateway.pop(gateway, None)
+
     def _record(self, request_id):
         now = self.fleet.network.seconds()
         gateway, sent_at = self.fleet.sent_by_request_id[request_id]
@@ -59,27 +98,16 @@
         if told_at is not None and sent_at > told_at + DRAIN_SECONDS:
             self.late_arrivals.append(sent_at - told_at)
         if self.standin.rate_limit is not None:
-            self.told_limit_at_by_gateway.setdefault(gateway, now)
+            self.limits[-1].record(now, gateway)
         if self.standin.leaving:
             self.told_leaving_at_by_gateway.setdefault(gateway, now + self.standin.work_seconds)
         if self.standin.pause is not None:
             self.pauses.append((now, gateway, self.standin.pause))
 
-    def counted(self):
-        """Times of the arrivals to which the rule of limits applies."""
-        return [
-            at
-            for at, gateway in self.arrivals
-            if self.named_at is not None
-            and at >= self.named_at + SETTLING_SECONDS
-            and at >= self.told_limit_at_by_gateway.get(gateway, at) + NOTICE_SECONDS
-        ]
-
-    def most_in_window(self):
-        """The most such arrivals within any ``WINDOW_SECONDS``."""
-        times = self.counted()
-        ends = (bisect.bisect_right(times, start + WINDOW_SECONDS) for start in times)
-        return max((end - index for index, end in enumerate(ends)), default=0)
+    def exceeded_limits(self):
+        """(requests, allowed) within ``WINDOW_SECONDS`` of each limit that was not kept."""
+        found = ((period.most_in_window(), period.allowed()) for period in self.limits)
+        return [(most, allowed) for most, allowed in found if most > allowed]
 
     def most_in_pause(self):
         """The most requests of a gateway within a pause that the endpoint had asked it for."""
@@ -124,7 +152,3 @@
     def set_store_state(self, state):
         for link in self.store_links.values():
             link.set_state(state)
-
-    @staticmethod
-    def allowed(rate):
-        return OVERSHOOT * WINDOW_SECONDS * rate + SLACK_REQUESTS
--- a/tests/throttling/test_limits_fleet.py
+++ b/tests/throttling/test_limits_fleet.py
@@ -21,7 +21,7 @@
     fleet.send(2.0)
     fleet.logs[0].name_limit(rate)
     fleet.send(15.0)
-    assert fleet.logs[0].most_in_window() <= fleet.allowed(rate)
+    assert not fleet.logs[0].exceeded_limits()
     assert fleet.harmless_outcomes[200] == sum(fleet.harmless_outcomes.values())
 
 
@@ -32,7 +32,7 @@
     fleet.send(6.0)
     fleet.logs[0].name_limit(1.0)
     fleet.send(10.0)
-    assert fleet.logs[0].most_in_window() <= fleet.allowed(1.0)
+    assert not fleet.logs[0].exceeded_limits()
 
 
 @pytest.mark.parametrize("gateways, rate", [(1, 2.0), (4, 1.0), (12, 0.0)])
@@ -54,7 +54,7 @@
     for log in fleet.logs:
         log.name_limit(1.0)
     fleet.send(10.0, retry=True)
-    assert all(log.most_in_window() <= fleet.allowed(1.0) for log in fleet.logs)
+    assert not any(log.exceeded_limits() for log in fleet.logs)
     assert set(fleet.harmless_outcomes) == {200, 503}
     assert fleet.harmless_outcomes[200] >= 25
     assert fleet.longest_refusal_seconds < 0.25
@@ -69,8 +69,8 @@
     fleet.logs[0].name_limit(1.0)
     fleet.logs[1].name_limit(3.0)
     fleet.send(12.0)
-    assert fleet.logs[0].most_in_window() <= fleet.allowed(1.0)
-    assert fleet.logs[1].most_in_window() <= fleet.allowed(3.0)
+    assert not fleet.logs[0].exceeded_limits()
+    assert not fleet.logs[1].exceeded_limits()
     assert fleet.harmless_outcomes[200] == sum(fleet.harmless_outcomes.values())
 
 
@@ -95,7 +95,7 @@
     addresses = [gateway.settings.ip for gateway in fleet.gateways.values()]
     fleet.network.blocked_links |= set(itertools.permutations(addresses, 2))
     fleet.send(12.0)
-    assert fleet.logs[0].most_in_window() <= fleet.allowed(1.0)
+    assert not fleet.logs[0].exceeded_limits()
 
 
 def test_gateways_without_requests_learn_of_a_limit_and_of_its_end():
