A limit that varies with each answer doesn't hold requests back

Found by reading: the wait for the next request counted from the last change of the limit, so that peers' reports of small changes started it anew each time. It counts from the time at which the limit began. Changes of less than a fifth are neither logged nor reported at once. Names for waits and windows that aren't those of cold endpoints alone.

--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -29,9 +29,10 @@
 # Maximum number of sends of one request, including those that an endpoint refused.
 MAX_SENDS = 4
 RETRY_AFTER_NO_ROOM_SECONDS = 0.5
-# Maximum wait for a cold endpoint, as a multiple of the route's latency goal.
-COLD_WAIT_GOALS = 0.5
-MIN_COLD_WAIT_SECONDS = 0.01
+# Maximum wait for an endpoint that takes only some requests, as a multiple of the route's latency
+# goal.
+THROTTLE_WAIT_GOALS = 0.5
+MIN_THROTTLE_WAIT_SECONDS = 0.01
 SERVER_ERROR = 500
 NOT_RUN_OUTCOMES = (
     AttemptOutcome.NOT_RUN,
@@ -80,17 +81,17 @@
     async def _choose_endpoint(
         self, request: ForwardedRequest, tried: set[str]
     ) -> EndpointEntry | None:
-        """The endpoint to send to; waits for a cold one if there are no others."""
+        """The endpoint to send to; waits for a throttled one if there are no others."""
         if not self.context.quarantine.is_unrestricted(request):
             return place_isolated(self.context, request, tried)
         placement = self.context.placement
         entry = placement.choose_for_plain_request(request, tried)
-        wait_until = self.context.clock.seconds() + COLD_WAIT_GOALS * request.route.latency_goal
+        wait_until = self.context.clock.seconds() + THROTTLE_WAIT_GOALS * request.route.latency_goal
         while entry is None and not request.exchange.disconnected:
             wait = placement.seconds_until_available(request, tried)
             if wait is None or self.context.clock.seconds() + wait > wait_until:
                 return None
-            await task.deferLater(self.context.clock, max(wait, MIN_COLD_WAIT_SECONDS))
+            await task.deferLater(self.context.clock, max(wait, MIN_THROTTLE_WAIT_SECONDS))
             entry = placement.choose_for_plain_request(request, tried)
         return entry
 
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -43,6 +43,8 @@
 # readiness checks, 1 s apart.
 STOP_NOTICE_SECONDS = 3.0
 STOP_POLL_SECONDS = 0.1
+# Time in which the requests to a cold endpoint are counted.
+COLD_WINDOW_SECONDS = 1.0
 # A burst of connections may arrive within one iteration of the event loop.
 LISTEN_BACKLOG = 512
 OK = 200
@@ -273,5 +275,5 @@
 
 
 def _cold_bound(bounds: Bounds) -> RateBound:
-    """By how much the rate of a cold endpoint may be exceeded within a second."""
-    return RateBound(bounds.cold_overshoot, bounds.cold_slack, 1.0)
+    """By how much the rate of a cold endpoint may be exceeded for a short time."""
+    return RateBound(bounds.cold_overshoot, bounds.cold_slack, COLD_WINDOW_SECONDS)
--- a/src/guavacleat/throttling/limits.py
+++ b/src/guavacleat/throttling/limits.py
@@ -31,6 +31,9 @@
 MAX_STATEMENTS_PER_REPORT = 64
 # Maximum delay of a peer's statement beyond its stated age, when it is relayed at a heartbeat.
 RELAY_SECONDS = 1.0
+# A limit that changes by less than this share is not logged, and peers hear of it by the next
+# repetition: an endpoint may name another one in each answer.
+MINOR_CHANGE_SHARE = 0.2
 
 
 class LimitStatement:
@@ -38,16 +41,27 @@
 
     :param rate: requests per second from all gateways together; None if there is no limit.
     :param at: clock time for which it holds at the latest.
-    :param since: clock time from which this gateway has known of this rate.
+    :ivar since: clock time from which this gateway has known that there is a limit, or none.
+    :ivar logged_rate: the rate that was logged last.
     """
 
-    __slots__ = ("endpoint", "rate", "at", "since")
+    __slots__ = ("endpoint", "rate", "at", "since", "logged_rate")
 
-    def __init__(self, endpoint: str, rate: float | None, at: float, since: float | None = None):
+    def __init__(self, endpoint: str, rate: float | None, at: float):
         self.endpoint = endpoint
         self.rate = rate
         self.at = at
-        self.since = at if since is None else since
+        self.since = at
+        self.logged_rate = rate
+
+    def is_minor_change(self, previous: "LimitStatement | None") -> bool:
+        """Whether it hardly differs from what was logged last."""
+        if previous is None:
+            return False
+        if self.rate is None or previous.rate is None:
+            return self.rate is None and previous.rate is None
+        difference = abs(self.rate - previous.logged_rate)
+        return difference <= MINOR_CHANGE_SHARE * previous.logged_rate
 
 
 class LimitRegister:
@@ -132,18 +146,22 @@
             by_id.pop(endpoint_id, None)
 
     def _apply(self, statement: LimitStatement, source: str) -> bool:
-        """Apply a statement unless a later one is known; return whether it changes the limit."""
+        """Apply a statement unless a later one is known; return whether it is a major change."""
         latest = self.latest_by_id.get(statement.endpoint)
         if latest is not None and statement.at < latest.at:
             return False
-        changed = latest is None or latest.rate != statement.rate
-        since = self.clock.seconds() if changed else latest.since
-        if changed:
-            self._log_change(statement, latest, source)
-        self.latest_by_id[statement.endpoint] = LimitStatement(
-            statement.endpoint, statement.rate, statement.at, since
-        )
-        return changed
+        applied = LimitStatement(statement.endpoint, statement.rate, statement.at)
+        self.latest_by_id[statement.endpoint] = applied
+        had_limit = latest is not None and latest.rate is not None
+        if latest is None or had_limit is not (applied.rate is not None):
+            applied.since = self.clock.seconds()
+        else:
+            applied.since = latest.since
+        if applied.is_minor_change(latest):
+            applied.logged_rate = latest.logged_rate
+            return False
+        self._log_change(applied, latest, source)
+        return True
 
     def _is_outdated(self, statement: LimitStatement) -> bool:
         now = self.clock.seconds()
--- a/tests/throttling/test_limits.py
+++ b/tests/throttling/test_limits.py
@@ -79,3 +79,21 @@
 def test_valid_values(values, rate):
     headers = [(NAME, value) for value in values]
     assert parse_statements(200, headers, HEADERS).rate_limit == rate
+
+
+def test_limit_that_varies_with_each_answer_does_not_hold_requests_back(limits, clock):
+    """Guards against a wait that starts again at each change, which peers report all the time."""
+    throttle, entry = EndpointThrottle(clock, limits=limits), make_entry("e1")
+    answer(limits, clock, 1.0)
+    for number in range(12):
+        clock.advance(0.1)
+        limits.observe_peer("e1", 1.0 + 0.01 * number, 0.0, same_data_centre=True)
+    assert throttle.may_send(entry)
+
+
+def test_minor_changes_are_neither_logged_nor_reported_at_once(limits, clock):
+    changes = []
+    limits.on_change = lambda: changes.append(limits.rate("e1"))
+    for rate in (3.0, 3.1, 2.9, 3.0, 2.0, 2.1, None, None):
+        answer(limits, clock, rate)
+    assert changes == [3.0, 2.0, None]
