Log every endpoint that says it leaves, and invalid statements without an end

Found by reading: one bounded set served both, and after 256 endpoints none was logged any more. The registry logs a notice when it is new, also a peer's; of invalid statements the earliest are forgotten.

--- a/src/guavacleat/forwarding/feedback.py
+++ b/src/guavacleat/forwarding/feedback.py
@@ -9,7 +9,7 @@
 
 __all__ = ["EndpointFeedback"]
 
-# Endpoints whose invalid headers are remembered, to log each one once.
+# Invalid statements that are remembered, to log each one once.
 MAX_LOGGED = 256
 
 
@@ -23,7 +23,8 @@
     def __init__(self, registry: EndpointRegistry, throttle: EndpointThrottle):
         self.registry = registry
         self.throttle = throttle
-        self._logged: set[tuple[str, str]] = set()
+        # (endpoint id, statement), the earliest first.
+        self._logged: dict[tuple[str, str], None] = {}
 
     def observe(self, entry: EndpointEntry, sent_at: float, statements: EndpointStatements) -> None:
         """Apply the statements of an answer that has just arrived from ``entry``.
@@ -31,17 +32,21 @@
         :param sent_at: clock time at which the request was sent; the answer may be as old.
         """
         for name in statements.unreadable:
-            self._log_once(entry, name, "endpoint:unreadable-answer", statement=name)
+            self._log_unreadable(entry, name)
         if "rate_limit" not in statements.unreadable:
             self.throttle.limits.observe(entry.id, statements.rate_limit, sent_at)
         if statements.leaving:
-            self._log_once(entry, "leaving", "endpoint:says-leaving", state=entry.state.value)
             self.registry.observe_said_leaving(entry)
         if statements.pause:
             self.throttle.pauses.observe(entry.id, statements.pause)
 
-    def _log_once(self, entry: EndpointEntry, name: str, message_type: str, **fields) -> None:
-        key = (entry.id, f"{message_type} {name}")
-        if key not in self._logged and len(self._logged) < MAX_LOGGED:
-            self._logged.add(key)
-            log_message(message_type=message_type, endpoint=entry.id, **fields)
+    def _log_unreadable(self, entry: EndpointEntry, statement: str) -> None:
+        key = (entry.id, statement)
+        if key in self._logged:
+            return
+        self._logged[key] = None
+        if len(self._logged) > MAX_LOGGED:
+            del self._logged[next(iter(self._logged))]
+        log_message(
+            message_type="endpoint:unreadable-answer", endpoint=entry.id, statement=statement
+        )
--- a/src/guavacleat/membership/registry.py
+++ b/src/guavacleat/membership/registry.py
@@ -132,9 +132,16 @@
 
     def observe_said_leaving(self, entry: EndpointEntry) -> None:
         """Mark an endpoint as draining that said so in an answer, whatever its entry says."""
-        if not self.said_leaving.record(entry) or not self.is_current(entry):
+        if not self.said_leaving.record(entry):
+            return
+        current = self.entries_by_id.get(entry.id)
+        log_message(
+            message_type="endpoint:says-leaving",
+            endpoint=entry.id,
+            state=None if current is None else current.state.value,
+        )
+        if not self.is_current(entry):
             return
-        current = self.entries_by_id[entry.id]
         if current.state is not EndpointState.DRAINING:
             self.observe(current.in_state(EndpointState.DRAINING, current.revision, True))
 
