--- a/src/guavacleat/explain/timeline.py
+++ b/src/guavacleat/explain/timeline.py
@@ -12,7 +12,15 @@
 # ahead.
 CONTEXT_BEFORE_SECONDS = 3.0
 CONTEXT_AFTER_SECONDS = 1.0
-ENDPOINT_EVENTS = ("endpoint:changed", "endpoint:cold", "endpoint:crashed", "move:began")
+ENDPOINT_EVENTS = (
+    "endpoint:changed",
+    "endpoint:cold",
+    "endpoint:crashed",
+    "endpoint:limit",
+    "endpoint:pause",
+    "endpoint:says-leaving",
+    "move:began",
+)
 QUARANTINE_EVENTS = ("quarantine:began", "quarantine:cleared", "quarantine:trial")
 GATEWAY_EVENTS = (
     "config:accepted",
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -56,6 +56,25 @@
         "Engine e1 failed without notice, and the engine with its copy was cold and could take no"
         " more requests.",
     ),
+    "cut as the engine with its copy limits its rate": (
+        [
+            line(4.5, "stream:copy-cold", request="r1", endpoint="e2", cause="limited its rate"),
+            line(4.5, "stream:broken", request="r1", endpoint="e1", last_event=9),
+            ended(4.5, "CUT", status=200, seconds=3.0),
+        ],
+        "Engine e1 failed without notice, and the engine with its copy limited its rate and could"
+        " take no more requests.",
+    ),
+    "refused as the endpoints limit their rate": (
+        [ended(4.0, "LIMITED", retry_after=0.7, status=503)],
+        "Its service's endpoints limit their request rate, and its gateway's share of it was used"
+        " up for 0.7 s. It has not run.",
+    ),
+    "refused as the endpoints asked for a pause": (
+        [ended(4.0, "PAUSED", retry_after=2.5, status=503)],
+        "The endpoints of its service had turned its gateway away and asked for a pause; it may be"
+        " retried after 2.5 s. It has not run.",
+    ),
     "refused as the data centres were evacuated": (
         [ended(4.0, "EVACUATED", retry_after=1.0, status=503)],
         "The data centres of its service's endpoints were evacuated. It has not run and may be"
