Plainer: restrictions of an endpoint, reading of statements, summaries by name

Read as a newcomer: EndpointThrottle._limits beside .limits, a closure that set attributes, and a summary told from its fields' names. No change of behaviour.

--- a/src/guavacleat/forwarding/statements.py
+++ b/src/guavacleat/forwarding/statements.py
@@ -1,5 +1,6 @@
 """What an endpoint says of itself in an answer, beside the answer to the request."""
 
+import functools
 import math
 from collections.abc import Callable
 from email.utils import parsedate_to_datetime
@@ -59,24 +60,34 @@
 
     Endpoints are trusted no more than callers are: invalid values are listed as unreadable.
     """
-    statements, unreadable = EndpointStatements(), []
+    reader = _HeaderReader(headers)
+    rate_limit = reader.read("rate_limit", names.rate_limit, _non_negative, min)
+    leaving = reader.read("leaving", names.leaving, _flag, any)
+    pause = None
+    if status == UNAVAILABLE:
+        delay = functools.partial(_delay, date=dict(headers).get(DATE))
+        pause = reader.read("pause", RETRY_AFTER, delay, max)
+    return EndpointStatements(rate_limit, bool(leaving), pause, tuple(reader.unreadable))
+
+
+class _HeaderReader:
+    """Reads headers that may be missing, repeated or invalid.
+
+    :ivar unreadable: the attributes whose headers are invalid.
+    """
+
+    def __init__(self, headers: list[tuple[bytes, bytes]]):
+        self.headers = headers
+        self.unreadable: list[str] = []
 
-    def read(attribute: str, name: bytes, parse: Callable, strictest: Callable) -> None:
-        values = [value for header, value in headers if header == name]
-        if not values:
-            return
+    def read(self, attribute: str, name: bytes, parse: Callable, strictest: Callable):
+        """The strictest value of the header ``name``; None if it is missing or invalid."""
+        values = [value for header, value in self.headers if header == name]
         try:
-            setattr(statements, attribute, strictest(map(parse, values)))
+            return strictest(map(parse, values)) if values else None
         except (ValueError, TypeError, OverflowError):
-            unreadable.append(attribute)
-
-    read("rate_limit", names.rate_limit, _non_negative, min)
-    read("leaving", names.leaving, _flag, any)
-    if status == UNAVAILABLE:
-        date = dict(headers).get(DATE)
-        read("pause", RETRY_AFTER, lambda value: _delay(value, date), max)
-    statements.unreadable = tuple(unreadable)
-    return statements
+            self.unreadable.append(attribute)
+            return None
 
 
 def _non_negative(value: bytes) -> float:
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -259,6 +259,7 @@
             ),
             self._summary_schedule,
             True,
+            is_summary=True,
             stops_in=None if None in stops else min(stops),
             store_failing=all(failing),
             store_silence=min(silences),
@@ -271,7 +272,12 @@
         return encode_report(summary)
 
     def _build_report(
-        self, loads, schedule: _GossipSchedule, include_remote: bool, **fields
+        self,
+        loads,
+        schedule: _GossipSchedule,
+        include_remote: bool,
+        is_summary: bool = False,
+        **fields,
     ) -> GatewayReport:
         """Build a report; ``include_remote``: with other gateways' crash observations."""
         should_send_full_report = schedule.should_send_full_report()
@@ -285,7 +291,7 @@
             )
         limits = None
         if schedule.limits.is_due(self.limit_gossip.register.changed_at):
-            limits = self.limit_gossip.build_message(include_neighbours="gateway_count" in fields)
+            limits = self.limit_gossip.build_message(include_neighbours=is_summary)
         self.sequence += 1
         return GatewayReport(
             self.directory.instance,
--- a/src/guavacleat/throttling/throttle.py
+++ b/src/guavacleat/throttling/throttle.py
@@ -39,12 +39,12 @@
     PAUSE = "had asked for a pause"
 
 
-class _Limit:
-    """One reason for a limit.
+class _Restriction:
+    """One reason why an endpoint takes only some requests.
 
     :param share: requests per second that this gateway may send.
     :param since: clock time from which requests are counted.
-    :param until: clock time at which the limit ends; infinite if unknown.
+    :param until: clock time at which the reason ends; infinite if unknown.
     """
 
     __slots__ = ("cause", "share", "since", "until")
@@ -98,8 +98,8 @@
         self.random = random.Random()
 
     def is_throttled(self, entry: EndpointEntry) -> bool:
-        """Whether there is any limit for the endpoint, used up or not."""
-        return bool(self._limits(entry))
+        """Whether the endpoint takes only some requests, whether or not it takes one now."""
+        return bool(self._restrictions(entry))
 
     def is_paused(self, entry: EndpointEntry) -> bool:
         """Whether the endpoint wants nothing from this gateway for now."""
@@ -139,7 +139,7 @@
     def promise(self, entry: EndpointEntry) -> float:
         """Seconds after which a caller that is refused now may return; each gets another time."""
         now = self.clock.seconds()
-        interval = max((limit.interval for limit in self._limits(entry)), default=0.0)
+        interval = max((reason.interval for reason in self._restrictions(entry)), default=0.0)
         allowed_at = now + self.seconds_until_allowed(entry)
         if math.isinf(interval):
             return allowed_at - now + self.random.uniform(0.0, RETURN_SECONDS)
@@ -162,23 +162,26 @@
 
     def _allowed_at_by_cause(self, entry: EndpointEntry) -> dict[ThrottleCause, float]:
         sent_at = self._sent_at_by_id.get(entry.id, -math.inf)
-        return {limit.cause: limit.allowed_at(sent_at) for limit in self._limits(entry)}
-
-    def _limits(self, entry: EndpointEntry) -> list[_Limit]:
-        """The limits for the endpoint; empty in the usual case that there is none."""
-        limits = []
+        return {
+            restriction.cause: restriction.allowed_at(sent_at)
+            for restriction in self._restrictions(entry)
+        }
+
+    def _restrictions(self, entry: EndpointEntry) -> list[_Restriction]:
+        """Those of the endpoint; empty in the usual case that there is none."""
+        restrictions = []
         cold_until = self.cold.cold_until(entry)
         if cold_until is not None:
             share = self._share(entry, self.cold.rate(entry), self.cold_bound)
-            limits.append(_Limit(ThrottleCause.COLD, share, -math.inf, cold_until))
+            restrictions.append(_Restriction(ThrottleCause.COLD, share, -math.inf, cold_until))
         statement = self.limits.find(entry.id)
         if statement is not None:
             share = self._share(entry, max(MIN_RATE, statement.rate), NAMED_LIMIT_BOUND)
-            limits.append(_Limit(ThrottleCause.LIMIT, share, statement.since, math.inf))
+            restrictions.append(_Restriction(ThrottleCause.LIMIT, share, statement.since, math.inf))
         paused_until = self.pauses.until(entry.id)
         if paused_until is not None:
-            limits.append(_Limit(ThrottleCause.PAUSE, 0.0, -math.inf, paused_until))
-        return limits
+            restrictions.append(_Restriction(ThrottleCause.PAUSE, 0.0, -math.inf, paused_until))
+        return restrictions
 
     def _log_cold(self, entry: EndpointEntry, seconds: float) -> None:
         rate = self.cold.rate(entry)
