One paused endpoint doesn't slow the choice among all others

Limits that have expired are dropped when they are asked for, so that a gateway with a routes file, which reports nothing, forgets them too.

--- a/src/guavacleat/throttling/limits.py
+++ b/src/guavacleat/throttling/limits.py
@@ -122,9 +122,10 @@
     def find(self, endpoint_id: str) -> LimitStatement | None:
         """The statement of the limit that the endpoint has now; None if it has none."""
         statement = self.latest_by_id.get(endpoint_id)
-        if statement is None or statement.rate is None or self._is_outdated(statement):
+        if statement is not None and self._is_outdated(statement):
+            self._drop(statement)
             return None
-        return statement
+        return None if statement is None or statement.rate is None else statement
 
     def rate(self, endpoint_id: str) -> float | None:
         """The endpoint's limit in requests per second; None if it has none."""
@@ -133,7 +134,7 @@
 
     def count(self) -> int:
         """The number of endpoints with a limit."""
-        return sum(self.find(id) is not None for id in self.latest_by_id)
+        return sum(self.find(id) is not None for id in list(self.latest_by_id))
 
     def record_send(self, endpoint_id: str) -> None:
         """Count a request sent to the endpoint."""
--- a/src/guavacleat/throttling/throttle.py
+++ b/src/guavacleat/throttling/throttle.py
@@ -99,7 +99,7 @@
 
     def is_throttled(self, entry: EndpointEntry) -> bool:
         """Whether the endpoint takes only some requests, whether or not it takes one now."""
-        return bool(self._restrictions(entry))
+        return not self._is_unrestricted(entry.id) and bool(self._restrictions(entry))
 
     def is_paused(self, entry: EndpointEntry) -> bool:
         """Whether the endpoint wants nothing from this gateway for now."""
@@ -107,9 +107,7 @@
 
     def may_send(self, entry: EndpointEntry) -> bool:
         """Whether a request to the endpoint is within this gateway's share now."""
-        if not (self.cold.cold_by_id or self.limits.latest_by_id or self.pauses.until_by_id):
-            return True
-        return self.seconds_until_allowed(entry) <= 0
+        return self._is_unrestricted(entry.id) or self.seconds_until_allowed(entry) <= 0
 
     def seconds_until_allowed(self, entry: EndpointEntry) -> float:
         """Seconds until :meth:`may_send` becomes true; infinite if this gateway has no share."""
@@ -160,6 +158,14 @@
         self._sent_at_by_id.pop(endpoint_id, None)
         self._promised_at_by_id.pop(endpoint_id, None)
 
+    def _is_unrestricted(self, endpoint_id: str) -> bool:
+        """Whether nothing is known of the endpoint; each choice asks this of all endpoints."""
+        return not (
+            endpoint_id in self.cold.cold_by_id
+            or endpoint_id in self.limits.latest_by_id
+            or endpoint_id in self.pauses.until_by_id
+        )
+
     def _allowed_at_by_cause(self, entry: EndpointEntry) -> dict[ThrottleCause, float]:
         sent_at = self._sent_at_by_id.get(entry.id, -math.inf)
         return {
