Gateways of data centres that the settings don't list share rates with the others

Seen: 28 gateways in four data centres sent an endpoint 5.4 requests a second at a limit of 3. Cause: senders are spread over the data centres in the settings; if these list none, each gateway takes its own for the only one, and each data centre selects all senders. Cold endpoints have the same rule and the same fault. Change: data centres with known gateways count too. The platform's settings list all, so nothing changes there.

--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -233,6 +233,10 @@
         """Gateways that share limits such as the retry budget, this one included."""
         return self.exchange.gateway_count() if self.exchange else 1
 
+    def data_centres(self) -> list[str]:
+        """Data centres with gateways that share limits, this one included."""
+        return self.exchange.data_centres() if self.exchange else [self.data_centre]
+
     def local_gateways(self) -> list[str]:
         """Gateways of this data centre that share limits, this one included."""
         return self.exchange.local_gateways() if self.exchange else [self.instance]
@@ -319,6 +323,10 @@
         """Return 1: there are no peers."""
         return 1
 
+    def data_centres(self) -> list[str]:
+        """Return no names: a single gateway shares nothing."""
+        return []
+
     def local_gateways(self) -> list[str]:
         """Return no names: a single gateway shares nothing."""
         return []
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -194,6 +194,10 @@
         )
         return 1 + len(neighbours)
 
+    def data_centres(self) -> list[str]:
+        """The data centres with known gateways, this one included."""
+        return [self.directory.data_centre, *self.directory.remote_addresses_by_data_centre]
+
     def local_gateways(self) -> list[str]:
         """The gateways of this data centre, this one included, that requests may be shared with.
 
--- a/src/guavacleat/throttling/shares.py
+++ b/src/guavacleat/throttling/shares.py
@@ -44,15 +44,16 @@
     """Computes this gateway's share.
 
     :param instance: this gateway's name.
-    :param data_centres: names of all data centres of the deployment.
-    :param gateways: the other gateways, with ``gateway_count()`` and ``local_gateways()``, which
-        returns the names of the gateways in this data centre as far as they are reachable.
+    :param data_centres: names of the data centres of the deployment that the settings list.
+    :param gateways: the other gateways, with ``gateway_count()``, ``data_centres()``, which returns
+        the names of the data centres where there are some, and ``local_gateways()``, which returns
+        the names of the gateways in this data centre as far as they are reachable.
     """
 
     def __init__(self, instance: str, data_centre: str, data_centres, gateways):
         self.instance = instance
         self.data_centre = data_centre
-        self.data_centres = sorted({data_centre, *data_centres})
+        self.listed_data_centres = {data_centre, *data_centres}
         self.gateways = gateways
 
     def rate(self, endpoint_id: str, rate: float, bound: RateBound) -> float:
@@ -78,6 +79,7 @@
 
     def _local_senders(self, endpoint_id: str, senders: int) -> int:
         """How many of the senders are in this data centre."""
-        base, remainder = divmod(senders, len(self.data_centres))
-        extra = select_members(self.data_centres, f"cold {endpoint_id}", remainder)
+        data_centres = self.listed_data_centres.union(self.gateways.data_centres())
+        base, remainder = divmod(senders, len(data_centres))
+        extra = select_members(data_centres, f"cold {endpoint_id}", remainder)
         return base + (self.data_centre in extra)
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -122,6 +122,7 @@
     :param gateways: number of gateways with a store; None for a single one with a routes file.
     :param cold_seconds: time for which a restarted endpoint is cold; it crashes after more than
         ``cold_limit`` requests within a second.
+    :param lists_data_centres: whether the gateways' settings name the data centres.
     :param service: further fields of the service in the routes file.
     :ivar harmless_outcomes: number of harmless requests by outcome.
     :ivar harmless_retry_after: Retry-After of each refused harmless request, in seconds.
@@ -142,8 +143,12 @@
         cold_seconds=0.0,
         cold_limit=0.0,
         service=None,
+        lists_data_centres=True,
     ):
         self.work_seconds = work_seconds
+        self.regions_by_data_centre = (
+            {f"dc{number}": "r" for number in range(data_centres)} if lists_data_centres else {}
+        )
         self.cold_seconds, self.cold_limit = cold_seconds, cold_limit
         random.seed(seed)
         self.seed = seed
@@ -197,6 +202,7 @@
             peer_ports=PEER_PORT_RANGE,
             store_address=("10.200.0.1", 80),
             bounds=Bounds(stop_grace=0.5, retry_extra=60.0),
+            regions_by_data_centre=self.regions_by_data_centre,
         )
         if self.store is None:
             source = FileSource(lambda: parse_routes(self.routes))
--- a/tests/throttling/test_limits_fleet.py
+++ b/tests/throttling/test_limits_fleet.py
@@ -107,3 +107,15 @@
     fleet.logs[0].endpoint.standin.rate_limit = None
     fleet.send_to("g0", 4.0)
     assert [gateway.limits.rate(fleet.logs[0].endpoint.id) for gateway in gateways] == [None] * 4
+
+
+@pytest.mark.parametrize("lists_data_centres", [True, False])
+def test_many_gateways_of_several_data_centres_share_a_limit(lists_data_centres):
+    """Guards against gateways of each data centre that share it as if there were no other."""
+    fleet = StatementFleet(gateways=28, data_centres=4, lists_data_centres=lists_data_centres)
+    fleet.logs[0].name_limit(3.0)
+    fleet.send(12.0, per_second=90.0)
+    now = fleet.network.seconds()
+    assert not fleet.logs[0].exceeded_limits()
+    assert 4 <= fleet.logs[0].count_between(now - 8.0, now) <= 3.0 * 8.0
+    assert fleet.harmless_outcomes[200] == sum(fleet.harmless_outcomes.values())
--- a/tests/throttling/test_shares.py
+++ b/tests/throttling/test_shares.py
@@ -22,6 +22,9 @@
     def gateway_count(self):
         return self.count
 
+    def data_centres(self):
+        return []
+
     def local_gateways(self):
         return self.local
 
