--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,69 +8,30 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
+import lost  # noqa: E402
 import world  # noqa: E402
 
-GRACE_S = 8.0
-LOSS_SLACK_S = 0.2
 DEADLINE_S = 39.0
-ROUTE_TIMEOUT_S = 39.0
 
 
-class Request:
-    """One client attempt, as its client sees it."""
-
-    def __init__(self, id):
-        self.id = id
-        self.sent_at = None
-        self.ended_at = None
-        self.outcome = None
-        self.complete = False
-
-
-async def send(gateway, record, id, requests):
-    request = Request(id)
-    requests.append(request)
+async def send(gateway, record, id, attempts):
+    attempt = lost.Attempt(id, DEADLINE_S)
+    attempts.append(attempt)
     headers = {
-        "Attempt-Id": id,
         "Model": "m",
         "Token-Usage": "3000,936",
         "Prompt-Prefix": f"5c1e07a2:79,{id}:2921",
-        "Deadline-Ms": str(int(DEADLINE_S * 1000)),
     }
     connection = await asyncio.open_connection(*gateway.front, limit=world.READ_LIMIT)
-    request.sent_at = time.monotonic()
-    record(f"client sends {id}")
-    try:
-        status, _, body = await world.request(
-            gateway.front, "POST", "/digest/x", headers, b"p" * 3000, connection
-        )
-        request.outcome, request.complete = f"{status}, {len(body)} bytes", True
-    except (asyncio.IncompleteReadError, ConnectionError) as exc:
-        request.outcome = f"no complete answer: {exc!r}"
-    finally:
-        connection[1].close()
-    request.ended_at = time.monotonic()
-    record(f"client got for {id} after {request.ended_at - request.sent_at:.2f} s: {request.outcome}")
+    await lost.send(record, attempt, connection, "/digest/x", headers, b"p" * 3000)
+    connection[1].close()
 
 
-def is_lost(request, engine, stopped_at):
-    """LOST around a SIGTERM, with the rule's excuses."""
-    if request.complete or stopped_at is None or request.sent_at is None:
-        return False
-    if not stopped_at <= request.ended_at <= stopped_at + GRACE_S + 1:
-        return False
-    passed_on = bool(engine.runs_by_id.get(request.id))
-    if not passed_on and request.ended_at - request.sent_at <= LOSS_SLACK_S:
-        return False
-    if request.ended_at - request.sent_at >= min(DEADLINE_S, ROUTE_TIMEOUT_S):
-        return False
-    if passed_on:
-        # The engine may have been at work in the last sixth of the grace.
-        worked_until = engine.worked_until_by_id.get(request.id, float("inf"))
-        sent_early = request.sent_at <= stopped_at + 3
-        if sent_early and worked_until >= stopped_at + GRACE_S * 5 / 6:
-            return False
-    return True
+def send_all(gateway, record, letter, count, attempts):
+    return [
+        asyncio.create_task(send(gateway, record, f"{letter}{number:015x}", attempts))
+        for number in range(count)
+    ]
 
 
 async def case(record, folder, trouble):
@@ -95,44 +56,26 @@
     engine.register()
     gateway = world.Gateway(folder, record, "front-1", store)
     gateway.start()
-    heartbeats = asyncio.create_task(beat(engine))
-    requests, stopped_at = [], None
+    heartbeats = asyncio.create_task(engine.beat())
+    attempts, stopped_at = [], None
     try:
         await gateway.wait_ready()
         # The engine's memory holds some eight of these; they take ten seconds each.
-        first = [
-            asyncio.create_task(send(gateway, record, f"a{number:015x}", requests))
-            for number in range(14)
-        ]
+        first = send_all(gateway, record, "a", 14, attempts)
         await asyncio.sleep(4)
-        later = [
-            asyncio.create_task(send(gateway, record, f"b{number:015x}", requests))
-            for number in range(16)
-        ]
+        later = send_all(gateway, record, "b", 16, attempts)
         await asyncio.sleep(1)
         if trouble:
             stopped_at = time.monotonic()
             gateway.signal(signal.SIGTERM)
-            await gateway.wait_end(GRACE_S)
+            await gateway.wait_end(lost.GRACE_S)
         await asyncio.wait([*first, *later], timeout=45)
     finally:
         heartbeats.cancel()
         gateway.end()
         engine.stop()
         store.stop()
-    if not any(request.complete for request in requests):
-        raise world.CannotRunError("no request was answered")
-    lost = [request for request in requests if is_lost(request, engine, stopped_at)]
-    for request in lost:
-        runs = len(engine.runs_by_id.get(request.id, ()))
-        record(f"LOST: {request.id}, runs at the engine: {runs}, {request.outcome}")
-    return f"LOST: {len(lost)} requests ended without an answer" if lost else ""
-
-
-async def beat(engine):
-    while True:
-        await asyncio.sleep(1.2)
-        engine.register()
+    return lost.report(record, attempts, engine, stopped_at)
 
 
 world.main(case, FOLDER)
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -21,6 +21,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 READ_LIMIT = 1 << 20
+HEARTBEAT_S = 1.2
 
 
 class CannotRunError(Exception):
@@ -233,8 +234,8 @@
     """An engine of a plain service, in the store under its id.
 
     ``work_s`` is the time that a request takes, ``answer_bytes`` the size of an answer. Runs are
-    recorded in ``runs_by_id``: the clock times of arrival, by Attempt-Id; ``answered_at_by_id`` has
-    the times at which the whole answer had been handed to the connection.
+    recorded in ``runs_by_id``: the clock times of arrival, by Attempt-Id; ``worked_until_by_id``
+    has the times at which the engine had handed the whole answer to the connection or gave up.
     """
 
     def __init__(self, store, record, id, service, zone="z1", slots=32, work_s=0.02, answer_bytes=800):
@@ -242,13 +243,20 @@
         self.store, self.record, self.id, self.service = store, record, id, service
         self.zone, self.slots, self.work_s, self.answer_bytes = zone, slots, work_s, answer_bytes
         self.runs_by_id = collections.defaultdict(list)
-        self.answered_at_by_id = {}
+        self.worked_until_by_id = {}
         self.rejected = 0
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.cold_until = 0.0
         self.state = "ready"
 
+    async def beat(self, delay=0.0):
+        """Write the entry at each heartbeat."""
+        await asyncio.sleep(delay)
+        while True:
+            self.register()
+            await asyncio.sleep(HEARTBEAT_S)
+
     def register(self):
         cold_ms = max(0, int((self.cold_until - time.monotonic()) * 1000))
         spec = {
@@ -277,12 +285,18 @@
             return
         self.runs_by_id[id].append(time.monotonic())
         self.record(f"engine {self.id} runs {id}")
-        await self.run(id, writer)
+        try:
+            await self.run(id, target, writer)
+        finally:
+            self.worked_until_by_id[id] = time.monotonic()
 
-    async def run(self, id, writer):
+    def answer_size(self, target):
+        return self.answer_bytes
+
+    async def run(self, id, target, writer):
         await asyncio.sleep(self.work_s)
-        data = (id.encode() + b" ") * (self.answer_bytes // (len(id) + 1) + 1)
-        data = data[: self.answer_bytes]
+        size = self.answer_size(target)
+        data = ((id.encode() + b" ") * (size // (len(id) + 1) + 1))[:size]
         fields = {
             "Attempt-Id": id,
             "Response-Seal": f"seal.{id}",
@@ -291,7 +305,6 @@
         }
         writer.write(encode_head("HTTP/1.1 200 OK", fields) + data)
         await writer.drain()
-        self.answered_at_by_id[id] = time.monotonic()
         self.record(f"engine {self.id} answered {id}")
 
 
@@ -301,10 +314,8 @@
     def __init__(self, *args, events=234, event_s=0.04, prefill_s=0.2, **kwargs):
         super().__init__(*args, **kwargs)
         self.events, self.event_s, self.prefill_s = events, event_s, prefill_s
-        # The clock time at which the engine stopped to work on a request, by Attempt-Id.
-        self.worked_until_by_id = {}
 
-    async def run(self, id, writer):
+    async def run(self, id, target, writer):
         await asyncio.sleep(self.prefill_s)
         fields = {
             "Attempt-Id": id,
@@ -313,16 +324,13 @@
             "Transfer-Encoding": "chunked",
         }
         writer.write(encode_head("HTTP/1.1 200 OK", fields))
-        try:
-            for number in range(1, self.events + 1):
-                event = f"id: {number}\ndata: {id}\n\n".encode()
-                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-                await writer.drain()
-                await asyncio.sleep(self.event_s)
-            writer.write(b"0\r\n\r\n")
-            self.record(f"engine {self.id} completed {id}")
-        finally:
-            self.worked_until_by_id[id] = time.monotonic()
+        for number in range(1, self.events + 1):
+            event = f"id: {number}\ndata: {id}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.event_s)
+        writer.write(b"0\r\n\r\n")
+        self.record(f"engine {self.id} completed {id}")
 
 
 class Gateway:
