--- a/review/common/world.py
+++ b/review/common/world.py
@@ -477,11 +477,13 @@
     return {"version": version, "routes": routes, "services": services, "limits": limits}
 
 
-def main(case, folder):
+def main(case, folder, record_name="record.txt"):
     """Run ``await case(record, temporary_folder, trouble)``; exit with 0 held, 1 broken, 2 not run."""
-    record = Record(pathlib.Path(folder) / "record.txt")
+    record = Record(pathlib.Path(folder) / record_name)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"TROUBLE={int(trouble)}")
+    # End the started processes too if this one is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as temporary:
         try:
             broken = asyncio.run(asyncio.wait_for(case(record, temporary, trouble), 110))
