--- a/review/2/case.py
+++ b/review/2/case.py
@@ -52,7 +52,9 @@
         await asyncio.gather(
             *(
                 lost.send(record, attempt, connection, f"/report/{size}", {}, b"r" * 600)
-                for attempt, connection, size in zip(reports, connections, REPORT_BYTES)
+                for attempt, connection, size in zip(
+                    reports, connections, REPORT_BYTES, strict=True
+                )
             )
         )
         connects = [lost.Attempt(f"b{n:015x}", CONNECT_DEADLINE_S) for n in range(CLIENTS)]
@@ -60,7 +62,7 @@
             asyncio.create_task(
                 lost.send(record, attempt, connection, "/connect/x", {}, b"c" * 600)
             )
-            for attempt, connection in zip(connects, connections)
+            for attempt, connection in zip(connects, connections, strict=True)
         ]
         await asyncio.sleep(0.5)
         if trouble:
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -51,6 +51,10 @@
     return f"127.{random.randint(16, 250)}.{random.randint(1, 250)}.{random.randint(2, 250)}"
 
 
+def format_address(address):
+    return f"{address[0]}:{address[1]}"
+
+
 async def read_head(reader):
     """Read a request or response head; return its first line and headers, None at the end."""
     try:
@@ -225,9 +229,14 @@
         if method == "PUT":
             if stored is None:
                 return 404, {}
-            if metadata.get("revision", stored["metadata"]["revision"]) != stored["metadata"]["revision"]:
+            if (
+                metadata.get("revision", stored["metadata"]["revision"])
+                != stored["metadata"]["revision"]
+            ):
                 return 409, stored
-        return 200, self.write(kind, metadata["name"], body.get("spec"), metadata.get("finalizers", ()))
+        return 200, self.write(
+            kind, metadata["name"], body.get("spec"), metadata.get("finalizers", ())
+        )
 
 
 class Engine(Server):
@@ -238,7 +247,9 @@
     has the times at which the engine had handed the whole answer to the connection or gave up.
     """
 
-    def __init__(self, store, record, id, service, zone="z1", slots=32, work_s=0.02, answer_bytes=800):
+    def __init__(
+        self, store, record, id, service, zone="z1", slots=32, work_s=0.02, answer_bytes=800
+    ):
         super().__init__()
         self.store, self.record, self.id, self.service = store, record, id, service
         self.zone, self.slots, self.work_s, self.answer_bytes = zone, slots, work_s, answer_bytes
@@ -261,7 +272,7 @@
         cold_ms = max(0, int((self.cold_until - time.monotonic()) * 1000))
         spec = {
             "service": self.service,
-            "address": "%s:%d" % self.address,
+            "address": format_address(self.address),
             "zone": self.zone,
             "version": 1,
             "slots": self.slots,
@@ -341,7 +352,6 @@
         self.ip = free_address()
         self.front, self.ready = (self.ip, free_port(self.ip)), (self.ip, free_port(self.ip))
         peers = free_port(self.ip)
-        host, port = store.address
         values = {
             "nodeName": name,
             "role": "gateway",
@@ -351,8 +361,8 @@
             "zone": zone,
             "region": "r1",
             f"zones.{zone}": "r1",
-            "listen.front": "%s:%d" % self.front,
-            "listen.ready": "%s:%d" % self.ready,
+            "listen.front": format_address(self.front),
+            "listen.ready": format_address(self.ready),
             "internalPorts": f"{peers},{peers}",
             "bootstrap": "true",
             "limits.memoryMb": 150,
@@ -366,7 +376,7 @@
             "bounds.retryBudgetRatio": 0.2,
             "bounds.budgetWindowS": 10,
             "bounds.budgetExtra": 56,
-            "platform.address": f"{host}:{port}",
+            "platform.address": format_address(store.address),
             "platform.form": "objects",
             **settings,
         }
@@ -396,7 +406,7 @@
         """Ask as the platform does."""
         try:
             status, _, _ = await asyncio.wait_for(request(self.ready, "GET", "/-/readyz", {}), 1)
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+        except (TimeoutError, OSError, asyncio.IncompleteReadError):
             return False
         return status == 200
 
@@ -478,7 +488,7 @@
 
 
 def main(case, folder, record_name="record.txt"):
-    """Run ``await case(record, temporary_folder, trouble)``; exit with 0 held, 1 broken, 2 not run."""
+    """Run ``case(record, temporary_folder, trouble)``; exit with 0 held, 1 broken, 2 not run."""
     record = Record(pathlib.Path(folder) / record_name)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"TROUBLE={int(trouble)}")
@@ -487,7 +497,7 @@
     with tempfile.TemporaryDirectory() as temporary:
         try:
             broken = asyncio.run(asyncio.wait_for(case(record, temporary, trouble), 110))
-        except (CannotRunError, asyncio.TimeoutError) as exc:
+        except (TimeoutError, CannotRunError) as exc:
             record(f"could not run: {exc!r}")
             sys.exit(2)
     record("RULE BROKEN: " + broken if broken else "the rule held")
--- a/review/further/failback.py
+++ b/review/further/failback.py
@@ -70,13 +70,13 @@
     try:
         opening = asyncio.open_connection(*gateway.front, limit=world.READ_LIMIT)
         connection = await asyncio.wait_for(opening, 1)
-    except (OSError, asyncio.TimeoutError):
+    except (TimeoutError, OSError):
         attempt.outcome = "no connection"
         return
     try:
         sending = lost.send(record, attempt, connection, "/connect/x", {}, b"c" * 600)
         await asyncio.wait_for(sending, DEADLINE_S + 0.5)
-    except asyncio.TimeoutError:
+    except TimeoutError:
         attempt.outcome = "no answer"
     finally:
         connection[1].close()
--- a/review/further/memory.py
+++ b/review/further/memory.py
@@ -102,9 +102,7 @@
         store.stop()
     killed = enforcing.done() and enforcing.result()
     cut = [
-        attempt
-        for attempt in small
-        if attempt.status is None and attempt.id in engine.runs_by_id
+        attempt for attempt in small if attempt.status is None and attempt.id in engine.runs_by_id
     ]
     if killed and len(cut) > 3:
         return f"LOST: the process was killed, {len(cut)} requests at the engine got no answer"
