Logs name the parts of a failed request's prompt, and crashes that peers report

The logs could not tell whether the requests in flight at the crashes had a part of their prompts in common, nor whether a gateway had heard of the crashes of others. request:end of a request that wasn't answered now names the parts that others may share; endpoint:crash-reported is logged once per crash that only a peer saw. The product's own headers carry the parts too (X-Prompt-Parts), so that both forms can be observed alike.

--- a/src/guavacleat/forwarding/messages.py
+++ b/src/guavacleat/forwarding/messages.py
@@ -60,6 +60,11 @@
         self.expected_output_tokens = expected_output_tokens
         self.prompt_parts = prompt_parts
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts that other requests may share: all but the last."""
+        return tuple(part.id for part in self.prompt_parts[:-1])
+
 
 class ResumePoint:
     """Where a generation resumes: a copy of its memory and the last event the caller received."""
--- a/src/guavacleat/forwarding/native.py
+++ b/src/guavacleat/forwarding/native.py
@@ -1,11 +1,12 @@
 """Default header names, for an ingress without a platform.
 
 Callers send ``X-Request-Id``, ``X-Api-Key`` and ``X-Deadline`` (timeout in seconds), and for
-generations ``X-Prompt-Tokens`` and ``X-Max-Tokens``. Endpoints respond with ``X-Request-Id`` and
-``X-Endpoint`` (their id, which marks the response as signed), or with ``X-Not-Run`` if they did
-not execute the request. ``X-Rate-Limit`` names the requests per second that an endpoint takes from
-all gateways together, ``X-Leaving: 1`` says that it will shut down soon, and ``Retry-After`` in a
-503 for how many seconds it wants nothing from this gateway.
+generations ``X-Prompt-Tokens``, ``X-Max-Tokens`` and ``X-Prompt-Parts`` (``ID:TOKENS`` entries,
+separated by commas; the last one is the request's own, others may share the rest). Endpoints
+respond with ``X-Request-Id`` and ``X-Endpoint`` (their id, which marks the response as signed), or
+with ``X-Not-Run`` if they did not execute the request. ``X-Rate-Limit`` names the requests per
+second that an endpoint takes from all gateways together, ``X-Leaving: 1`` says that it will shut
+down soon, and ``Retry-After`` in a 503 for how many seconds it wants nothing from this gateway.
 """
 
 from guavacleat.forwarding.messages import (
@@ -15,6 +16,7 @@
     ResponseMetadata,
 )
 from guavacleat.forwarding.numbers import parse_number, parse_token_count
+from guavacleat.forwarding.prompt import parse_prompt_parts
 from guavacleat.forwarding.statements import StatementHeaders, parse_statements
 from guavacleat.forwarding.wire import Headers, Wire
 
@@ -25,6 +27,7 @@
 DEADLINE = b"x-deadline"
 PROMPT_TOKENS = b"x-prompt-tokens"
 MAX_TOKENS = b"x-max-tokens"
+PROMPT_PARTS = b"x-prompt-parts"
 ACCOUNT = b"x-account"
 PRIORITY = b"x-priority"
 ENDPOINT = b"x-endpoint"
@@ -47,6 +50,7 @@
             caller_timeout=None if caller_timeout is None else max(0.0, caller_timeout),
             prompt_tokens=parse_token_count(values.get(PROMPT_TOKENS)),
             max_output_tokens=parse_token_count(values.get(MAX_TOKENS)),
+            prompt_parts=parse_prompt_parts(values.get(PROMPT_PARTS, b"")),
         )
 
     def endpoint_headers(self, headers: Headers, metadata: ForwardingMetadata) -> Headers:
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -30,6 +30,8 @@
 STOP_ACCEPT_STREAMS_SECONDS = 2.5
 # Routes with a length forecast, about 2 KB each.
 MAX_FORECASTS = 256
+# Parts of a prompt that the log line of a failed request names.
+MAX_LOGGED_PARTS = 8
 # Connection limit of a service that the configuration does not list.
 UNKNOWN_SERVICE_MAX_CONNECTIONS = 16
 
@@ -236,7 +238,7 @@
             detail=refusal.detail if refusal else None,
             seconds=round(seconds, 3),
             late=_is_late(request, seconds),
-            fingerprint=_fingerprint(request, outcome),
+            **_content(request, outcome),
         )
 
 
@@ -247,11 +249,14 @@
     return seconds > request.route.latency_goal
 
 
-def _fingerprint(request: ForwardedRequest | None, outcome: str) -> str | None:
-    """The content fingerprint to search for in the logs; None for an answered request."""
+def _content(request: ForwardedRequest | None, outcome: str) -> dict:
+    """Log fields that identify the content of a request that was not answered."""
     if request is None or outcome == "ANSWERED":
-        return None
-    return format_fingerprint(request.content_key)
+        return {"fingerprint": None}
+    return {
+        "fingerprint": format_fingerprint(request.content_key),
+        "parts": request.metadata.shared_part_ids[:MAX_LOGGED_PARTS],
+    }
 
 
 def _outcome(exchange: CallerExchange) -> str:
--- a/src/guavacleat/platform/headers.py
+++ b/src/guavacleat/platform/headers.py
@@ -3,11 +3,11 @@
 from guavacleat.addresses import format_address
 from guavacleat.forwarding.messages import (
     ForwardingMetadata,
-    PromptPart,
     RequestMetadata,
     ResponseMetadata,
 )
 from guavacleat.forwarding.numbers import parse_number, parse_token_count
+from guavacleat.forwarding.prompt import parse_prompt_parts
 from guavacleat.forwarding.statements import StatementHeaders, parse_statements
 
 __all__ = [
@@ -51,16 +51,10 @@
         prompt_tokens=usage[0],
         max_output_tokens=usage[1] if len(usage) > 1 else 0,
         expected_output_tokens=parse_number(values.get(LENGTH_HINT)),
-        prompt_parts=_prompt_parts(values.get(PROMPT, b"")),
+        prompt_parts=parse_prompt_parts(values.get(PROMPT, b"")),
     )
 
 
-def _prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
-    pairs = (item.partition(b":") for item in value.split(b",") if b":" in item)
-    parts = [(id.strip(), parse_token_count(tokens)) for id, _, tokens in pairs]
-    return tuple(PromptPart(id.decode("latin-1"), tokens) for id, tokens in parts if tokens)
-
-
 def endpoint_headers(
     headers: list[tuple[bytes, bytes]], metadata: ForwardingMetadata
 ) -> list[tuple[bytes, bytes]]:
--- a/src/guavacleat/quarantine/tracker.py
+++ b/src/guavacleat/quarantine/tracker.py
@@ -150,12 +150,20 @@
         at = self.clock.seconds() - age
         crash = self._find(endpoint, at, restored)
         if crash is None:
-            crash = self._add(EndpointCrash(endpoint, at, restored=restored))
-        changed = not crash.confirmed
+            crash = self._add(EndpointCrash(endpoint, at, confirmed=False, restored=restored))
+        was_confirmed = crash.confirmed
+        changed = not was_confirmed
         crash.confirmed = True
         for fingerprint in set(fingerprints) - crash.fingerprints:
             changed |= self._add_fingerprint(crash, fingerprint)
         if changed:
+            if not was_confirmed and not restored:
+                log_message(
+                    message_type="endpoint:crash-reported",
+                    endpoint=endpoint,
+                    age=round(age, 3),
+                    requests=len(crash.fingerprints),
+                )
             crash.updated_at = self.clock.seconds()
             self._end_trials(crash)
             self._notify(self.on_remote_change)
--- a/tests/forwarding/test_native.py
+++ b/tests/forwarding/test_native.py
@@ -13,10 +13,12 @@
         (b"x-deadline", b"1.5"),
         (b"x-prompt-tokens", b"3000"),
         (b"x-max-tokens", b"900"),
+        (b"x-prompt-parts", b"a1:300, b2:1700, c3:1000"),
     ]
     metadata = NativeWire().parse_request_metadata(headers)
     assert (metadata.id, metadata.key, metadata.caller_timeout) == ("r1", "k1", 1.5)
     assert (metadata.prompt_tokens, metadata.max_output_tokens) == (3000, 900)
+    assert metadata.shared_part_ids == ("a1", "b2")
 
 
 @pytest.mark.parametrize("number", [b"inf", b"nan", b"-7", b"9" * 40, b"x", b""])
