--- a/src/guavacleat/standin/routed.py
+++ b/src/guavacleat/standin/routed.py
@@ -2,7 +2,8 @@
 
 Every path gets a response, shaped by the active :class:`EndpointFault`. Runs are counted by request
 id, so that tests can detect repeated runs. A request whose body is ``CRASH_BODY`` crashes the
-endpoint while it runs, under every fault that does not refuse it.
+endpoint while it runs, under every fault that does not refuse it, and so does one with a part in
+its prompt that is among the ``bad_parts``, once the endpoint has begun to write its answer.
 """
 
 import collections
@@ -12,6 +13,7 @@
 from twisted.internet import task
 from twisted.internet.interfaces import IReactorTime
 
+from guavacleat.forwarding.prompt import parse_prompt_parts
 from guavacleat.http1.server import CallerExchange, CallerListener
 from guavacleat.routes import CallerLimits
 
@@ -27,6 +29,7 @@
 EVENT_COUNT = 5
 EVENT_SECONDS = 0.02
 REQUEST_ID_HEADER = b"x-request-id"
+PROMPT_PARTS_HEADER = b"x-prompt-parts"
 ENDPOINT_HEADER = b"x-endpoint"
 NOT_RUN_HEADER = b"x-not-run"
 RATE_LIMIT_HEADER = b"x-rate-limit"
@@ -65,6 +68,9 @@
     :ivar leaving: whether it says in its answers that it will shut down.
     :ivar pause: seconds that it names in ``Retry-After`` when it refuses; None to name none.
     :ivar work_seconds: time that a plain response takes.
+    :ivar event_seconds: interval of a stream's events.
+    :ivar bad_parts: ids of the parts of prompts that crash the endpoint.
+    :ivar events_before_crash: number of events that it sends before such a crash.
     :ivar cold_until: clock time until which it crashes if it gets more than ``cold_limit`` requests
         within a second.
     """
@@ -79,6 +85,9 @@
         self.leaving = False
         self.pause: float | None = None
         self.work_seconds = 0.0
+        self.event_seconds = EVENT_SECONDS
+        self.bad_parts: set[str] = set()
+        self.events_before_crash = 0
         self.cold_until = float("-inf")
         self.cold_limit = 0.0
         self.arrivals: collections.deque[float] = collections.deque()
@@ -107,6 +116,9 @@
             exchange.abort()
             return
         headers = self._headers(request_id)
+        if self._has_bad_part(exchange):
+            self._crash_writing(exchange, headers)
+            return
         if exchange.head.path.startswith("/listing/"):
             self._stream(exchange, headers)
         elif self.work_seconds:
@@ -114,6 +126,17 @@
         else:
             self._respond(exchange, headers)
 
+    def _has_bad_part(self, exchange: CallerExchange) -> bool:
+        value = dict(exchange.head.headers).get(PROMPT_PARTS_HEADER, b"")
+        return any(part.id in self.bad_parts for part in parse_prompt_parts(value))
+
+    def _crash_writing(self, exchange: CallerExchange, headers) -> None:
+        """Begin the answer, then crash."""
+        exchange.start_response(OK, b"OK", [*headers, (b"content-type", b"text/event-stream")])
+        for number in range(self.events_before_crash):
+            exchange.write(_event(number + 1))
+        self.clock.callLater(CRASH_SECONDS, self.on_crash)
+
     def become_cold(self, seconds: float, limit: float) -> None:
         """Crash at more than ``limit`` requests within a second, for the next ``seconds``."""
         self.cold_until = self.clock.seconds() + seconds
@@ -177,8 +200,12 @@
                 events.stop()
                 exchange.abort()
                 return
-            exchange.write(b"id: %d\ndata: token\n\n" % number)
+            exchange.write(_event(number))
 
         events = task.LoopingCall(next_event)
         events.clock = self.clock
-        events.start(EVENT_SECONDS)
+        events.start(self.event_seconds)
+
+
+def _event(number: int) -> bytes:
+    return b"id: %d\ndata: token\n\n" % number
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -17,7 +17,7 @@
 from guavacleat.routes.loader import parse_routes
 from guavacleat.settings import Bounds, ProcessSettings
 from guavacleat.standin.listener import HttpListener
-from guavacleat.standin.routed import CRASH_BODY, StandinEndpoint
+from guavacleat.standin.routed import CRASH_BODY, EVENT_SECONDS, StandinEndpoint
 from tests.network import Network
 from tests.peers.fleet import SharedStore, StoreLink
 
@@ -53,6 +53,8 @@
         self.starts = 0
         self.standin = StandinEndpoint(fleet.network, name)
         self.standin.on_crash = self.crash
+        self.standin.on_arrival = fleet.record_arrival
+        self.standin.event_seconds = fleet.event_seconds
         self.standin.work_seconds = fleet.work_seconds
         self.listener = HttpListener(fleet.network, self.standin.listener, (ip, 80))
         self.listener.startService()
@@ -70,8 +72,9 @@
             self.standin.become_cold(cold_for, self.fleet.cold_limit)
             self.fleet.store.write("endpoints", self.id, f"{self.ip} {cold_for}")
 
-    def crash(self, seconds=RESTART_SECONDS):
+    def crash(self, seconds=None):
         """Crash now, and restart after ``seconds``."""
+        seconds = self.fleet.restart_seconds if seconds is None else seconds
         previous_id = self.id
         self.listener.crash(seconds)
         network = self.fleet.network
@@ -124,11 +127,14 @@
     :param cold_seconds: time for which a restarted endpoint is cold; it crashes after more than
         ``cold_limit`` requests within a second.
     :param lists_data_centres: whether the gateways' settings name the data centres.
+    :param restart_seconds: time after which a crashed endpoint is back.
+    :param event_seconds: interval of the events of a stream.
     :param service: further fields of the service in the routes file.
     :ivar harmless_outcomes: number of harmless requests by outcome.
     :ivar harmless_retry_after: Retry-After of each refused harmless request, in seconds.
     :ivar harmless_returns: clock times at which these may return.
     :ivar longest_refusal_seconds: longest time that the refusal of a harmless request took.
+    :ivar arrivals: clock time and id of each request that reached an endpoint.
     :ivar crasher_outcomes: number of requests that crash endpoints, by outcome.
     """
 
@@ -145,8 +151,13 @@
         cold_limit=0.0,
         service=None,
         lists_data_centres=True,
+        restart_seconds=RESTART_SECONDS,
+        event_seconds=EVENT_SECONDS,
     ):
         self.work_seconds = work_seconds
+        self.restart_seconds = restart_seconds
+        self.event_seconds = event_seconds
+        self.arrivals = []
         self.regions_by_data_centre = (
             {f"dc{number}": "r" for number in range(data_centres)} if lists_data_centres else {}
         )
@@ -247,6 +258,9 @@
         self._schedule_repeatedly(harmless_interval, until, self.send_harmless)
         self.network.pass_time(seconds + 3.0)
 
+    def record_arrival(self, request_id):
+        self.arrivals.append((self.network.seconds(), request_id))
+
     def _schedule_repeatedly(self, interval, until, work):
         if self.network.seconds() < until:
             work()
@@ -262,12 +276,21 @@
         kind = tuple(KINDS_BY_PATH)[number % 3]
         self._send(path or f"/{kind}/{number}", b"", self.harmless_outcomes, gateway, retry)
 
-    def _send(self, path, body, results, instance=None, retry=False):
+    def send_generation(self, path, parts, results, instance=None):
+        """Send a generation with these parts in its prompt; return the request's id."""
+        headers = [
+            (b"x-prompt-parts", ",".join(f"{part}:100" for part in parts).encode()),
+            (b"x-prompt-tokens", b"%d" % (100 * len(parts))),
+            (b"x-max-tokens", b"20"),
+        ]
+        return self._send(path, path.encode(), results, instance, headers=headers)
+
+    def _send(self, path, body, results, instance=None, retry=False, headers=()):
         instance = instance or random.choice(sorted(self.gateways))
         request_id = f"r{next(self.request_numbers)}"
         sent_at = self.network.seconds()
         self.sent_by_request_id[request_id] = (instance, sent_at)
-        headers = [(b"host", b"h.example"), (b"x-request-id", request_id.encode())]
+        headers = [(b"host", b"h.example"), (b"x-request-id", request_id.encode()), *headers]
 
         def on_outcome(outcome, answer_headers):
             results[outcome] += 1
@@ -292,6 +315,7 @@
         address = self.gateways[instance].settings.caller_address
         connecting = connector.connectTCP(*address)
         connecting.addCallbacks(connected, lambda failure: on_outcome("unreachable", {}))
+        return request_id
 
     def served_share(self):
         """Share of the harmless requests that were answered with success."""
--- a/tests/streams/test_relay.py
+++ b/tests/streams/test_relay.py
@@ -70,8 +70,8 @@
     return TokenBatch(generation, first, tokens, finished, "stop" if finished else "", 0)
 
 
-def make_relay(clock, sidecars):
-    view = MembershipView(clock)
+def announce(view, sidecars, beat=1):
+    """Let the sidecars write to the store that they are alive."""
     for sidecar in sidecars:
         view.observe(
             {
@@ -80,9 +80,14 @@
                 "data_centre": "nasr-a",
                 "address": sidecar.name,
                 "draining": False,
-                "beat": 1,
+                "beat": beat,
             }
         )
+
+
+def make_relay(clock, sidecars):
+    view = MembershipView(clock)
+    announce(view, sidecars)
     pool = FakePool({sidecar.name: sidecar for sidecar in sidecars})
     dispatcher = Dispatcher(clock, view, get_router_by_name("least-loaded", clock))
     return Relay(clock, view, dispatcher, pool, StreamMetrics())
--- a/tests/streams/test_relay_quarantine.py
+++ b/tests/streams/test_relay_quarantine.py
@@ -8,14 +8,14 @@
 from guavacleat.protocol.gen.sidecar.ttypes import StartReply, UnknownStream
 from guavacleat.streams import CompletionRequest
 from guavacleat.streams.messages import StreamBrokenError
-from tests.streams.test_relay import LIMITS, ListSink, batch, make_relay
+from tests.streams.test_relay import LIMITS, ListSink, announce, batch, make_relay
 
 SIDECAR_NAMES = "abcdef"
 RESTART_SECONDS = 1.0
 
 
 class CrashingSidecar:
-    """A sidecar whose engine crashes on prompts that start with ``crash`` and restarts at once."""
+    """A sidecar whose engine crashes on prompts with the word ``crash`` and restarts at once."""
 
     def __init__(self, name):
         self.name = name
@@ -28,7 +28,7 @@
         return defer.succeed(StartReply(stream_id=stream, generation=stream))
 
     def pull(self, stream_id, cursor, wait_ms):
-        if self.prompts_by_stream[stream_id].startswith("crash"):
+        if "crash" in self.prompts_by_stream[stream_id].split():
             self.crashes += 1
             return defer.fail(UnknownStream(stream_id=stream_id))
         return defer.succeed(batch(stream_id, cursor, ["x"], True))
@@ -76,3 +76,30 @@
         "r9", "enquiry-lm", "other", "interactive", 0, "crash", 10, None, clock.seconds()
     )
     assert relay.quarantine.status(other).retry_after is None
+
+
+def words(name, count=100):
+    return " ".join(f"{name}{number}" for number in range(count))
+
+
+SECTIONS = [
+    pytest.param((words("shared"), words("bad") + " crash " + words("also")), id="second-section"),
+    pytest.param((words("bad") + " crash " + words("also"), words("shared")), id="first-section"),
+]
+# Five crashes identify the section; then it may reach endpoints three times.
+MAX_SECTION_CRASHES = 8
+
+
+@pytest.mark.parametrize("sections", SECTIONS)
+def test_section_that_crashes_engines_is_refused_in_any_prompt(clock, sections):
+    """Guards against prompts, no two alike, one section of which crashes engine after engine."""
+    sidecars = [CrashingSidecar(name) for name in SIDECAR_NAMES]
+    relay = make_relay(clock, sidecars)
+    for number in range(40):
+        announce(relay.membership, sidecars, beat=number + 2)
+        run_request(clock, relay, " ".join((*sections, f"own{number}")), id=f"r{number}")
+        clock.advance(0.25)
+        sound = run_request(clock, relay, f"{words('shared')} sound {number}", id=f"s{number}")
+        assert sound.sent == ["x"]
+        clock.advance(0.25)
+    assert sum(sidecar.crashes for sidecar in sidecars) <= MAX_SECTION_CRASHES
