Quarantine: the tracker in five modules, before it grows

Change: crash_log, attribution, trials and clearances are modules of their own; the tracker decides.

--- a/src/guavacleat/quarantine/messages.py
+++ b/src/guavacleat/quarantine/messages.py
@@ -4,6 +4,14 @@
 
 __all__ = ["Clearance", "EndpointCrash", "QuarantineStatus", "QuarantineState", "Trial"]
 
+# Number of crashes from which a request runs isolated from others, one at a time.
+SUSPECT_CRASHES = 2
+# Number of crashes from which a request is refused: fewer happen to sound requests by chance.
+QUARANTINE_CRASHES = 3
+# How long a request is refused after its third crash, and after each failed trial; the last value
+# repeats.
+QUARANTINE_SECONDS = (2.0, 60.0, 600.0, 21600.0)
+
 
 class EndpointCrash:
     """One crash of an endpoint, and the requests that it interrupted.
@@ -102,7 +110,3 @@
     @property
     def quarantined(self) -> bool:
         return self.crashes >= QUARANTINE_CRASHES
-
-
-# Number of crashes from which a request is refused: fewer happen to sound requests by chance.
-QUARANTINE_CRASHES = 3
--- a/tests/quarantine/test_tracker.py
+++ b/tests/quarantine/test_tracker.py
@@ -3,13 +3,10 @@
 import pytest
 
 from guavacleat.quarantine import CrashTracker, QuarantineState
-from guavacleat.quarantine.tracker import (
-    CRASH_RETENTION_SECONDS,
-    MAX_CLEARANCES,
-    MAX_CRASHES,
-    QUARANTINE_SECONDS,
-    TRIAL_TIMEOUT_SECONDS,
-)
+from guavacleat.quarantine.clearances import MAX_CLEARANCES
+from guavacleat.quarantine.crash_log import CRASH_RETENTION_SECONDS, MAX_CRASHES
+from guavacleat.quarantine.messages import QUARANTINE_SECONDS
+from guavacleat.quarantine.trials import TRIAL_TIMEOUT_SECONDS
 
 CRASHER, HARMLESS = 1, 2
 CRASH_INTERVAL_SECONDS = 2.5
--- a/tests/quarantine/test_tracker_machine.py
+++ b/tests/quarantine/test_tracker_machine.py
@@ -11,12 +11,9 @@
 
 from guavacleat.peers.crashes import MAX_FINGERPRINTS_PER_REPORT, CrashGossip
 from guavacleat.quarantine import CrashTracker, QuarantineState
-from guavacleat.quarantine.tracker import (
-    CORRELATION_WINDOW_SECONDS,
-    MAX_CRASHES,
-    MIN_CORRELATED_CRASHES,
-    QUARANTINE_SECONDS,
-)
+from guavacleat.quarantine.attribution import CORRELATION_WINDOW_SECONDS, MIN_CORRELATED_CRASHES
+from guavacleat.quarantine.crash_log import MAX_CRASHES
+from guavacleat.quarantine.messages import QUARANTINE_SECONDS
 from tests.conftest import examples
 
 GATEWAYS = 3
