--- a/src/guavacleat/admission/generations.py
+++ b/src/guavacleat/admission/generations.py
@@ -100,6 +100,10 @@
         waiting = sum(len(queue) for (late, _), queue in self.queues_by_rank.items() if not late)
         return Backlog(int(len(self) > 0), waiting, len(self.dispatched_at))
 
+    def entries(self) -> list[_WaitingRequest]:
+        queues = self.queues_by_rank.values()
+        return [entry for queue in queues for entry in queue.waiting_entries()]
+
     def queues_in_order(self) -> list[FairQueue]:
         return [self.queues_by_rank[rank] for rank in sorted(self.queues_by_rank)]
 
@@ -162,6 +166,15 @@
         self.schedule_dispatch()
         return entry.result
 
+    def refuse_where(self, refusal_of) -> None:
+        """Refuse the queued requests for which ``refusal_of`` returns a :class:`RefusalError`."""
+        for queue in self.queues_by_service.values():
+            for entry in queue.entries():
+                refusal = refusal_of(entry.forwarded)
+                if refusal is not None:
+                    self._stop_waiting(queue, entry)
+                    entry.result.errback(refusal)
+
     def waiting(self, service: str) -> int:
         """Number of queued requests of the service."""
         queue = self.queues_by_service.get(service)
--- a/src/guavacleat/admission/queues.py
+++ b/src/guavacleat/admission/queues.py
@@ -87,6 +87,11 @@
     def __len__(self) -> int:
         return len(self.front) + sum(len(heap) for heap in self.heaps_by_account.values())
 
+    def waiting_entries(self) -> list:
+        """All entries, in no particular order."""
+        items = itertools.chain.from_iterable(self.heaps_by_account.values())
+        return [*self.front, *(entry for _, _, entry in items)]
+
     def push(self, entry, front: bool = False) -> None:
         """Add an entry; with ``front`` before all others (a stream whose endpoint failed)."""
         if front:
--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -1,11 +1,15 @@
 """Opens streaming attempts: connects, selects a backup target and sends the request."""
 
+import functools
+
 from guavacleat.forwarding.connecting import connect
+from guavacleat.forwarding.isolation import is_refused
 from guavacleat.forwarding.memory import RunCopy, StreamMemory
 from guavacleat.forwarding.messages import ForwardingMetadata, ResumePoint
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.stream_attempt import StreamAttempt, StreamOutcome
 from guavacleat.membership.entries import EndpointEntry
+from guavacleat.quarantine import AnswerProgress
 
 __all__ = ["AttemptOpener"]
 
@@ -29,7 +33,7 @@
     ) -> StreamAttempt | None:
         """Send the request to ``entry``, resuming at ``resume`` if given.
 
-        Returns None if the connection failed, or if the stream ended meanwhile.
+        Returns None if the connection failed, or if the stream ended or was quarantined meanwhile.
 
         :param with_backup: whether a backup may be requested.
         """
@@ -40,7 +44,11 @@
             self.context.load.end(entry.id, run)
             self.log("stream:unreachable", endpoint=entry.id, error=repr(exc))
             return None
-        if self.session.finished or self.session.time_left() <= 0:
+        if (
+            self.session.finished
+            or self.session.time_left() <= 0
+            or is_refused(self.context, self.request)
+        ):
             self.context.load.end(entry.id, run)
             connection.abandon()
             return None
@@ -53,6 +61,10 @@
             self.context.wire,
             self.session,
             self.context.feedback,
+            AnswerProgress(
+                self.context.clock,
+                functools.partial(self.context.quarantine.answer_began, self.request),
+            ),
         )
         attempt.connection, attempt.run, attempt.backup = connection, run, backup
         attempt.sent_at = self.context.clock.seconds()
@@ -81,9 +93,10 @@
             self.context.load.record_failure(attempt.entry.id)
         if attempt.endpoint_disconnected:
             self.context.quarantine.request_interrupted(
-                self.request, attempt.entry.id, attempt.sent_at
+                self.request, attempt.entry.id, attempt.sent_at, attempt.progress.proven
             )
         elif outcome is StreamOutcome.COMPLETE:
+            attempt.progress.record_completion()
             self.context.quarantine.request_completed(self.request)
         self.context.quarantine.run_finished(self.request)
         return outcome
--- a/src/guavacleat/forwarding/isolation.py
+++ b/src/guavacleat/forwarding/isolation.py
@@ -5,7 +5,13 @@
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.quarantine import QuarantineState, QuarantineStatus
 
-__all__ = ["check_quarantine", "may_resume_at", "place_isolated"]
+__all__ = [
+    "check_quarantine",
+    "is_refused",
+    "may_resume_at",
+    "place_isolated",
+    "quarantine_refusal",
+]
 
 # Delay until a lightly loaded endpoint may be available for a trial.
 RETRY_AFTER_NOT_LIGHTLY_LOADED_SECONDS = 1.0
@@ -19,11 +25,25 @@
     return status
 
 
+def quarantine_refusal(context, request: ForwardedRequest) -> RefusalError | None:
+    """The refusal of a request that must not run; None if it may."""
+    status = context.quarantine.status(request)
+    if status.state is not QuarantineState.REFUSED:
+        return None
+    return _refusal(status, status.retry_after)
+
+
+def is_refused(context, request: ForwardedRequest) -> bool:
+    """Whether the request must not be sent; it may have been quarantined while it waited."""
+    return context.quarantine.status(request).state is QuarantineState.REFUSED
+
+
 def place_isolated(context, request: ForwardedRequest, tried: set[str]) -> EndpointEntry | None:
     """Return the least loaded endpoint for a suspect request; None if none is available."""
     status = check_quarantine(context, request)
     entry = context.placement.least_loaded(request, tried)
-    if entry is not None and status.quarantined and not context.placement.is_lightly_loaded(entry):
+    must_be_alone = status.quarantined and not status.contested
+    if entry is not None and must_be_alone and not context.placement.is_lightly_loaded(entry):
         raise _refusal(status, RETRY_AFTER_NOT_LIGHTLY_LOADED_SECONDS)
     return entry
 
--- a/src/guavacleat/forwarding/request.py
+++ b/src/guavacleat/forwarding/request.py
@@ -3,7 +3,7 @@
 from guavacleat.forwarding.messages import RequestMetadata
 from guavacleat.http1.server import CallerExchange
 from guavacleat.lengths import LengthForecast
-from guavacleat.quarantine import fingerprint
+from guavacleat.quarantine import fingerprint, part_fingerprints
 from guavacleat.routes import Account, Route, ServiceTraits
 
 __all__ = ["ForwardedRequest"]
@@ -34,6 +34,7 @@
         "headers",
         "forecast",
         "_content_key",
+        "_part_keys",
     )
 
     def __init__(
@@ -64,6 +65,7 @@
             metadata.max_output_tokens or DEFAULT_MAX_OUTPUT_TOKENS
         )
         self._content_key: int | None = None
+        self._part_keys: tuple[int, ...] | None = None
 
     @property
     def content_key(self) -> int:
@@ -79,6 +81,14 @@
             )
         return self._content_key
 
+    @property
+    def part_keys(self) -> tuple[int, ...]:
+        """Fingerprints of the parts of the prompt that other requests may share."""
+        if self._part_keys is None:
+            ids = self.metadata.shared_part_ids
+            self._part_keys = part_fingerprints(id.lower().encode("latin-1") for id in ids)
+        return self._part_keys
+
     @property
     def account_name(self) -> str | None:
         return self.account.name if self.account else None
--- a/src/guavacleat/forwarding/stream_attempt.py
+++ b/src/guavacleat/forwarding/stream_attempt.py
@@ -11,6 +11,7 @@
 from guavacleat.http1.messages import ResponseHead
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.placement import Run
+from guavacleat.quarantine import AnswerProgress
 
 __all__ = ["StreamAttempt", "StreamOutcome"]
 
@@ -40,14 +41,24 @@
     :param observer: ``attempt_started(attempt)`` is called when a valid stream starts, and
         ``attempt_event(attempt, event)`` with each complete :class:`StreamEvent`.
     :param feedback: the :class:`~.feedback.EndpointFeedback`.
+    :param progress: the :class:`~guavacleat.quarantine.AnswerProgress` of this run.
     """
 
-    def __init__(self, entry: EndpointEntry, request_id: str, wire, observer, feedback):
+    def __init__(
+        self,
+        entry: EndpointEntry,
+        request_id: str,
+        wire,
+        observer,
+        feedback,
+        progress: AnswerProgress,
+    ):
         self.entry = entry
         self.request_id = request_id
         self.wire = wire
         self.observer = observer
         self.feedback = feedback
+        self.progress = progress
         self.done = defer.Deferred()
         self.connection = None
         # The run's entry in the load tracker, and the backup requested with it.
@@ -100,6 +111,8 @@
         except ValueError:
             self._reject()
             return
+        if events:
+            self.progress.record_output()
         for event in events:
             if not self.ended:
                 self.observer.attempt_event(self, event)
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -1,5 +1,7 @@
 """The ingress gateway process: start, readiness, reload, graceful stop."""
 
+import functools
+
 from eliot import log_message
 from twisted.internet import defer, task
 
@@ -8,6 +10,7 @@
 from guavacleat.evacuations import EvacuationRegister
 from guavacleat.forwarding.context import ForwardingContext
 from guavacleat.forwarding.feedback import EndpointFeedback
+from guavacleat.forwarding.isolation import quarantine_refusal
 from guavacleat.forwarding.wire import Wire
 from guavacleat.http1.pool import ConnectionPool
 from guavacleat.http1.server import CallerExchange, CallerListener
@@ -22,6 +25,7 @@
 from guavacleat.peers import PeerTable
 from guavacleat.placement import LoadTracker, Placement
 from guavacleat.quarantine import CrashTracker, QuarantineGuard
+from guavacleat.quarantine.trial_order import TrialOrder
 from guavacleat.retries import RetryBudget
 from guavacleat.routes import CallerLimits, ServiceTraits
 from guavacleat.routes.holder import RouteHolder
@@ -93,6 +97,9 @@
         self.metrics = IngressMetrics()
         self.loop_lag = LoopLag(reactor)
         self.crash_tracker = CrashTracker(reactor)
+        self.crash_tracker.trial_delay = TrialOrder(
+            settings.instance, settings.data_centre, source
+        ).delay
         quarantine = QuarantineGuard(
             reactor, self.crash_tracker, EndpointProbe(self.pool, self.registry)
         )
@@ -129,6 +136,7 @@
             feedback=EndpointFeedback(self.registry, self.throttle),
         )
         self.context = context
+        self.crash_tracker.on_crash = self._refuse_quarantined
         max_body_bytes = int(settings.limits.memory_bytes * BODY_MEMORY_SHARE)
         self.dispatch = Dispatch(self.holder, context, self.metrics, max_body_bytes, self.peers)
         self.evacuator = Evacuator(context, self.dispatch.sessions)
@@ -158,6 +166,10 @@
         table = self.holder.table
         return None if table is None else table.services_by_name.get(name)
 
+    def _refuse_quarantined(self) -> None:
+        """Refuse queued requests that have been quarantined while they waited."""
+        self.context.queue.refuse_where(functools.partial(quarantine_refusal, self.context))
+
     def _data_centre_evacuated(self, data_centre: str) -> None:
         self.evacuator.data_centre_evacuated(data_centre)
 
--- a/src/guavacleat/peers/crashes.py
+++ b/src/guavacleat/peers/crashes.py
@@ -1,4 +1,4 @@
-"""Gossip about requests that crash endpoints.
+"""Gossip about requests, and parts of prompts, that crash endpoints.
 
 Each gateway reports its own observations to the gateways of its data centre. Forwarders also relay
 those of others, and periodically all crashes for which requests are quarantined, for gateways that
@@ -10,8 +10,9 @@
 
 __all__ = ["CrashGossip"]
 
-# Bounds the size of a report: a fingerprint takes about ten bytes.
+# Bound the size of a report: a fingerprint takes about ten bytes.
 MAX_FINGERPRINTS_PER_REPORT = 128
+MAX_PARTS_PER_REPORT = 128
 MAX_CLEARANCES_PER_REPORT = 64
 
 
@@ -61,22 +62,48 @@
             self.tracker.merge_completion(clearance.fingerprint, clearance.age)
         for crash in message.ends or ():
             self.tracker.merge_crash(
-                crash.endpoint, crash.age, crash.fingerprints, bool(crash.restored)
+                crash.endpoint,
+                crash.age,
+                crash.fingerprints,
+                bool(crash.restored),
+                crash.parts or (),
             )
         for trial in message.trials or ():
             self.tracker.merge_trial(trial.fingerprint, trial.endpoint, trial.age)
 
     def _encode_crashes(self, crashes) -> list[ttypes.EndpointEnd]:
-        encoded, remaining = [], MAX_FINGERPRINTS_PER_REPORT
-        for crash in crashes:
-            fingerprints = self.tracker.most_suspected(crash)[:remaining]
-            remaining -= len(fingerprints)
-            if fingerprints:
-                age = self._age(crash.crashed_at)
-                encoded.append(
-                    ttypes.EndpointEnd(crash.endpoint, age, fingerprints, crash.restored)
-                )
-        return encoded
+        requests_by_crash = self._select(
+            {crash: crash.requests for crash in crashes}, MAX_FINGERPRINTS_PER_REPORT
+        )
+        parts_by_crash = self._select(
+            {crash: crash.parts for crash in crashes}, MAX_PARTS_PER_REPORT
+        )
+        return [
+            ttypes.EndpointEnd(
+                crash.endpoint,
+                self._age(crash.crashed_at),
+                requests_by_crash[crash],
+                crash.restored,
+                parts_by_crash[crash] or None,
+            )
+            for crash in crashes
+            if requests_by_crash[crash] or parts_by_crash[crash]
+        ]
+
+    def _select(self, fingerprints_by_crash: dict, limit: int) -> dict:
+        """The ``limit`` fingerprints with the most crashes, at each crash that they belong to."""
+        ranked = sorted(
+            (
+                (-self.tracker.known_crashes(fingerprint), number, crash, fingerprint)
+                for number, (crash, fingerprints) in enumerate(fingerprints_by_crash.items())
+                for fingerprint in fingerprints
+            ),
+            key=lambda item: item[:2],
+        )
+        selected = {crash: [] for crash in fingerprints_by_crash}
+        for _, _, crash, fingerprint in ranked[:limit]:
+            selected[crash].append(fingerprint)
+        return selected
 
     def _age(self, at: float) -> float:
         return self.clock.seconds() - at
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -437,6 +437,7 @@
      - age
      - fingerprints
      - restored
+     - parts
 
     """
 
@@ -445,14 +446,16 @@
         'age',
         'fingerprints',
         'restored',
+        'parts',
     )
 
 
-    def __init__(self, endpoint=None, age=None, fingerprints=None, restored=None,):
+    def __init__(self, endpoint=None, age=None, fingerprints=None, restored=None, parts=None,):
         self.endpoint = endpoint
         self.age = age
         self.fingerprints = fingerprints
         self.restored = restored
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -488,6 +491,16 @@
                     self.restored = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readI64()
+                        self.parts.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -517,6 +530,13 @@
             oprot.writeFieldBegin('restored', TType.BOOL, 4)
             oprot.writeBool(self.restored)
             oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 5)
+            oprot.writeListBegin(TType.I64, len(self.parts))
+            for iter13 in self.parts:
+                oprot.writeI64(iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1443,6 +1463,7 @@
     (2, TType.DOUBLE, 'age', None, None, ),  # 2
     (3, TType.LIST, 'fingerprints', (TType.I64, None, False), None, ),  # 3
     (4, TType.BOOL, 'restored', None, None, ),  # 4
+    (5, TType.LIST, 'parts', (TType.I64, None, False), None, ),  # 5
 )
 all_structs.append(Trial)
 Trial.thrift_spec = (
--- a/src/guavacleat/quarantine/crash_log.py
+++ b/src/guavacleat/quarantine/crash_log.py
@@ -1,4 +1,4 @@
-"""The known crashes of endpoints, indexed by the requests in flight at each, within limits."""
+"""The known crashes of endpoints, indexed by what was in flight at each, within limits."""
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -12,18 +12,25 @@
 CRASH_RETENTION_SECONDS = 600.0
 # Limits on memory: this many crashes with this many fingerprints each take a few megabytes.
 MAX_CRASHES = 256
-MAX_FINGERPRINTS_PER_CRASH = 32
+MAX_REQUESTS_PER_CRASH = 32
+MAX_PARTS_PER_CRASH = 256
 
 
 class CrashLog:
-    """Crashes of endpoints, oldest first, and by the fingerprints of the requests in flight."""
+    """Crashes of endpoints, oldest first, and by the fingerprints of what was in flight.
 
-    __slots__ = ("clock", "crashes", "by_fingerprint")
+    :ivar parts: the fingerprints that are those of parts of prompts; the others are of requests.
+    :ivar revision: grows with each change.
+    """
+
+    __slots__ = ("clock", "crashes", "by_fingerprint", "parts", "revision")
 
     def __init__(self, clock: IReactorTime):
         self.clock = clock
         self.crashes: list[EndpointCrash] = []
         self.by_fingerprint: dict[int, list[EndpointCrash]] = {}
+        self.parts: set[int] = set()
+        self.revision = 0
 
     def find(
         self, endpoint: str, at: float, restored: bool = False, sent_at: float = float("-inf")
@@ -47,46 +54,58 @@
         self._evict()
         crash.updated_at = self.clock.seconds()
         self.crashes.append(crash)
+        self.revision += 1
         return crash
 
-    def add_fingerprint(self, crash: EndpointCrash, fingerprint: int) -> bool:
-        """Add a request in flight at a crash; return whether it was added."""
-        if fingerprint in crash.fingerprints:
-            return False
-        if len(crash.fingerprints) >= MAX_FINGERPRINTS_PER_CRASH:
+    def add_fingerprint(self, crash: EndpointCrash, fingerprint: int, is_part: bool) -> bool:
+        """Add a request or part in flight at a crash; return whether it was added.
+
+        If there are too many, it replaces one that was in flight at fewer crashes.
+        """
+        members = crash.parts if is_part else crash.requests
+        if fingerprint in members:
             return False
-        crash.fingerprints.add(fingerprint)
+        if len(members) >= (MAX_PARTS_PER_CRASH if is_part else MAX_REQUESTS_PER_CRASH):
+            least = min(members, key=self._crash_count)
+            if self._crash_count(least) >= self._crash_count(fingerprint):
+                return False
+            self.remove_fingerprint(crash, least)
+        members.add(fingerprint)
         self.by_fingerprint.setdefault(fingerprint, []).append(crash)
+        if is_part:
+            self.parts.add(fingerprint)
+        self.revision += 1
         return True
 
+    def _crash_count(self, fingerprint: int) -> int:
+        return len(self.by_fingerprint.get(fingerprint, ()))
+
     def remove_fingerprint(self, crash: EndpointCrash, fingerprint: int) -> None:
-        crash.fingerprints.discard(fingerprint)
+        crash.requests.discard(fingerprint)
+        crash.parts.discard(fingerprint)
         crashes = self.by_fingerprint[fingerprint]
         crashes.remove(crash)
         if not crashes:
             del self.by_fingerprint[fingerprint]
+            self.parts.discard(fingerprint)
+        self.revision += 1
 
     def remove(self, crash: EndpointCrash) -> None:
-        for fingerprint in list(crash.fingerprints):
+        for fingerprint in crash.fingerprints:
             self.remove_fingerprint(crash, fingerprint)
         self.crashes.remove(crash)
+        self.revision += 1
 
     def suspects(self, crash: EndpointCrash) -> list[int]:
-        """The requests of a crash that were in flight at others too."""
+        """The requests and parts of a crash that were in flight at others too."""
         return [
             fingerprint
             for fingerprint in crash.fingerprints
-            if len(self.by_fingerprint[fingerprint]) >= SUSPECT_CRASHES
+            if self._crash_count(fingerprint) >= SUSPECT_CRASHES
         ]
 
-    def most_suspected(self, crash: EndpointCrash) -> list[int]:
-        """The requests of a crash, sorted by the number of crashes they were in flight at."""
-        return sorted(
-            crash.fingerprints, key=lambda fingerprint: -len(self.by_fingerprint[fingerprint])
-        )
-
     def crashed_since(self, fingerprint: int, at: float) -> bool:
-        """Whether an endpoint has crashed under the request at ``at`` or later."""
+        """Whether an endpoint has crashed under the request or part at ``at`` or later."""
         crashes = self.by_fingerprint.get(fingerprint, ())
         return any(crash.crashed_at >= at for crash in crashes)
 
--- a/src/guavacleat/quarantine/fingerprint.py
+++ b/src/guavacleat/quarantine/fingerprint.py
@@ -1,10 +1,13 @@
-"""Fingerprints, which identify a request that is sent again with another id."""
+"""Fingerprints, which identify a request that is sent again with another id, and its parts."""
 
 import hashlib
+from collections.abc import Iterable
 
-__all__ = ["fingerprint", "format_fingerprint", "parse_fingerprint"]
+__all__ = ["fingerprint", "format_fingerprint", "parse_fingerprint", "part_fingerprints"]
 
 FINGERPRINT_BYTES = 8
+# Number of parts of one prompt that are watched.
+MAX_PARTS = 128
 
 
 def fingerprint(*parts: bytes) -> int:
@@ -16,6 +19,15 @@
     return int.from_bytes(digest.digest(), "big", signed=True)
 
 
+def part_fingerprints(parts: Iterable[bytes]) -> tuple[int, ...]:
+    """The fingerprints of a prompt's parts, each once.
+
+    Of too many, those with the lowest fingerprints: these are the same ones in each prompt.
+    """
+    fingerprints = {fingerprint(b"part", part) for part in parts}
+    return tuple(sorted(fingerprints)[:MAX_PARTS])
+
+
 def format_fingerprint(value: int) -> str:
     """Format a fingerprint as in logs: 16 hexadecimal digits."""
     return value.to_bytes(FINGERPRINT_BYTES, "big", signed=True).hex()
--- a/src/guavacleat/quarantine/guard.py
+++ b/src/guavacleat/quarantine/guard.py
@@ -30,8 +30,9 @@
 class QuarantineGuard:
     """Decides how forwarding handles a request, and reports outcomes to the tracker.
 
-    A request is any object with a ``content_key``, its fingerprint; endpoints are identified by
-    their ids; times are clock times.
+    A request is any object with a ``content_key``, its fingerprint, and ``part_keys``, those of the
+    parts of its prompt that others may share; endpoints are identified by their ids; times are
+    clock times.
 
     :param probe: coroutine function that probes an endpoint and returns its :class:`Liveness`.
     """
@@ -47,7 +48,7 @@
         """How the request must be handled now."""
         if not self.tracker.crashes_by_fingerprint:
             return QuarantineStatus(QuarantineState.FREE)
-        return self.tracker.status(request.content_key)
+        return self.tracker.status(request.content_key, *request.part_keys)
 
     def is_unrestricted(self, request) -> bool:
         """Whether the request may run on any endpoint, whatever else runs there."""
@@ -55,25 +56,41 @@
 
     def request_sent(self, request, endpoint: str) -> None:
         """Record that the request is sent to an endpoint."""
-        if self.status(request).state is QuarantineState.ISOLATED:
-            self.tracker.begin_trial(request.content_key, endpoint)
+        if self.status(request).state is not QuarantineState.ISOLATED:
+            return
+        keys = (request.content_key, *request.part_keys)
+        for key in self.tracker.suspects(keys):
+            self.tracker.begin_trial(key, endpoint)
 
     def run_finished(self, request) -> None:
         """Record that the request's run on an endpoint is over, whatever its outcome."""
         if self.tracker.trials_by_fingerprint:
-            self.tracker.end_trial(request.content_key)
+            for key in (request.content_key, *request.part_keys):
+                self.tracker.end_trial(key)
 
     def request_completed(self, request) -> None:
         """Record that an endpoint completed the request and is alive."""
         if self.tracker.crashes_by_fingerprint:
             self.tracker.request_completed(request.content_key)
 
-    def request_interrupted(self, request, endpoint: str, sent_at: float) -> None:
+    def answer_began(self, request, began_at: float) -> None:
+        """Record that an endpoint has begun to answer the request and has not crashed on it.
+
+        :param began_at: clock time of the answer's beginning.
+        """
+        for part in request.part_keys:
+            self.tracker.part_proven(part, began_at)
+
+    def request_interrupted(
+        self, request, endpoint: str, sent_at: float, parts_proven: bool = False
+    ) -> None:
         """Record that the endpoint, not this gateway or the caller, interrupted the request.
 
         :param sent_at: clock time at which the request was sent.
+        :param parts_proven: whether :meth:`answer_began` was called for this run.
         """
-        crash = self.tracker.request_interrupted(endpoint, request.content_key, sent_at)
+        parts = () if parts_proven else request.part_keys
+        crash = self.tracker.request_interrupted(endpoint, request.content_key, sent_at, parts)
         if crash.confirmed or self._unconfirmed_by_endpoint.get(endpoint) is crash:
             return
         self._unconfirmed_by_endpoint[endpoint] = crash
--- a/src/guavacleat/quarantine/messages.py
+++ b/src/guavacleat/quarantine/messages.py
@@ -4,9 +4,10 @@
 
 __all__ = ["Clearance", "EndpointCrash", "QuarantineStatus", "QuarantineState", "Trial"]
 
-# Number of crashes from which a request runs isolated from others, one at a time.
+# Number of crashes from which a request runs isolated from others, one at a time. A part does not:
+# all requests of a route may share it.
 SUSPECT_CRASHES = 2
-# Number of crashes from which a request is refused: fewer happen to sound requests by chance.
+# Number of crashes from which a request or part is refused: fewer happen to sound ones by chance.
 QUARANTINE_CRASHES = 3
 # How long a request is refused after its third crash, and after each failed trial; the last value
 # repeats.
@@ -18,9 +19,10 @@
 
     :param endpoint: the endpoint's id; one that restarts under the same id can crash repeatedly.
     :param crashed_at: clock time of the crash.
-    :param fingerprints: the fingerprints of the requests in flight.
     :param confirmed: false while the endpoint may still turn out to be alive.
     :param restored: true if it was restored from the record in the store.
+    :ivar requests: fingerprints of the requests in flight.
+    :ivar parts: fingerprints of the parts of prompts on which an answer may just have begun.
     :ivar updated_at: clock time of the last update at this gateway.
     :ivar observed_locally: true if a request of this gateway was in flight.
     """
@@ -28,7 +30,8 @@
     __slots__ = (
         "endpoint",
         "crashed_at",
-        "fingerprints",
+        "requests",
+        "parts",
         "confirmed",
         "restored",
         "updated_at",
@@ -39,21 +42,26 @@
         self,
         endpoint: str,
         crashed_at: float,
-        fingerprints=(),
         confirmed: bool = True,
         restored: bool = False,
     ):
         self.endpoint = endpoint
         self.crashed_at = crashed_at
-        self.fingerprints: set[int] = set(fingerprints)
+        self.requests: set[int] = set()
+        self.parts: set[int] = set()
         self.confirmed = confirmed
         self.restored = restored
         self.updated_at = crashed_at
         self.observed_locally = False
 
+    @property
+    def fingerprints(self) -> set[int]:
+        """The fingerprints of all that may have caused it."""
+        return self.requests | self.parts
+
 
 class Trial:
-    """An isolated run of a suspected request, to see whether it crashes ``endpoint``.
+    """An isolated run of a suspected request or part, to see whether it crashes ``endpoint``.
 
     :param started_at: clock time of the start.
     :param own: whether this gateway runs it.
@@ -69,9 +77,9 @@
 
 
 class Clearance:
-    """The completion of a request, which clears it of all earlier crashes.
+    """The completion of a request, or of an answer on a part, which clears it of earlier crashes.
 
-    :param completed_at: clock time of the completion.
+    :param completed_at: clock time of the completion; of a part, of the beginning of the answer.
     :param updated_at: clock time at which this gateway recorded it.
     """
 
@@ -96,16 +104,23 @@
 
     :param crashes: the number of crashes attributed to it.
     :param retry_after: seconds after which a refused request may be retried.
+    :param contested: whether something that the request does not contain explains these crashes
+        as well.
     """
 
-    __slots__ = ("state", "crashes", "retry_after")
+    __slots__ = ("state", "crashes", "retry_after", "contested")
 
     def __init__(
-        self, state: QuarantineState, crashes: float = 0.0, retry_after: float | None = None
+        self,
+        state: QuarantineState,
+        crashes: float = 0.0,
+        retry_after: float | None = None,
+        contested: bool = False,
     ):
         self.state = state
         self.crashes = crashes
         self.retry_after = retry_after
+        self.contested = contested
 
     @property
     def quarantined(self) -> bool:
--- a/src/guavacleat/quarantine/record.py
+++ b/src/guavacleat/quarantine/record.py
@@ -1,7 +1,7 @@
-"""The quarantined requests, kept in the store for a restart of all gateways at once.
+"""The quarantined requests and parts, kept in the store for a restart of all gateways at once.
 
-A gateway that starts learns the quarantined requests from its peers. If all gateways were lost at
-once, the same request would crash more endpoints, so one object in the store holds the latest ones.
+A gateway that starts learns them from its peers. If all gateways were lost at once, they would
+crash more endpoints, so one object in the store holds the latest ones.
 """
 
 import random
@@ -21,15 +21,45 @@
 RECORD_NAME = "requests"
 # Random delay after the start: by then a gateway knows its peers, only a few of which read.
 READ_DELAY_SECONDS = (1.0, 2.0)
-# Number of latest requests that are restored.
-MAX_RESTORED_REQUESTS = 64
+# Number of latest requests, and of latest parts, that are restored.
+MAX_RESTORED = 64
 RETRY_SECONDS = 2.0
 # Changes within this time are written together.
 BATCH_SECONDS = 0.2
-# Number of latest requests in the record, some 25 bytes each.
+# Number of latest requests, and of latest parts, in the record, some 25 bytes each.
 MAX_STORED_REQUESTS = 256
 
 
+class _Change:
+    """A change of the record.
+
+    :param crashes: the number of crashes; None to remove the request or part.
+    """
+
+    __slots__ = ("crashes", "is_part")
+
+    def __init__(self, crashes: int | None, is_part: bool):
+        self.crashes = crashes
+        self.is_part = is_part
+
+
+class _Content:
+    """The decoded record: numbers of crashes by fingerprint, the latest last."""
+
+    __slots__ = ("requests", "parts")
+
+    def __init__(self, requests: dict[int, int], parts: dict[int, int]):
+        self.requests = requests
+        self.parts = parts
+
+    def apply(self, changes: dict[int, _Change]) -> None:
+        for fingerprint, change in changes.items():
+            counts = self.parts if change.is_part else self.requests
+            previous_count = counts.pop(fingerprint, 0)
+            if change.crashes is not None:
+                counts[fingerprint] = max(previous_count, change.crashes)
+
+
 class QuarantineRecord:
     """Reads the record once after the start, and writes what this gateway quarantines or clears.
 
@@ -42,8 +72,8 @@
         self.store = store
         self.tracker = tracker
         self.stopped = False
-        # Crashes by fingerprint that are still to be written; None to remove a request.
-        self._changes: dict[int, int | None] = {}
+        # Changes by fingerprint that are still to be written.
+        self._changes: dict[int, _Change] = {}
         self._writing = False
         tracker.on_quarantined = self.quarantined
         tracker.on_cleared = self.cleared
@@ -61,15 +91,15 @@
                 self.quarantined(fingerprint)
 
     def quarantined(self, fingerprint: int) -> None:
-        """Write the crashes that identified the request, and one for each failed trial."""
+        """Write the crashes that identified the request or part, and one for each failed trial."""
         crashes = QUARANTINE_CRASHES + self.tracker.failed_trials(fingerprint)
-        self._change(fingerprint, crashes)
+        self._change(fingerprint, _Change(crashes, self.tracker.is_part(fingerprint)))
 
-    def cleared(self, fingerprint: int) -> None:
-        self._change(fingerprint, None)
+    def cleared(self, fingerprint: int, is_part: bool) -> None:
+        self._change(fingerprint, _Change(None, is_part))
 
-    def _change(self, fingerprint: int, crashes: int | None) -> None:
-        self._changes[fingerprint] = crashes
+    def _change(self, fingerprint: int, change: _Change) -> None:
+        self._changes[fingerprint] = change
         if not self._writing:
             self._writing = True
             self.clock.callLater(BATCH_SECONDS, self._start_task, self._write)
@@ -87,12 +117,17 @@
             log_message(message_type="quarantine:not-read", error=str(exc))
             self.clock.callLater(RETRY_SECONDS, self._start_task, self._read)
             return
-        counts_by_fingerprint = _decode(stored)
-        newest = list(counts_by_fingerprint.items())[-MAX_RESTORED_REQUESTS:]
-        for fingerprint, crashes in newest:
+        content = _decode(stored)
+        for fingerprint, crashes in list(content.requests.items())[-MAX_RESTORED:]:
             self.tracker.restore(fingerprint, crashes)
-        if counts_by_fingerprint:
-            log_message(message_type="quarantine:restored", requests=len(counts_by_fingerprint))
+        for part, crashes in list(content.parts.items())[-MAX_RESTORED:]:
+            self.tracker.restore(part, crashes, is_part=True)
+        if content.requests or content.parts:
+            log_message(
+                message_type="quarantine:restored",
+                requests=len(content.requests),
+                parts=len(content.parts),
+            )
 
     async def _write(self) -> None:
         """Merge the changes into the stored record; retry until that succeeds."""
@@ -100,8 +135,9 @@
         try:
             stored = await self.store.get(RECORD_KIND, RECORD_NAME)
             version = MUST_NOT_EXIST if stored is None else stored.version
-            value = _encode(_merged(_decode(stored), changes))
-            await self.store.put(RECORD_KIND, RECORD_NAME, value, version)
+            content = _decode(stored)
+            content.apply(changes)
+            await self.store.put(RECORD_KIND, RECORD_NAME, _encode(content), version)
         except Exception as exc:  # noqa: BLE001 - any error would end all later writes
             log_message(message_type="quarantine:not-written", error=repr(exc))
             self._changes = {**changes, **self._changes}
@@ -116,26 +152,26 @@
         log_message(message_type="quarantine:error", error=failure.getTraceback())
 
 
-def _merged(stored: dict[int, int], changes: dict[int, int | None]) -> dict[int, int]:
-    """The new content of the record, latest last."""
-    merged = dict(stored)
-    for fingerprint, crashes in changes.items():
-        previous_count = merged.pop(fingerprint, 0)
-        if crashes is not None:
-            merged[fingerprint] = max(previous_count, crashes)
-    return dict(list(merged.items())[-MAX_STORED_REQUESTS:])
+def _encode(content: _Content) -> dict:
+    return {"crashes": _encode_counts(content.requests), "parts": _encode_counts(content.parts)}
 
 
-def _encode(counts_by_fingerprint: dict[int, int]) -> dict:
-    named = {format_fingerprint(key): crashes for key, crashes in counts_by_fingerprint.items()}
-    return {"crashes": named}
+def _encode_counts(counts_by_fingerprint: dict[int, int]) -> dict[str, int]:
+    latest = list(counts_by_fingerprint.items())[-MAX_STORED_REQUESTS:]
+    return {format_fingerprint(fingerprint): crashes for fingerprint, crashes in latest}
 
 
-def _decode(stored) -> dict[int, int]:
-    """The number of crashes by fingerprint; empty if the record cannot be decoded."""
+def _decode(stored) -> _Content:
+    """The content of the record; empty if it cannot be decoded."""
+    value = stored.value if stored is not None else {}
     try:
-        named = stored.value.get("crashes", {}) if stored is not None else {}
-        return {parse_fingerprint(name): int(crashes) for name, crashes in named.items()}
+        return _Content(
+            _decode_counts(value.get("crashes", {})), _decode_counts(value.get("parts", {}))
+        )
     except (AttributeError, TypeError, ValueError) as exc:
         log_message(message_type="quarantine:unreadable", error=repr(exc))
-        return {}
+        return _Content({}, {})
+
+
+def _decode_counts(named: dict[str, int]) -> dict[int, int]:
+    return {parse_fingerprint(name): int(crashes) for name, crashes in named.items()}
--- a/src/guavacleat/quarantine/tracker.py
+++ b/src/guavacleat/quarantine/tracker.py
@@ -1,16 +1,21 @@
 """Identifies the requests that crash endpoints from what was in flight at each crash.
 
-A single crash does not show which of the requests in flight caused it. A request that was in flight
-at several crashes is suspected: it runs isolated from others and only once at a time. After the
-third crash it is refused for a time that grows with each failed trial, and is then tried once.
+What crashes an endpoint is a whole request, sent again and again, or one part of a prompt, whatever
+else the requests hold. A single crash does not show which of all in flight caused it.
+
+A request that was in flight at several crashes is suspected: it runs isolated from others and only
+once at a time. After the third crash it is refused for a time that grows with each failed trial,
+and is then tried once. A part is suspected from the third crash on. If something else explains its
+crashes as well, requests with the part alone are tried one at a time; those with both are refused.
 
 Crashes at one moment are one event, whatever was in flight: a request that all endpoints ran when
 they lost power is refused no longer than one that crashed three. Only a later crash by itself is a
 failed trial.
 
-Three rules protect harmless requests. A request that completes is cleared of all earlier crashes.
-A crash is not counted against a request if another one explains it better. If several endpoints
-without a request in common crash at the same time (power, a rack), each crash counts half.
+Four rules protect harmless requests. A request that completes is cleared of all earlier crashes,
+and so are the parts of its prompt once an endpoint has begun to answer it and goes on. A crash is
+not counted against one if another explains it better. If several endpoints without a request in
+common crash at the same time (power, a rack), each crash counts half.
 """
 
 import itertools
@@ -32,6 +37,7 @@
     QuarantineStatus,
     Trial,
 )
+from guavacleat.quarantine.proofs import PartProofs
 from guavacleat.quarantine.trials import TRIAL_TIMEOUT_SECONDS, TrialRegister
 
 __all__ = ["CrashTracker"]
@@ -41,14 +47,20 @@
 
 
 class CrashTracker:
-    """The crashes of endpoints that this gateway knows, and the requests in flight at each.
+    """The crashes of endpoints that this gateway knows, and what was in flight at each.
 
-    Requests are identified by their fingerprints. Times are clock times in seconds.
+    Requests and parts of prompts are identified by their fingerprints. Times are clock times in
+    seconds.
 
     :ivar on_local_change: called when this gateway observed something to report to peers.
     :ivar on_remote_change: called when a peer reported something new.
-    :ivar on_quarantined: called with a request that a crash observed here put into quarantine.
-    :ivar on_cleared: called with a quarantined request that completed here.
+    :ivar on_quarantined: called with a request or part that a crash observed here put into
+        quarantine.
+    :ivar on_cleared: called with a quarantined request that completed here or a part that was
+        proven sound, and whether it is a part.
+    :ivar on_crash: called after a confirmed crash, observed here or by a peer.
+    :ivar trial_delay: returns by how many seconds this gateway tries a quarantined part later than
+        its refusal ends, so that one gateway tries it before the others.
     :ivar changed_at: time of the last change, local or remote.
     """
 
@@ -57,10 +69,13 @@
         self.on_local_change = lambda: None
         self.on_remote_change = lambda: None
         self.on_quarantined = lambda fingerprint: None
-        self.on_cleared = lambda fingerprint: None
+        self.on_cleared = lambda fingerprint, is_part: None
+        self.on_crash = lambda: None
+        self.trial_delay = lambda fingerprint: 0.0
         self.changed_at = float("-inf")
         self._log = CrashLog(clock)
-        self._attribution = CrashAttribution(self._log)
+        self._proofs = PartProofs(clock)
+        self._attribution = CrashAttribution(self._log, self._proofs)
         self._trials = TrialRegister(clock)
         self._clearances = ClearanceRegister(clock)
 
@@ -81,24 +96,47 @@
     def clearances_by_fingerprint(self) -> dict[int, Clearance]:
         return self._clearances.by_fingerprint
 
-    def status(self, fingerprint: int) -> QuarantineStatus:
-        """How a request with this fingerprint must be handled now."""
-        if fingerprint not in self._log.by_fingerprint:
-            return QuarantineStatus(QuarantineState.FREE)
+    def status(self, *fingerprints: int) -> QuarantineStatus:
+        """How a request must be handled; ``fingerprints`` are its own and those of its parts."""
+        known = [
+            self._status(fingerprint, fingerprints)
+            for fingerprint in fingerprints
+            if fingerprint in self._log.by_fingerprint
+        ]
+        return max(known, key=_severity, default=QuarantineStatus(QuarantineState.FREE))
+
+    def _status(self, fingerprint: int, fingerprints: tuple[int, ...]) -> QuarantineStatus:
+        """How a request with ``fingerprints`` must be handled because of one of them."""
+        is_part = self.is_part(fingerprint)
+        threshold = QUARANTINE_CRASHES if is_part else SUSPECT_CRASHES
+        if len(self._log.by_fingerprint[fingerprint]) < threshold:
+            return QuarantineStatus(QuarantineState.FREE, self._attribution.count(fingerprint))
         count = self._attribution.count(fingerprint)
-        if count < SUSPECT_CRASHES:
+        if count < threshold:
             return QuarantineStatus(QuarantineState.FREE, count)
-        now = self.clock.seconds()
+        contested = is_part and self._attribution.is_contested(fingerprint, fingerprints)
+        wait = 0.0 if contested else self._refused_until(fingerprint, count) - self.clock.seconds()
         if self._trials.active(fingerprint) is not None:
-            wait = max(TRIAL_RETRY_SECONDS, self._refused_until(fingerprint, count) - now)
-            return QuarantineStatus(QuarantineState.REFUSED, count, wait)
-        wait = self._refused_until(fingerprint, count) - now
+            wait = max(TRIAL_RETRY_SECONDS, wait)
         if wait > 0:
             return QuarantineStatus(QuarantineState.REFUSED, count, wait)
-        return QuarantineStatus(QuarantineState.ISOLATED, count)
+        return QuarantineStatus(QuarantineState.ISOLATED, count, contested=contested)
+
+    def suspects(self, fingerprints) -> list[int]:
+        """Those of a request's fingerprints because of which it must run isolated."""
+        return [
+            fingerprint
+            for fingerprint in fingerprints
+            if fingerprint in self._log.by_fingerprint
+            and self._status(fingerprint, fingerprints).state is QuarantineState.ISOLATED
+        ]
+
+    def is_part(self, fingerprint: int) -> bool:
+        """Whether a fingerprint with crashes is that of a part of a prompt."""
+        return fingerprint in self._log.parts
 
     def quarantined_fingerprints(self) -> list[int]:
-        """Fingerprints of the requests with at least QUARANTINE_CRASHES attributed crashes."""
+        """Fingerprints with at least QUARANTINE_CRASHES attributed crashes."""
         return [
             fingerprint
             for fingerprint, crashes in self._log.by_fingerprint.items()
@@ -107,20 +145,21 @@
         ]
 
     def crash_count(self, fingerprint: int) -> float:
-        """Number of crashes attributed to the request."""
+        """Number of crashes attributed to the request or part."""
         known = fingerprint in self._log.by_fingerprint
         return self._attribution.count(fingerprint) if known else 0.0
 
     def failed_trials(self, fingerprint: int) -> int:
-        """Number of trials of a quarantined request that crashed their endpoints."""
+        """Number of trials of a quarantined request or part that crashed their endpoints."""
         return self._attribution.failed_trials(fingerprint)
 
     def request_interrupted(
-        self, endpoint: str, fingerprint: int, sent_at: float = float("-inf")
+        self, endpoint: str, fingerprint: int, sent_at: float = float("-inf"), parts=()
     ) -> EndpointCrash:
         """Record that ``endpoint`` interrupted a request of this gateway and may have crashed.
 
         :param sent_at: clock time at which the request was sent; earlier crashes do not match.
+        :param parts: fingerprints of the parts of its prompt, unless its answer had begun well.
         """
         now = self.clock.seconds()
         crash = self._log.find(endpoint, now, sent_at=sent_at)
@@ -128,6 +167,8 @@
             crash = self._log.add(EndpointCrash(endpoint, now, confirmed=False))
         crash.observed_locally = True
         self._add_fingerprint(crash, fingerprint)
+        for part in parts:
+            self._add_fingerprint(crash, part, is_part=True)
         if crash.confirmed:
             self._record_local_crash(crash)
         return crash
@@ -140,7 +181,8 @@
         log_message(
             message_type="endpoint:crashed",
             endpoint=crash.endpoint,
-            requests=len(crash.fingerprints),
+            requests=len(crash.requests),
+            parts=len(crash.parts),
             suspects=[format_fingerprint(suspect) for suspect in self._log.suspects(crash)],
         )
         self._record_local_crash(crash)
@@ -150,8 +192,14 @@
         if not crash.confirmed and crash in self._log.crashes:
             self._log.remove(crash)
 
-    def merge_crash(self, endpoint: str, age: float, fingerprints, restored: bool = False) -> None:
-        """Merge a peer's report of a crash ``age`` seconds ago."""
+    def merge_crash(
+        self, endpoint: str, age: float, fingerprints, restored: bool = False, parts=()
+    ) -> None:
+        """Merge a peer's report of a crash ``age`` seconds ago.
+
+        :param fingerprints: of the requests in flight.
+        :param parts: fingerprints of the parts of prompts in flight.
+        """
         at = self.clock.seconds() - age
         crash = self._log.find(endpoint, at, restored)
         if crash is None:
@@ -159,26 +207,31 @@
         was_confirmed = crash.confirmed
         changed = not was_confirmed
         crash.confirmed = True
-        for fingerprint in set(fingerprints) - crash.fingerprints:
+        for fingerprint in set(fingerprints) - crash.requests:
             changed |= self._add_fingerprint(crash, fingerprint)
+        for part in set(parts) - crash.parts:
+            changed |= self._add_fingerprint(crash, part, is_part=True)
         if changed:
             if not was_confirmed and not restored:
                 log_message(
                     message_type="endpoint:crash-reported",
                     endpoint=endpoint,
                     age=round(age, 3),
-                    requests=len(crash.fingerprints),
+                    requests=len(crash.requests),
+                    parts=len(crash.parts),
                 )
             crash.updated_at = self.clock.seconds()
             self._end_trials(crash)
             self._notify(self.on_remote_change)
+            self.on_crash()
 
-    def restore(self, fingerprint: int, count: int) -> None:
+    def restore(self, fingerprint: int, count: int, is_part: bool = False) -> None:
         """Merge the number of crashes from the record in the store; their times are unknown."""
         missing = count - len(self._log.by_fingerprint.get(fingerprint, ()))
         for number in range(missing):
             name = f"record:{format_fingerprint(fingerprint)}:{number}"
-            self.merge_crash(name, 0.0, [fingerprint], restored=True)
+            requests, parts = ([], [fingerprint]) if is_part else ([fingerprint], [])
+            self.merge_crash(name, 0.0, requests, restored=True, parts=parts)
 
     def request_completed(self, fingerprint: int) -> None:
         """Record that a request of this gateway completed."""
@@ -188,13 +241,33 @@
         self._clear(fingerprint, self.clock.seconds())
         self._notify(self.on_local_change)
         if quarantined:
-            self.on_cleared(fingerprint)
+            self.on_cleared(fingerprint, False)
+
+    def part_proven(self, part: int, began_at: float) -> None:
+        """Record that an endpoint answers a request with the part, and has not crashed on it.
+
+        :param began_at: clock time at which it began to write the answer.
+        """
+        self._proofs.record(part, began_at)
+        crashes = self._log.by_fingerprint.get(part, ())
+        if crashes:
+            # The part is less suspect now, even if all crashes are later.
+            self._log.revision += 1
+        if not any(crash.crashed_at <= began_at for crash in crashes):
+            return
+        quarantined = len(crashes) >= QUARANTINE_CRASHES
+        self._clear(part, began_at)
+        self._notify(self.on_local_change)
+        if quarantined and part not in self._log.by_fingerprint:
+            self.on_cleared(part, True)
 
     def merge_completion(self, fingerprint: int, age: float) -> None:
-        """Merge a peer's report that a request completed ``age`` seconds ago."""
+        """Merge a peer's report of a :class:`~.messages.Clearance` ``age`` seconds ago."""
         at = self.clock.seconds() - age
         previous = self._clearances.by_fingerprint.get(fingerprint)
         if previous is None or at > previous.completed_at + SAME_CRASH_SECONDS:
+            if self.is_part(fingerprint):
+                self._proofs.record(fingerprint, at)
             self._clear(fingerprint, at)
             self._notify(self.on_remote_change)
 
@@ -241,15 +314,15 @@
         ]
 
     def quarantining_crashes(self) -> list[EndpointCrash]:
-        """Confirmed crashes at which a quarantined request was in flight."""
+        """Confirmed crashes at which a quarantined request or part was in flight."""
         crashes = itertools.chain.from_iterable(
             self._log.by_fingerprint[fingerprint] for fingerprint in self.quarantined_fingerprints()
         )
         return [crash for crash in dict.fromkeys(crashes) if crash.confirmed]
 
-    def most_suspected(self, crash: EndpointCrash) -> list[int]:
-        """The requests of a crash, sorted by the number of crashes they were in flight at."""
-        return self._log.most_suspected(crash)
+    def known_crashes(self, fingerprint: int) -> int:
+        """Number of crashes at which the request or part was in flight, whatever explains them."""
+        return len(self._log.by_fingerprint.get(fingerprint, ()))
 
     def recent_clearances(self, seconds: float) -> list[Clearance]:
         """Clearances recorded in the last ``seconds``, newest first."""
@@ -265,29 +338,40 @@
             return float("-inf")
         last = max(crash.crashed_at for crash in self._log.by_fingerprint[fingerprint])
         failed_trials = min(self.failed_trials(fingerprint), len(QUARANTINE_SECONDS) - 1)
-        return last + QUARANTINE_SECONDS[failed_trials]
+        delay = self.trial_delay(fingerprint) if self.is_part(fingerprint) else 0.0
+        return last + QUARANTINE_SECONDS[failed_trials] + delay
 
-    def _add_fingerprint(self, crash: EndpointCrash, fingerprint: int) -> bool:
-        """Add a request in flight at a crash unless it is cleared; return whether it was added."""
+    def _add_fingerprint(
+        self, crash: EndpointCrash, fingerprint: int, is_part: bool = False
+    ) -> bool:
+        """Add what was in flight at a crash unless it is cleared; return whether it was added."""
         if self._clearances.covers(fingerprint, crash.crashed_at):
             return False
-        return self._log.add_fingerprint(crash, fingerprint)
+        if is_part and self._proofs.covers(fingerprint, crash.crashed_at):
+            # Peers that know of the crash may not know of an answer that only this gateway saw.
+            self._clearances.record(fingerprint, self._proofs.began_at_by_part[fingerprint])
+            return False
+        return self._log.add_fingerprint(crash, fingerprint, is_part)
 
     def _record_local_crash(self, crash: EndpointCrash) -> None:
         """Update trials and quarantine after this gateway observed a confirmed crash."""
         crash.updated_at = self.clock.seconds()
         self._end_trials(crash)
         for fingerprint in crash.fingerprints:
+            if len(self._log.by_fingerprint[fingerprint]) < QUARANTINE_CRASHES:
+                continue
             count = self._attribution.count(fingerprint)
             if count >= QUARANTINE_CRASHES:
                 log_message(
                     message_type="quarantine:began",
                     fingerprint=format_fingerprint(fingerprint),
+                    part=self.is_part(fingerprint),
                     crashes=count,
                     seconds=round(self._refused_until(fingerprint, count) - crash.crashed_at, 1),
                 )
                 self.on_quarantined(fingerprint)
         self._notify(self.on_local_change)
+        self.on_crash()
 
     def _end_trials(self, crash: EndpointCrash) -> None:
         for fingerprint in crash.fingerprints & self._trials.by_fingerprint.keys():
@@ -306,3 +390,9 @@
                 fingerprint=format_fingerprint(fingerprint),
                 crashes=len(crashes),
             )
+
+
+def _severity(status: QuarantineStatus) -> tuple[int, float]:
+    """Sort key: the status that restricts a request most is the highest."""
+    order = (QuarantineState.FREE, QuarantineState.ISOLATED, QuarantineState.REFUSED)
+    return order.index(status.state), status.retry_after or status.crashes
--- a/src/guavacleat/streams/endpoint_stream.py
+++ b/src/guavacleat/streams/endpoint_stream.py
@@ -7,6 +7,7 @@
 from twisted.internet.error import ConnectError
 
 from guavacleat.protocol.gen.sidecar.ttypes import NotRun, StartRequest, UnknownStream
+from guavacleat.quarantine import AnswerProgress
 from guavacleat.streams.messages import CompletionRequest, ResumePoint, StreamBrokenError
 
 __all__ = [
@@ -38,9 +39,10 @@
     :param pool: a ``SidecarPool``.
     :param client: the thrift client of the endpoint's sidecar.
     :param reply: the sidecar's ``StartReply``.
+    :ivar progress: the :class:`~guavacleat.quarantine.AnswerProgress` of the run.
     """
 
-    __slots__ = ("clock", "pool", "endpoint", "client", "reply", "started_at")
+    __slots__ = ("clock", "pool", "endpoint", "client", "reply", "started_at", "progress")
 
     def __init__(self, clock, pool, endpoint, client, reply):
         self.clock = clock
@@ -49,6 +51,7 @@
         self.client = client
         self.reply = reply
         self.started_at = clock.seconds()
+        self.progress = AnswerProgress(clock)
 
     def handle(self) -> str:
         """The handle with which a caller reconnects to this stream."""
--- a/src/guavacleat/streams/messages.py
+++ b/src/guavacleat/streams/messages.py
@@ -5,8 +5,9 @@
 import json
 
 from guavacleat.errors import GuavacleatError
-from guavacleat.quarantine import fingerprint
+from guavacleat.quarantine import fingerprint, part_fingerprints
 from guavacleat.routing.prefix import prefix_blocks
+from guavacleat.streams.sections import split_sections
 
 __all__ = ["CompletionRequest", "ResumePoint", "StreamMismatchError", "StreamBrokenError"]
 
@@ -77,6 +78,7 @@
         "prompt_tokens",
         "_blocks",
         "_content_key",
+        "_part_keys",
     )
 
     def __init__(
@@ -110,6 +112,7 @@
         self.prompt_tokens = len(prompt.split())
         self._blocks: list[str] | None = None
         self._content_key: int | None = None
+        self._part_keys: tuple[int, ...] | None = None
 
     @property
     def content_key(self) -> int:
@@ -119,6 +122,13 @@
             self._content_key = fingerprint(*(part.encode() for part in parts))
         return self._content_key
 
+    @property
+    def part_keys(self) -> tuple[int, ...]:
+        """Fingerprints of the sections of the prompt, which other prompts may share."""
+        if self._part_keys is None:
+            self._part_keys = part_fingerprints(split_sections(self.prompt.split()))
+        return self._part_keys
+
     def blocks(self) -> list[str]:
         """Ids of the prompt's leading blocks in the prefix cache."""
         if self._blocks is None:
--- a/src/guavacleat/streams/relay.py
+++ b/src/guavacleat/streams/relay.py
@@ -13,6 +13,8 @@
 first.
 """
 
+import functools
+
 from eliot import log_message
 from thrift.Thrift import TApplicationException
 from twisted.internet import defer
@@ -97,15 +99,23 @@
             before_start = None
             self.resumes += failure is not None
             sink.set_handle(stream.handle())
+            stream.progress.on_proven = functools.partial(self.quarantine.answer_began, request)
             try:
                 yield self._pull_all(request, stream, sink, progress)
                 if progress.finish_reason == FINISH_REASON_STOP:
+                    stream.progress.record_completion()
                     self.quarantine.request_completed(request)
                 return progress
             except StreamBrokenError as broken:
                 failure = broken
                 tried.add(stream.endpoint.name)
-                self._report_interruption(request, stream.endpoint.name, broken, stream.started_at)
+                self._report_interruption(
+                    request,
+                    stream.endpoint.name,
+                    broken,
+                    stream.started_at,
+                    stream.progress.proven,
+                )
                 stream.cancel_best_effort()
             finally:
                 self.quarantine.run_finished(request)
@@ -152,11 +162,16 @@
         return Liveness.ALIVE
 
     def _report_interruption(
-        self, request, name: str, broken: StreamBrokenError, started_at: float
+        self,
+        request,
+        name: str,
+        broken: StreamBrokenError,
+        started_at: float,
+        parts_proven: bool = False,
     ) -> None:
         """Report an interrupted stream to the quarantine, unless it only timed out."""
         if not isinstance(broken.__cause__, defer.TimeoutError):
-            self.quarantine.request_interrupted(request, name, started_at)
+            self.quarantine.request_interrupted(request, name, started_at, parts_proven)
 
     def _release(self, endpoint, request: CompletionRequest, progress: StreamProgress) -> None:
         finished = progress.finish_reason == FINISH_REASON_STOP
@@ -209,10 +224,17 @@
             stream = None
             started_at = self.clock.seconds()
             try:
+                # It may have been quarantined while it waited.
+                self._check_quarantine(request)
                 if before_start is not None:
                     yield before_start()
                     before_start = None
+                    self._check_quarantine(request)
                 stream = yield self._try_start(endpoint, request, progress, tried)
+            except NotRunError:
+                if unknown_outcome is None:
+                    raise
+                break
             except StreamBrokenError as broken:
                 unknown_outcome = broken
                 self._report_interruption(request, endpoint.name, broken, started_at)
@@ -264,6 +286,8 @@
                 )
             if batch.occupancy is not None:
                 self.router.observe(stream.endpoint.name, batch.occupancy)
+            if batch.tokens:
+                stream.progress.record_output()
             for text in batch.tokens:
                 self._send(request, sink, progress, text)
             if batch.finished:
--- a/tests/quarantine/parts_fleet.py
+++ b/tests/quarantine/parts_fleet.py
@@ -5,7 +5,15 @@
 
 from tests.quarantine.crashing_fleet import CrashingFleet
 
-__all__ = ["ALONE", "BAD", "SHARED_FIRST", "SHARED_SECOND", "STABILITY_SECONDS", "PartsFleet"]
+__all__ = [
+    "ALONE",
+    "BAD",
+    "ENGINE",
+    "SHARED_FIRST",
+    "SHARED_SECOND",
+    "STABILITY_SECONDS",
+    "PartsFleet",
+]
 
 BAD = "bad0"
 # The parts of bad requests; sound ones share those that are not bad.
@@ -26,11 +34,20 @@
     """Callers that send sound generations and, no two alike, some with a bad part.
 
     :param parts: the shared parts of the bad requests; sound ones have them without the bad one.
+    :param bad_parts: with several of them, bad requests have one of these last.
     :param options: of the :class:`CrashingFleet`.
     :ivar bad_ids: ids of the requests with the bad part.
     """
 
-    def __init__(self, parts, path="/listing/", service=ENGINE, events_before_crash=0, **options):
+    def __init__(
+        self,
+        parts,
+        path="/listing/",
+        service=ENGINE,
+        events_before_crash=0,
+        bad_parts=(BAD,),
+        **options,
+    ):
         options = {
             "endpoints": ENDPOINTS,
             "restart_seconds": RESTART_SECONDS,
@@ -42,6 +59,7 @@
         self.fleet = CrashingFleet(**options)
         self.network = self.fleet.network
         self.parts, self.path = parts, path
+        self.bad_parts = bad_parts
         self.sound_parts = tuple(part for part in parts if part != BAD)
         self.numbers = itertools.count()
         self.bad_ids = set()
@@ -49,7 +67,7 @@
         self.bad_outcomes = collections.Counter()
         self.crashed_at = []
         for endpoint in self.fleet.endpoints:
-            endpoint.standin.bad_parts = {BAD}
+            endpoint.standin.bad_parts = set(bad_parts)
             endpoint.standin.events_before_crash = events_before_crash
             self._record_crashes(endpoint)
 
@@ -68,9 +86,13 @@
         parts = (*self.sound_parts, f"subject{number % 7}", f"own{number}")
         self.fleet.send_generation(f"{self.path}{number}", parts, self.outcomes, instance)
 
-    def send_bad(self, instance=None, parts=None):
+    def send_bad(self, instance=None):
         number = next(self.numbers)
-        parts = (*(parts or self.parts), f"own{number}")
+        if len(self.bad_parts) > 1:
+            bad = self.bad_parts[number % len(self.bad_parts)]
+            parts = (*self.sound_parts, bad, f"own{number}")
+        else:
+            parts = (*self.parts, f"own{number}")
         path = f"{self.path}{number}"
         self.bad_ids.add(self.fleet.send_generation(path, parts, self.bad_outcomes, instance))
 
--- a/tests/quarantine/test_guard.py
+++ b/tests/quarantine/test_guard.py
@@ -8,7 +8,7 @@
 from guavacleat.quarantine import CrashTracker, Liveness, QuarantineGuard, QuarantineState
 from guavacleat.quarantine.guard import CONFIRM_TIMEOUT_SECONDS
 
-REQUEST = types.SimpleNamespace(content_key=1)
+REQUEST = types.SimpleNamespace(content_key=1, part_keys=())
 
 
 class Probes:
@@ -61,7 +61,7 @@
 
 def test_an_endpoint_is_probed_once_for_all_its_interrupted_requests(guard, probes):
     for key in range(5):
-        guard.request_interrupted(types.SimpleNamespace(content_key=key), "e1", 0.0)
+        guard.request_interrupted(types.SimpleNamespace(content_key=key, part_keys=()), "e1", 0.0)
     assert [endpoint for endpoint, _ in probes.probed] == ["e1"]
     probes.probed[0][1].callback(Liveness.ENDED)
     assert [guard.tracker.crash_count(key) for key in range(5)] == [1] * 5
--- a/tests/quarantine/test_record.py
+++ b/tests/quarantine/test_record.py
@@ -120,3 +120,19 @@
     restarted, _ = gateway(clock, store)
     pass_time(clock)
     assert restarted.status(CRASHER).quarantined
+
+
+def test_parts_are_restored_as_parts(clock, store):
+    """Guards against a bad part that crashes more endpoints after all gateways were lost."""
+    tracker, _ = gateway(clock, store)
+    for number in range(3):
+        interrupted = tracker.request_interrupted(f"e{number}", 50 + number, parts=[CRASHER])
+        tracker.confirm(interrupted)
+        clock.pump([0.1] * 20)
+    pass_time(clock)
+    restarted, _ = gateway(clock, store)
+    pass_time(clock)
+    assert restarted.is_part(CRASHER) and restarted.status(99, CRASHER).quarantined
+    restarted.part_proven(CRASHER, clock.seconds())
+    pass_time(clock)
+    assert store.objects["quarantine", "requests"].value == {"crashes": {}, "parts": {}}
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -51,16 +51,19 @@
   3: required list<i64> fingerprints,
   // It stands for an end that a record in the store counts.
   4: optional bool restored,
+  // The parts of prompts on which it may just have begun to answer, by fingerprint.
+  5: optional list<i64> parts,
 }
 
-// A suspected request that the sender, or a neighbour of it, runs at the endpoint since so long.
+// A suspected request or part that the sender, or a neighbour of it, runs at the endpoint since so long.
 struct Trial {
   1: required i64 fingerprint,
   2: required string endpoint,
   3: required double age,
 }
 
-// A suspected request that ran to its end so many seconds ago.
+// A suspected request that ran to its end so many seconds ago, or a part with an answer that began
+// then and goes on.
 struct Clearance {
   1: required i64 fingerprint,
   2: required double age,
