--- a/src/guavacleat/peers/crashes.py
+++ b/src/guavacleat/peers/crashes.py
@@ -91,17 +91,17 @@
         ]
 
     def _select(self, fingerprints_by_crash: dict, limit: int) -> dict:
-        """The ``limit`` fingerprints with the most crashes, at each crash that they belong to."""
-        ranked = sorted(
-            (
-                (-self.tracker.known_crashes(fingerprint), number, crash, fingerprint)
-                for number, (crash, fingerprints) in enumerate(fingerprints_by_crash.items())
-                for fingerprint in fingerprints
-            ),
-            key=lambda item: item[:2],
-        )
+        """At most ``limit`` fingerprints by crash: those with several crashes, then the first."""
+        repeated, single = [], []
+        for crash, fingerprints in fingerprints_by_crash.items():
+            for fingerprint in fingerprints:
+                if self.tracker.known_crashes(fingerprint) > 1:
+                    repeated.append((crash, fingerprint))
+                elif len(single) < limit:
+                    single.append((crash, fingerprint))
+        repeated.sort(key=lambda pair: -self.tracker.known_crashes(pair[1]))
         selected = {crash: [] for crash in fingerprints_by_crash}
-        for _, _, crash, fingerprint in ranked[:limit]:
+        for crash, fingerprint in [*repeated, *single][:limit]:
             selected[crash].append(fingerprint)
         return selected
 
--- a/src/guavacleat/quarantine/crash_log.py
+++ b/src/guavacleat/quarantine/crash_log.py
@@ -13,7 +13,7 @@
 # Limits on memory: this many crashes with this many fingerprints each take a few megabytes.
 MAX_CRASHES = 256
 MAX_REQUESTS_PER_CRASH = 32
-MAX_PARTS_PER_CRASH = 256
+MAX_PARTS_PER_CRASH = 128
 
 
 class CrashLog:
