--- a/src/guavacleat/forwarding/response.py
+++ b/src/guavacleat/forwarding/response.py
@@ -143,10 +143,10 @@
         self.chunks = []
 
     def pause(self) -> None:
-        self.connection.transport.pauseProducing()
+        self.connection.pause()
 
     def resume(self) -> None:
-        self.connection.transport.resumeProducing()
+        self.connection.resume()
 
     def response_completed(self):
         if self.streaming:
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -304,14 +304,12 @@
             self.attempt.abandon()
 
     def pause(self) -> None:
-        self._call_transport("pauseProducing")
+        if self.attempt is not None and not self.attempt.ended:
+            self.attempt.connection.pause()
 
     def resume(self) -> None:
-        self._call_transport("resumeProducing")
-
-    def _call_transport(self, name: str) -> None:
-        if self.attempt is not None and not self.attempt.ended and self.attempt.connection.open:
-            getattr(self.attempt.connection.transport, name)()
+        if self.attempt is not None and not self.attempt.ended:
+            self.attempt.connection.resume()
 
     def _log_end(self) -> None:
         first, goal = self.timings.first_event_delay, self.request.route.gap_goal
--- a/src/guavacleat/http1/client.py
+++ b/src/guavacleat/http1/client.py
@@ -59,6 +59,7 @@
         self.request_count = 0
         self.open = False
         self.keep_alive_seconds: float | None = None
+        self._paused = False
 
     def connectionMade(self):  # noqa: N802 - Twisted's name
         self.open = True
@@ -87,6 +88,19 @@
             self.transport.abortConnection()
         self._fail(ResponseFailure.ABANDONED)
 
+    def pause(self) -> None:
+        """Stop reading the current response, as its receiver is slow."""
+        if self.open and self.listener is not None and not self._paused:
+            self._paused = True
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self._paused:
+            self._paused = False
+            if self.open:
+                self.transport.resumeProducing()
+
     def dataReceived(self, data):  # noqa: N802 - Twisted's name
         if self.listener is None:
             self.abandon()
@@ -142,6 +156,8 @@
             and not self.parser.trailing_data[0]
         )
         listener, self.listener = self.listener, None
+        # The end of the response may have arrived together with what filled its receiver's buffer.
+        self.resume()
         if reusable:
             self.on_idle(self)
         elif self.open:
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -124,3 +124,27 @@
         harness.receive(data)
     harness.close()
     assert len(listener.outcomes) == 1
+
+
+WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi"
+
+
+def test_a_connection_that_is_reused_is_not_paused(harness):
+    """Guards against requests that hang since a slow caller of the last response paused reading."""
+    harness.send_request()
+    harness.receive(WHOLE[:-1])
+    harness.connection.pause()
+    assert harness.transport.producerState == "paused"
+    harness.receive(WHOLE[-1:])
+    assert harness.idle and harness.transport.producerState == "producing"
+
+
+def test_the_caller_of_the_last_response_does_not_pause_the_next(harness):
+    """Guards against a slow caller that stops reading the response to another request."""
+    harness.send_request()
+    harness.receive(WHOLE)
+    harness.connection.pause()
+    assert harness.transport.producerState == "producing"
+    listener = harness.send_request()
+    harness.receive(WHOLE)
+    assert listener.outcomes == ["whole"]
