--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -133,10 +133,26 @@
         needed = request.deadline - now
         stop_is_recent = now - self._stopping_since <= STOP_ACCEPT_STREAMS_SECONDS
         if stop_is_recent and request.route.kind is RequestKind.STREAM:
-            output = request.expected_tokens() - request.prompt_tokens
-            needed = request.route.latency_goal + self.generation_speed.estimate_seconds(output)
+            needed = self._expected_seconds(request)
         if needed > self._stops_at - now:
-            raise RefusalError(RefusalReason.STOPPING, self._retry_after_stop(now))
+            raise self._stop_refusal()
+
+    def refuse_queued(self) -> None:
+        """Refuse queued streams that would not end before this process if they began now."""
+        self.context.queue.refuse_where(self._queued_refusal)
+
+    def _queued_refusal(self, request: ForwardedRequest) -> RefusalError | None:
+        time_left = self._stops_at - self.context.clock.seconds()
+        return self._stop_refusal() if self._expected_seconds(request) > time_left else None
+
+    def _expected_seconds(self, request: ForwardedRequest) -> float:
+        """How long a stream is expected to take from its start."""
+        output = request.expected_tokens() - request.prompt_tokens
+        return request.route.latency_goal + self.generation_speed.estimate_seconds(output)
+
+    def _stop_refusal(self) -> RefusalError:
+        now = self.context.clock.seconds()
+        return RefusalError(RefusalReason.STOPPING, self._retry_after_stop(now))
 
     def _retry_after_stop(self, now: float) -> float:
         """Seconds until some gateway accepts requests.
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -281,6 +281,7 @@
             waited = self.reactor.seconds() - began
             if waited >= grace or (waited >= STOP_NOTICE_SECONDS and not self.dispatch.in_flight):
                 break
+            run_stop_step(self.dispatch.refuse_queued)
             yield task.deferLater(self.reactor, STOP_POLL_SECONDS)
         run_stop_step(self.caller_listener.close_idle)
         run_stop_step(self.source.stop)
--- a/tests/ingress/test_stop.py
+++ b/tests/ingress/test_stop.py
@@ -1,5 +1,7 @@
 """A graceful stop waits for the requests in progress, whatever else fails meanwhile."""
 
+import collections
+
 import pytest
 
 from guavacleat.settings import Bounds
@@ -70,3 +72,47 @@
     answered, stopping = stop_with_a_request_in_flight(fleet, "g0")
     assert answered
     assert result_of(stopping) is None
+
+
+ENGINE = {"engine": {"slots": 6, "memory_tokens": 100000}}
+
+
+def wait_for_an_engine(event_seconds):
+    """A fleet whose only engine is full, and the outcomes of four streams that wait for it."""
+    fleet = CrashingFleet(
+        gateways=2,
+        endpoints=1,
+        event_seconds=event_seconds,
+        service=ENGINE,
+        route_timeout=39.0,
+    )
+    fleet.gateways["g0"].settings.bounds = BOUNDS
+    waiting = collections.Counter()
+    for number in range(6):
+        fleet.send_generation(f"/listing/{number}", ("a", f"own{number}"), collections.Counter())
+    # Nothing has been dispatched lately, so that no wait is expected.
+    fleet.network.pass_time(3.5)
+    placed = len(fleet.arrivals)
+    for number in range(4):
+        fleet.send_generation(f"/listing/w{number}", ("a", f"w{number}"), waiting, "g0")
+    fleet.network.pass_time(0.4)
+    assert not waiting and len(fleet.arrivals) == placed
+    return fleet, waiting
+
+
+def test_a_stop_refuses_what_cannot_be_served_before_its_end():
+    """Guards against queued streams whose connections end with the process, without an answer."""
+    fleet, waiting = wait_for_an_engine(event_seconds=4.0)
+    stopping = fleet.gateways["g0"].stop()
+    fleet.network.pass_time(BOUNDS.stop_grace)
+    assert result_of(stopping) is None
+    assert waiting == {503: 4}
+
+
+def test_a_stop_serves_what_waits_and_can_still_be_served():
+    """Guards against refusing all that waits when a stop begins."""
+    fleet, waiting = wait_for_an_engine(event_seconds=1.0)
+    stopping = fleet.gateways["g0"].stop()
+    fleet.network.pass_time(BOUNDS.stop_grace)
+    assert result_of(stopping) is None
+    assert waiting == {200: 4}
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -24,6 +24,7 @@
 __all__ = ["CrashingFleet", "Endpoint"]
 
 RESTART_SECONDS = 1.0
+ROUTE_TIMEOUT_SECONDS = 2.0
 CRASHER_INTERVAL_SECONDS = 0.25
 HARMLESS_INTERVAL_SECONDS = 0.02
 PEER_PORT_RANGE = range(7200, 7216)
@@ -31,14 +32,14 @@
 KINDS_BY_PATH = {"page": "idempotent", "record": "non_idempotent", "listing": "stream"}
 
 
-def _route(name):
+def _route(name, timeout):
     kind = KINDS_BY_PATH[name]
     return {
         "name": name,
         "host": "h.example",
         "path_prefix": f"/{name}/",
         "kind": kind,
-        "timeout": 2.0,
+        "timeout": timeout,
         "latency_goal": 0.2,
         "max_attempts": ATTEMPTS_BY_KIND[kind],
         "backends": [{"service": "svc"}],
@@ -153,6 +154,7 @@
         lists_data_centres=True,
         restart_seconds=RESTART_SECONDS,
         event_seconds=EVENT_SECONDS,
+        route_timeout=ROUTE_TIMEOUT_SECONDS,
     ):
         self.work_seconds = work_seconds
         self.restart_seconds = restart_seconds
@@ -172,7 +174,7 @@
         self.routes = json5.dumps(
             {
                 "services": [{"name": "svc", **(service or {})}],
-                "routes": [_route(name) for name in KINDS_BY_PATH],
+                "routes": [_route(name, route_timeout) for name in KINDS_BY_PATH],
                 "endpoints": [
                     {
                         "id": endpoint.name,
