Relay: prompts in the queue are refused at once when a crash convicts a section of theirs

The same as in the ingress: what is known not to be served doesn't wait until its turn (10 s at most). The new test fails without the callback.

--- a/src/guavacleat/admission/dispatcher.py
+++ b/src/guavacleat/admission/dispatcher.py
@@ -156,6 +156,15 @@
             if len(queue):
                 self.dispatch_waiting(service)
 
+    def refuse_where(self, error_of) -> None:
+        """Refuse the queued requests for which ``error_of`` returns a NotRunError."""
+        for queue in list(self.queues_by_service.values()):
+            for entry in queue.waiting_entries():
+                error = error_of(entry.request)
+                if error is not None and not entry.result.called:
+                    queue.remove(entry)
+                    self._refuse(entry, error)
+
     def depth(self) -> dict[str, int]:
         """Number of queued requests by service."""
         return {service: len(queue) for service, queue in self.queues_by_service.items()}
--- a/src/guavacleat/admission/queues.py
+++ b/src/guavacleat/admission/queues.py
@@ -46,6 +46,10 @@
     def __len__(self) -> int:
         return len(self.entries)
 
+    def waiting_entries(self) -> list:
+        """All entries."""
+        return list(self.entries)
+
     def push(self, entry, front: bool = False) -> None:
         if front:
             self.entries.insert(0, entry)
--- a/src/guavacleat/streams/relay.py
+++ b/src/guavacleat/streams/relay.py
@@ -65,6 +65,7 @@
         self.metrics = metrics
         self.resumes = 0
         self.crash_tracker = CrashTracker(clock)
+        self.crash_tracker.on_crash = self._refuse_queued
         self.quarantine = QuarantineGuard(clock, self.crash_tracker, self._probe)
 
     @defer.inlineCallbacks
@@ -125,15 +126,26 @@
                 break
         raise failure
 
+    def _refuse_queued(self) -> None:
+        """Refuse queued requests that have been quarantined while they waited."""
+        self.dispatcher.refuse_where(self._quarantine_error)
+
     def _check_quarantine(self, request: CompletionRequest) -> None:
         """Raise NotRunError if the request is quarantined."""
+        error = self._quarantine_error(request)
+        if error is not None:
+            raise error
+
+    def _quarantine_error(self, request: CompletionRequest) -> NotRunError | None:
+        """The error of a request that must not run; None if it may."""
         status = self.quarantine.status(request)
-        if status.state is QuarantineState.REFUSED:
-            raise NotRunError(
-                f"{status.crashes:g} endpoints failed while running requests like this one.",
-                f"retry after {status.retry_after:.1f} s, or change the request.",
-                status.retry_after,
-            )
+        if status.state is not QuarantineState.REFUSED:
+            return None
+        return NotRunError(
+            f"{status.crashes:g} endpoints failed while running requests like this one.",
+            f"retry after {status.retry_after:.1f} s, or change the request.",
+            status.retry_after,
+        )
 
     def _busier_endpoints(self, request: CompletionRequest) -> set[str]:
         """Endpoints that a request under suspicion avoids: all but the least loaded ones."""
--- a/tests/streams/test_relay_quarantine.py
+++ b/tests/streams/test_relay_quarantine.py
@@ -103,3 +103,33 @@
         assert sound.sent == ["x"]
         clock.advance(0.25)
     assert sum(sidecar.crashes for sidecar in sidecars) <= MAX_SECTION_CRASHES
+
+
+class SilentSidecar(CrashingSidecar):
+    """A sidecar whose streams have no token yet."""
+
+    def pull(self, stream_id, cursor, wait_ms):
+        return defer.Deferred()
+
+
+def test_queued_prompt_is_refused_once_its_section_is_known_to_crash_engines(clock):
+    """Guards against holding a prompt in the queue that can no longer be served."""
+    relay = make_relay(clock, [SilentSidecar("a")])
+    bad = words("bad")
+    for number in range(LIMITS.in_flight_per_endpoint):
+        relay.run(completion(clock, f"sound {number}"), LIMITS, ListSink())
+    ended = []
+    relay.run(completion(clock, f"{bad} own"), LIMITS, ListSink()).addBoth(ended.append)
+    assert not ended
+    parts = completion(clock, bad).part_keys
+    for number in range(3):
+        interrupted = relay.crash_tracker.request_interrupted(f"gone{number}", number, parts=parts)
+        relay.crash_tracker.confirm(interrupted)
+    assert ended[0].check(NotRunError)
+    assert relay.dispatcher.depth() == {"enquiry-lm": 0}
+
+
+def completion(clock, prompt):
+    return CompletionRequest(
+        prompt[-12:], "enquiry-lm", "acc", "interactive", 0, prompt, 10, None, clock.seconds()
+    )
