--- a/src/guavacleat/membership/registry.py
+++ b/src/guavacleat/membership/registry.py
@@ -5,9 +5,9 @@
 after the outage. Entries removed in that time are kept until it has passed, as otherwise a gateway
 would have no endpoints just after an outage.
 
-An endpoint may restart with the same id. Its entry then has another start time, and the state of
-the previous process no longer applies. An endpoint whose entry is unreadable gets no new requests;
-requests in progress on it continue.
+An endpoint may restart with the same id. Its entry then has another start time, usually a later one
+(see ``succession``), and the state of the previous process no longer applies. An endpoint whose
+entry is unreadable gets no new requests; requests in progress on it continue.
 """
 
 from eliot import log_message
@@ -21,6 +21,7 @@
     EndpointState,
 )
 from guavacleat.membership.leaving import LeavingEndpoints
+from guavacleat.membership.succession import ProcessSuccession
 from guavacleat.store import Revision
 
 __all__ = ["EndpointRegistry", "REREGISTRATION_SECONDS"]
@@ -55,6 +56,7 @@
         # Endpoints reported to ``on_leaving`` that are neither removed nor ready again.
         self.leaving_ids: set[str] = set()
         self.said_leaving = LeavingEndpoints()
+        self.succession = ProcessSuccession(clock)
         self.last_leaving_at_by_service: dict[str, float] = {}
         self.changes_by_id: dict[str, EndpointChange] = {}
         # Endpoints removed from the store around an outage, which may register again.
@@ -79,14 +81,16 @@
         previous = self.entries_by_id.get(entry.id)
         if self._is_from_backup(entry, latest, previous):
             return
-        if previous is not None and entry.started_before(previous):
-            # A delayed heartbeat of the previous process.
+        is_earlier = previous is not None and entry.started_before(previous)
+        confirmed = origin is ChangeOrigin.PEER
+        if is_earlier and not self.succession.is_successor(entry, confirmed):
             return
         if entry.state is not EndpointState.UNUSABLE:
             self.unreadable_ids.discard(entry.id)
         self.lapsed_ids.discard(entry.id)
         self.entries_by_id[entry.id] = entry
-        restarted = previous is not None and previous.started_before(entry)
+        self.succession.heard(entry)
+        restarted = is_earlier or (previous is not None and previous.started_before(entry))
         if restarted:
             self._report_restart(previous)
         turned_cold = bool(entry.cold_for) and not (previous is not None and previous.cold_for)
@@ -333,6 +337,7 @@
     def _drop(self, id: str, origin: ChangeOrigin, revision: int = 0) -> None:
         self.lapsed_ids.discard(id)
         entry = self.entries_by_id.pop(id)
+        self.succession.forget(id)
         self._log(entry, "gone")
         self._record_change(id, max(revision, entry.revision + 1), None, origin)
         self._report_leaving(entry)
