--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -58,6 +58,7 @@
         self.forecasts_by_route: dict[str, LengthForecast] = {}
         self._stopping_since: float | None = None
         self._stops_at: float | None = None
+        self._stopped = False
         self.sessions: set[StreamSession] = set()
         self.plain = PlainForwarder(context)
         self.random = random.Random(seed)
@@ -67,6 +68,10 @@
         self._stopping_since = self.context.clock.seconds()
         self._stops_at = stops_at
 
+    def end_stop(self) -> None:
+        """Run nothing more: the process is about to end."""
+        self._stopped = True
+
     def handle(self, exchange: CallerExchange) -> None:
         """Start to handle a request; the response is sent later."""
         defer.Deferred.fromCoroutine(self._handle(exchange)).addErrback(
@@ -127,6 +132,8 @@
         it is expected to end in time. Later, a request is accepted only if its deadline is before
         the end of the process.
         """
+        if self._stopped:
+            raise self._stop_refusal()
         if self._stops_at is None:
             return
         now = self.context.clock.seconds()
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -283,6 +283,8 @@
                 break
             run_stop_step(self.dispatch.refuse_queued)
             yield task.deferLater(self.reactor, STOP_POLL_SECONDS)
+        # A request may still arrive whole on a connection that stays open.
+        self.dispatch.end_stop()
         run_stop_step(self.caller_listener.close_idle)
         run_stop_step(self.source.stop)
         run_stop_step(self.endpoint_poller.stop)
--- a/tests/ingress/test_stop.py
+++ b/tests/ingress/test_stop.py
@@ -3,6 +3,7 @@
 import collections
 
 import pytest
+from twisted.internet import protocol
 
 from guavacleat.settings import Bounds
 from tests.conftest import result_of
@@ -116,3 +117,40 @@
     fleet.network.pass_time(BOUNDS.stop_grace)
     assert result_of(stopping) is None
     assert waiting == {200: 4}
+
+
+class HalfRequest(protocol.Protocol):
+    """A caller that sends the rest of its request when told to."""
+
+    HEAD = (
+        b"POST /record/1 HTTP/1.1\r\nhost: h.example\r\n"
+        b"x-request-id: half\r\ncontent-length: 4\r\n\r\n"
+    )
+
+    def __init__(self):
+        self.received = b""
+
+    def connectionMade(self):  # noqa: N802 - Twisted's name
+        self.transport.write(self.HEAD + b"ab")
+
+    def dataReceived(self, data):  # noqa: N802 - Twisted's name
+        self.received += data
+
+
+def test_a_request_that_arrives_whole_at_the_end_of_a_stop_is_not_run(fleet):
+    """Guards against a request that is passed on in the last moment and cut with the process."""
+    gateway = fleet.gateways["g0"]
+    creating = protocol.ClientCreator(fleet.network, HalfRequest)
+    connecting = creating.connectTCP(*gateway.settings.caller_address)
+    fleet.network.pass_time(0.1)
+    caller = result_of(connecting)
+    stopping = gateway.stop()
+    while fleet.network.listening.get(gateway.settings.caller_address):
+        fleet.network.pass_time(0.005)
+    assert not stopping.called
+    caller.transport.write(b"cd")
+    fleet.network.pass_time(0.05)
+    assert caller.received.startswith(b"HTTP/1.1 503")
+    assert fleet.arrivals == []
+    fleet.network.pass_time(1.0)
+    assert result_of(stopping) is None
