Review hangup: a SIGHUP during the start doesn't end the process, and isn't lost

A process that had just started was ended by a SIGHUP, as its handler was installed only after all modules were imported. Change: the launcher catches the signal before it imports anything large, the command line for the daemons that reload; one that arrived early reloads once it can. What is left is the time in which the interpreter itself starts.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -1,9 +1,12 @@
 """Starts ``guavacleat`` from a source checkout, without installing the package."""
 
 import sys
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+sys.path.insert(0, __file__.rpartition("/")[0] + "/../src")
+
+from guavacleat.hangup import hangups  # noqa: E402
+
+hangups.catch()
 
 from guavacleat.cmdline import run  # noqa: E402
 
--- a/src/guavacleat/cmdline.py
+++ b/src/guavacleat/cmdline.py
@@ -9,6 +9,8 @@
 
 from absl import app, flags
 
+from guavacleat.hangup import hangups
+
 __all__ = ["COMMANDS_BY_NAME", "get_command_by_name", "run"]
 
 COMMANDS_BY_NAME = {
@@ -29,6 +31,9 @@
     "demo": ("guavacleat.commands.demo", "end-to-end demonstration on loopback"),
 }
 
+# Commands that reload their settings on SIGHUP.
+RELOADING_COMMANDS = ("gateway", "ingress")
+
 USAGE = "usage: guavacleat COMMAND [--flags]   (guavacleat COMMAND --help for its flags)\n"
 
 
@@ -45,6 +50,8 @@
         listing = "".join(f"  {name:8} {about}\n" for name, (_, about) in COMMANDS_BY_NAME.items())
         sys.stderr.write(USAGE + "commands:\n" + listing)
         sys.exit(2)
+    if argv[1] in RELOADING_COMMANDS:
+        hangups.catch()
     command = get_command_by_name(argv[1])
     # absl's --help lists the key flags of the module named by argv[0]; register the command's
     # flags under that name and show the command's docstring as the usage text.
--- a/src/guavacleat/commands/routes.py
+++ b/src/guavacleat/commands/routes.py
@@ -1,7 +1,5 @@
 """Serves HTTP routes from a file; shared by several commands."""
 
-import signal
-
 from absl import flags
 from twisted.internet import reactor
 
@@ -9,6 +7,7 @@
 from guavacleat.commands.daemon import parse_address
 from guavacleat.errors import SettingsError
 from guavacleat.forwarding.native import NativeWire
+from guavacleat.hangup import hangups
 from guavacleat.ingress import IngressService
 from guavacleat.ingress.sources import FileSource
 from guavacleat.settings import ProcessSettings
@@ -54,4 +53,4 @@
         except SettingsError as exc:
             service.settings_refused(exc)
 
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload_or_refuse))
+    hangups.call(lambda: reactor.callFromThread(reload_or_refuse))
