--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -163,8 +163,11 @@
         )
 
     def _find_service(self, name: str) -> ServiceTraits | None:
+        """The service, without limits if it is not listed; None without a configuration."""
         table = self.holder.table
-        return None if table is None else table.services_by_name.get(name)
+        if table is None:
+            return None
+        return table.services_by_name.get(name) or ServiceTraits(name, 0)
 
     def _refuse_quarantined(self) -> None:
         """Refuse queued requests that have been quarantined while they waited."""
--- a/src/guavacleat/throttling/cold.py
+++ b/src/guavacleat/throttling/cold.py
@@ -6,6 +6,8 @@
 considers it warm after ``UNREACHABLE_SECONDS``; the endpoint's entry says if it is still cold.
 """
 
+import math
+
 from twisted.internet.interfaces import IReactorTime
 
 from guavacleat.membership.entries import EndpointEntry
@@ -20,14 +22,17 @@
 class _ColdEndpoint:
     """The state of one cold endpoint.
 
-    :ivar cold_until: clock time at which it is considered warm.
+    :ivar cold_until: clock time at which it is considered warm; infinite while its service is
+        unknown, and with it the time.
+    :ivar turned_cold_at: clock time at which it turned cold, if ``cold_until`` follows from that.
     :ivar unreachable: whether it could not be reached and has not been reached since.
     """
 
-    __slots__ = ("cold_until", "unreachable")
+    __slots__ = ("cold_until", "turned_cold_at", "unreachable")
 
-    def __init__(self, cold_until: float):
+    def __init__(self, cold_until: float, turned_cold_at: float | None = None):
         self.cold_until = cold_until
+        self.turned_cold_at = turned_cold_at
         self.unreachable = False
 
 
@@ -35,23 +40,27 @@
     """Tracks cold endpoints.
 
     :param find_service: returns the :class:`~guavacleat.routes.ServiceTraits` of a service's name,
-        or None.
+        or None while no configuration is known.
     :ivar on_cold: called with an entry and seconds when the endpoint turns cold for so long.
     """
 
-    def __init__(self, clock: IReactorTime, find_service=lambda name: None):
+    def __init__(self, clock: IReactorTime, find_service=lambda name: UNLIMITED):
         self.clock = clock
         self.find_service = find_service
         self.on_cold = lambda entry, seconds: None
         self.cold_by_id: dict[str, _ColdEndpoint] = {}
 
     def mark_cold(self, entry: EndpointEntry, seconds: float | None = None) -> None:
-        """Consider an endpoint cold for ``seconds``; by default as long as after a start."""
-        traits = self._traits(entry)
-        if not traits.cold_rate:
-            return
-        seconds = traits.cold_start if seconds is None else seconds
-        self._extend(entry, self.clock.seconds() + seconds)
+        """Consider an endpoint cold for ``seconds``; by default as long as after a start.
+
+        Its service may not be known yet: the entries may be read before the configuration.
+        """
+        now = self.clock.seconds()
+        traits = self.find_service(entry.service)
+        if traits is None and seconds is None:
+            self.cold_by_id[entry.id] = _ColdEndpoint(math.inf, turned_cold_at=now)
+        elif traits is None or traits.cold_rate:
+            self._extend(entry, now + (traits.cold_start if seconds is None else seconds))
 
     def record_unreachable(self, entry: EndpointEntry) -> None:
         """Consider an endpoint cold until some time after it is reached again."""
@@ -93,7 +102,13 @@
         cold = self.cold_by_id.get(entry.id)
         if cold is None:
             return None
-        if cold.cold_until <= self.clock.seconds():
+        traits = self.find_service(entry.service)
+        if traits is None:
+            return cold
+        if cold.turned_cold_at is not None:
+            cold.cold_until = cold.turned_cold_at + traits.cold_start
+            cold.turned_cold_at = None
+        if not traits.cold_rate or cold.cold_until <= self.clock.seconds():
             del self.cold_by_id[entry.id]
             return None
         return cold
--- a/tests/throttling/test_throttle.py
+++ b/tests/throttling/test_throttle.py
@@ -80,3 +80,24 @@
     limiter.cold.mark_cold(ENTRY)
     limiter.record_send(ENTRY)
     assert limiter.seconds_until_allowed(ENTRY) == pytest.approx(0.25)
+
+
+@pytest.mark.parametrize("seconds,left", [(None, TRAITS.cold_start - 1.0), (9.0, 8.0)])
+def test_an_endpoint_is_cold_though_its_service_is_known_later(clock, seconds, left):
+    """Guards against too many requests to cold endpoints that are read before the configuration."""
+    services = {}
+    cold = ColdEndpoints(clock, services.get)
+    entry = make_entry("e1")
+    cold.mark_cold(entry, seconds)
+    clock.advance(1.0)
+    services["svc"] = TRAITS
+    assert cold.cold_until(entry) - clock.seconds() == left
+
+
+def test_an_endpoint_of_a_service_without_a_limit_is_not_cold(clock):
+    services = {}
+    limiter = EndpointThrottle(clock, ColdEndpoints(clock, services.get))
+    entry = make_entry("e1")
+    limiter.cold.mark_cold(entry)
+    services["svc"] = ServiceTraits("svc", 100)
+    assert limiter.may_send(entry) and not limiter.is_throttled(entry)
