--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -163,8 +163,16 @@
             timed_out.append(True)
             connection.abandon()
 
+        def progressed():
+            # An answer that arrives isn't given up for another attempt, and one that the caller
+            # has begun to get can't be.
+            left = max(0.0, request.deadline - context.clock.seconds())
+            if timer.active():
+                timer.reset(left if response.streaming else min(left, attempt_timeout))
+
         request.exchange.on_disconnect = connection.abandon
         timer = context.clock.callLater(attempt_timeout, expire)
+        response.on_progress = progressed
         run = Run(request.metadata.id)
         context.load.begin(entry.id, run)
         try:
--- a/src/guavacleat/forwarding/response.py
+++ b/src/guavacleat/forwarding/response.py
@@ -108,6 +108,8 @@
         self.size = 0
         self.streaming = False
         self.endpoint_disconnected = False
+        # Called when a part of the response arrives.
+        self.on_progress = lambda: None
 
     @property
     def body(self) -> bytes:
@@ -129,11 +131,12 @@
             return
         if self.streaming:
             self.caller.write(data)
-            return
-        self.chunks.append(data)
-        self.size += len(data)
-        if self.size > MAX_BUFFERED_BYTES:
-            self._start_streaming()
+        else:
+            self.chunks.append(data)
+            self.size += len(data)
+            if self.size > MAX_BUFFERED_BYTES:
+                self._start_streaming()
+        self.on_progress()
 
     def _start_streaming(self) -> None:
         self.streaming = True
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -153,3 +153,38 @@
 def test_remaining_time_is_sent_to_the_endpoint(harness):
     start_request(harness, timeout=0.8)
     assert harness.pool.connections[0].headers[b"time-left"] == b"0.800"
+
+
+@pytest.mark.parametrize("size", [100, MAX_BUFFERED_BYTES])
+def test_an_answer_that_arrives_slowly_is_not_cut(harness, clock, size):
+    """Guards against cutting an answer at the time limit of attempts that can be repeated."""
+    request, caller, _ = start_request(harness, timeout=8.0)
+    connection = harness.pool.connections[0]
+    connection.begin()
+    for _ in range(10):
+        connection.send_body(b"x" * size)
+        clock.advance(2 * request.route.latency_goal)
+    connection.end()
+    assert caller.complete and len(caller.data) == 10 * size
+    assert len(harness.pool.connections) == 1
+
+
+def test_an_answer_that_the_caller_gets_waits_for_a_silent_endpoint(harness, clock):
+    """Guards against cutting what can't be repeated since its endpoint pauses."""
+    _, caller, _ = start_request(harness, timeout=8.0)
+    connection = harness.pool.connections[0]
+    connection.begin()
+    connection.send_body(b"x" * (MAX_BUFFERED_BYTES + 1))
+    clock.advance(7.0)
+    assert not caller.aborted
+    clock.advance(1.1)
+    assert caller.aborted
+
+
+def test_an_answer_that_stops_before_the_caller_gets_any_is_repeated(harness, clock):
+    request, _, _ = start_request(harness, timeout=8.0)
+    connection = harness.pool.connections[0]
+    connection.begin()
+    connection.send_body(b"x")
+    clock.advance(ATTEMPT_TIMEOUT_GOALS * request.route.latency_goal + 0.01)
+    assert len(harness.pool.connections) == 2
