--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -159,7 +159,6 @@
         "NO_CONFIGURATION": "Its gateway had no configuration yet.",
         "BEHIND": "Another gateway had a newer configuration, which may allow it.",
         "NO_ENDPOINT": "No endpoint of its service accepted requests.",
-        "NO_MEMORY": "The request bodies buffered by its gateway exceeded the memory limit.",
         "STOPPING": "Its gateway was shutting down and could not have completed it.",
     }
     if end.get("outcome") == "QUARANTINED":
--- a/src/guavacleat/forwarding/refusals.py
+++ b/src/guavacleat/forwarding/refusals.py
@@ -29,9 +29,8 @@
     LIMITED = (503, "the endpoints limit their request rate, and this gateway's share is used up")
     PAUSED = (503, "the endpoints turned this gateway away and asked for a pause")
     NO_ROOM = (503, "no capacity before the deadline")
-    NO_MEMORY = (503, "request body memory limit reached")
     STOPPING = (503, "gateway shuts down before the request could finish")
-    QUARANTINED = (503, "identical requests crashed endpoints")
+    QUARANTINED = (503, "requests like this one crashed endpoints")
     EXPIRED = (504, "deadline expired")
     BROKEN = (502, "incomplete or invalid response from the endpoint")
 
--- a/src/guavacleat/http1/client.py
+++ b/src/guavacleat/http1/client.py
@@ -76,10 +76,11 @@
         encoded = self.parser.send(
             h11.Request(method=method, target=target, headers=framed_headers)
         )
-        if body:
-            encoded += self.parser.send(h11.Data(data=body))
-        encoded += self.parser.send(h11.EndOfMessage())
+        # Written separately: joining them would copy the body.
         self.transport.write(encoded)
+        if body:
+            self.transport.write(self.parser.send(h11.Data(data=body)))
+        self.parser.send(h11.EndOfMessage())
 
     def abandon(self) -> None:
         """Close the connection immediately, so that the endpoint stops processing the request."""
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -8,6 +8,7 @@
 import h11
 from twisted.internet import protocol
 
+from guavacleat.http1.body_memory import BodyMemory
 from guavacleat.http1.messages import RequestHead
 from guavacleat.http1.sockets import enable_dead_peer_detection
 
@@ -20,6 +21,9 @@
 REQUEST_TIMEOUT = 408
 TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
+UNAVAILABLE = 503
+# Bodies are sent and released within about this time.
+RETRY_AFTER_NO_MEMORY_SECONDS = 0.5
 # Colon, space, carriage return and line feed of a header line.
 HEADER_OVERHEAD_BYTES = 4
 
@@ -90,6 +94,8 @@
         self.head: RequestHead | None = None
         self.chunks: list[bytes] = []
         self.size = 0
+        # Bytes of the current request's body for which memory is reserved.
+        self.reserved = 0
         self.timer = None
         self.paused = False
 
@@ -114,6 +120,7 @@
         del reason
         self.open = False
         self._set_timer(None, None)
+        self._release_memory()
         self.listener.connections.discard(self)
         exchange, self.exchange = self.exchange, None
         if exchange is not None and not exchange.ended and exchange.on_disconnect is not None:
@@ -164,6 +171,8 @@
         if lengths and int(lengths[0]) > self.listener.limits().max_body_bytes:
             self._reject(TOO_LARGE)
             return
+        if lengths and not self._reserve_memory(int(lengths[0])):
+            return
         self.head = RequestHead(event.method, event.target, list(event.headers))
         self.chunks, self.size = [], 0
         if self.parser.they_are_waiting_for_100_continue:
@@ -177,6 +186,21 @@
         self.size += len(data)
         if self.size > self.listener.limits().max_body_bytes:
             self._reject(TOO_LARGE)
+        elif self.size > self.reserved:
+            self._reserve_memory(self.size - self.reserved)
+
+    def _reserve_memory(self, size: int) -> bool:
+        """Reserve memory for a part of the body; without it, reject the request unread."""
+        if self.listener.body_memory.reserve(size):
+            self.reserved += size
+            return True
+        retry_after = b"%g" % RETRY_AFTER_NO_MEMORY_SECONDS
+        self._reject(UNAVAILABLE, [(b"retry-after", retry_after)])
+        return False
+
+    def _release_memory(self) -> None:
+        self.listener.body_memory.release(self.reserved)
+        self.reserved = 0
 
     def _request_complete(self) -> None:
         self._set_timer(None, None)
@@ -186,11 +210,13 @@
         self.exchange = exchange
         self.listener.handle(exchange)
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, extra_headers=()) -> None:
         """Send an error response and close, since the start of the next request is unknown."""
         self.listener.on_rejected(status)
+        self.chunks = []
+        self._release_memory()
         if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [(b"content-length", b"0"), (b"connection", b"close")]
+            headers = [(b"content-length", b"0"), (b"connection", b"close"), *extra_headers]
             response = h11.Response(status_code=status, headers=headers, reason=b"")
             self.transport.write(self.parser.send(response))
             self.transport.write(self.parser.send(h11.EndOfMessage()))
@@ -221,6 +247,7 @@
     def send_end(self) -> None:
         self._send(h11.EndOfMessage())
         self.exchange = None
+        self._release_memory()
         if not self.open:
             return
         if self.parser.our_state is h11.MUST_CLOSE or self.parser.their_state is not h11.DONE:
@@ -274,15 +301,24 @@
     :param handle: called with each :class:`CallerExchange`.
     :param limits: returns the current :class:`~guavacleat.routes.CallerLimits`.
     :param on_rejected: called with the response status of each rejected request.
+    :param body_memory: the :class:`~.body_memory.BodyMemory` of the requests; None for no limit.
     """
 
     noisy = False
 
-    def __init__(self, reactor, handle, limits, on_rejected=lambda status: None):
+    def __init__(
+        self,
+        reactor,
+        handle,
+        limits,
+        on_rejected=lambda status: None,
+        body_memory: BodyMemory | None = None,
+    ):
         self.reactor = reactor
         self.handle = handle
         self.limits = limits
         self.on_rejected = on_rejected
+        self.body_memory = body_memory or BodyMemory()
         self.connections: set[CallerConnection] = set()
         self.closing = False
 
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -22,7 +22,6 @@
 
 # Retry delays in seconds; short if the retry goes to another gateway.
 RETRY_AFTER_NO_CONFIGURATION = 0.5
-RETRY_AFTER_NO_MEMORY = 0.5
 RETRY_AFTER_STOPPING = 0.1
 RETRY_AFTER_OUTDATED = 0.1
 # After a stop began, streams are accepted for this time: the balancer needs two readiness checks,
@@ -41,17 +40,14 @@
 
     :param holder: the :class:`~guavacleat.routes.holder.RouteHolder`.
     :param context: the :class:`~guavacleat.forwarding.context.ForwardingContext`.
-    :param max_buffered_body_bytes: limit of the request bodies buffered at a time.
     :param peers: the :class:`~guavacleat.peers.PeerTable`.
     """
 
-    def __init__(self, holder, context, metrics, max_buffered_body_bytes: int, peers, seed=None):
+    def __init__(self, holder, context, metrics, peers, seed=None):
         self.holder = holder
         self.context = context
         self.metrics = metrics
-        self.max_buffered_body_bytes = max_buffered_body_bytes
         self.peers = peers
-        self.buffered_body_bytes = 0
         self.in_flight = 0
         self.generation_speed = GenerationSpeed()
         # Ordered by last use, the most recent last.
@@ -80,8 +76,6 @@
 
     async def _handle(self, exchange: CallerExchange) -> None:
         arrived = self.context.clock.seconds()
-        size = len(exchange.body)
-        self.buffered_body_bytes += size
         self.in_flight += 1
         request = None
         try:
@@ -94,7 +88,6 @@
             self._refuse(exchange, refusal)
             self._log_end(request, exchange, arrived, refusal)
         finally:
-            self.buffered_body_bytes -= size
             self.in_flight -= 1
 
     async def _forward(self, request: ForwardedRequest) -> None:
@@ -178,8 +171,6 @@
         table = self.holder.table
         if table is None:
             raise RefusalError(RefusalReason.NO_CONFIGURATION, RETRY_AFTER_NO_CONFIGURATION)
-        if self.buffered_body_bytes > self.max_buffered_body_bytes:
-            raise RefusalError(RefusalReason.NO_MEMORY, RETRY_AFTER_NO_MEMORY)
         route = table.match(_host_name(exchange.head.host), exchange.head.path)
         if route is None:
             raise self._lookup_refusal(RefusalReason.UNKNOWN_ROUTE, table)
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -12,6 +12,7 @@
 from guavacleat.forwarding.feedback import EndpointFeedback
 from guavacleat.forwarding.isolation import quarantine_refusal
 from guavacleat.forwarding.wire import Wire
+from guavacleat.http1.body_memory import BodyMemory
 from guavacleat.http1.pool import ConnectionPool
 from guavacleat.http1.server import CallerExchange, CallerListener
 from guavacleat.ingress.dispatch import Dispatch
@@ -42,7 +43,7 @@
 __all__ = ["IngressService"]
 
 # Share of the process's memory for buffered request bodies.
-BODY_MEMORY_SHARE = 0.2
+BODY_MEMORY_SHARE = 0.3
 # Part of the stop grace reserved for sending the last responses.
 STOP_RESERVE_SECONDS = 0.5
 # Minimum duration of a stop: requests are served until the balancer notices it, which takes two
@@ -137,8 +138,7 @@
         )
         self.context = context
         self.crash_tracker.on_crash = self._refuse_quarantined
-        max_body_bytes = int(settings.limits.memory_bytes * BODY_MEMORY_SHARE)
-        self.dispatch = Dispatch(self.holder, context, self.metrics, max_body_bytes, self.peers)
+        self.dispatch = Dispatch(self.holder, context, self.metrics, self.peers)
         self.evacuator = Evacuator(context, self.dispatch.sessions)
         self.endpoint_poller = EndpointStatusPoller(
             reactor,
@@ -149,7 +149,13 @@
             self.peers,
             settings.instance,
         )
-        self.caller_listener = CallerListener(reactor, self.dispatch.handle, self._caller_limits)
+        self.caller_listener = CallerListener(
+            reactor,
+            self.dispatch.handle,
+            self._caller_limits,
+            self._request_rejected,
+            body_memory=BodyMemory(settings.limits.memory_bytes * BODY_MEMORY_SHARE),
+        )
         self.status_listener = CallerListener(reactor, self._answer_status_request, CallerLimits)
         self.ports = []
 
@@ -206,6 +212,10 @@
         table = self.holder.table
         return table.limits if table is not None else CallerLimits()
 
+    def _request_rejected(self, status: int) -> None:
+        """Log a request that was not read: its framing, its size, or no memory for its body."""
+        log_message(message_type="request:rejected", status=status)
+
     @property
     def ready(self) -> bool:
         """Whether the balancer should send requests here."""
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -3,9 +3,12 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from twisted.internet.error import ConnectionLost
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
+from guavacleat.http1.body_memory import COPIES, BodyMemory
 from guavacleat.http1.server import CallerListener
 from guavacleat.routes import CallerLimits
 
@@ -17,12 +20,12 @@
 class Caller:
     """A connection with its listener; ``exchanges`` are the requests passed to the handler."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, body_memory=None):
         self.clock = clock
         self.exchanges = []
         self.rejected_statuses = []
         self.listener = CallerListener(
-            clock, self.exchanges.append, lambda: LIMITS, self.rejected_statuses.append
+            clock, self.exchanges.append, lambda: LIMITS, self.rejected_statuses.append, body_memory
         )
         self.connection = self.listener.buildProtocol(None)
         self.transport = StringTransport()
@@ -171,3 +174,40 @@
     caller = Caller(Clock())
     caller.send(data)
     caller.connection.connectionLost()
+
+
+def post(body_bytes, sent):
+    head = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % body_bytes
+    return head + b"x" * sent
+
+
+CHUNKED = b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+@pytest.fixture
+def body_memory():
+    return BodyMemory(COPIES * 150)
+
+
+@pytest.mark.parametrize("second", [post(80, 0), post(80, 80), CHUNKED + b"50\r\n" + b"x" * 80])
+def test_a_body_for_which_there_is_no_memory_is_rejected_unread(clock, body_memory, second):
+    """Guards against bodies that count only once they are complete, and exceed the memory."""
+    first, other = Caller(clock, body_memory), Caller(clock, body_memory)
+    first.send(post(80, 1))
+    other.send(second)
+    assert other.rejected_statuses == [503] and other.exchanges == []
+    assert b"retry-after: 0.5" in other.received and other.closed
+    first.send(b"x" * 79)
+    assert len(first.exchanges) == 1 and body_memory.used == COPIES * 80
+
+
+def test_memory_is_released_after_the_response_and_with_the_connection(clock, body_memory):
+    """Guards against memory that stays reserved, so that all bodies are rejected in the end."""
+    answered, lost, rejected = (Caller(clock, body_memory) for _ in range(3))
+    answered.send(post(80, 80))
+    answered.exchanges[0].respond(200, [], b"")
+    assert body_memory.used == 0
+    lost.send(post(80, 10))
+    lost.connection.connectionLost(Failure(ConnectionLost()))
+    rejected.send(CHUNKED + b"50\r\n" + b"x" * 80 + b"\r\n50\r\n" + b"x" * 80)
+    assert rejected.rejected_statuses == [413] and body_memory.used == 0
--- a/tests/ingress/test_dispatch.py
+++ b/tests/ingress/test_dispatch.py
@@ -53,7 +53,7 @@
 def dispatch(harness):
     holder = RouteHolder()
     holder.offer(table())
-    return Dispatch(holder, harness.context, IngressMetrics(), 100, PeerTable(harness.clock))
+    return Dispatch(holder, harness.context, IngressMetrics(), PeerTable(harness.clock))
 
 
 def send_request(dispatch, path="/keyed/x", key=b"k1", host=b"h:80", body=b""):
@@ -104,21 +104,12 @@
 
 def test_request_without_a_configuration_is_retryable(harness):
     """A gateway that starts while the store is unreachable must not deny that a route exists."""
-    dispatch = Dispatch(
-        RouteHolder(), harness.context, IngressMetrics(), 100, PeerTable(harness.clock)
-    )
+    dispatch = Dispatch(RouteHolder(), harness.context, IngressMetrics(), PeerTable(harness.clock))
     caller = send_request(dispatch)
     assert caller.head[0] == 503
     assert float(caller.head[1][b"retry-after"]) > 0
 
 
-def test_request_over_the_buffer_limit_is_refused_as_not_run(dispatch):
-    send_request(dispatch, body=b"x" * 80)
-    caller = send_request(dispatch, body=b"x" * 80)
-    assert caller.head[0] == 503
-    assert dispatch.buffered_body_bytes == 80
-
-
 def test_stopping_gateway_refuses_what_it_cannot_finish(dispatch, harness):
     """A request that cannot finish before the process ends must be refused as not run."""
     dispatch.begin_stop(harness.clock.seconds() + 7.5)
