Completions interface: gateways share what crashes engines through the record in the store

Each gateway of the product's own form needed three crashes of its own and tried a refused section by itself: with four gateways twelve engines ended before all refused it. Now they write the record that the ingress writes, and watch it; trials are spread over 10 s, as the gateways don't know each other. A queued request that has just been answered isn't refused a second time.

--- a/src/guavacleat/admission/generations.py
+++ b/src/guavacleat/admission/generations.py
@@ -171,7 +171,7 @@
         for queue in self.queues_by_service.values():
             for entry in queue.entries():
                 refusal = refusal_of(entry.forwarded)
-                if refusal is not None:
+                if refusal is not None and not entry.result.called:
                     self._stop_waiting(queue, entry)
                     entry.result.errback(refusal)
 
--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -18,6 +18,8 @@
 from guavacleat.membership.instances import InstancePoller
 from guavacleat.membership.records import ENDPOINT_KIND
 from guavacleat.metrics import StreamMetrics
+from guavacleat.quarantine.record import RECORD_KIND, QuarantineRecord
+from guavacleat.quarantine.trial_order import TrialSpread
 from guavacleat.routing import get_router_by_name
 from guavacleat.routing.poll import DigestPoller
 from guavacleat.store import StoreClient
@@ -65,6 +67,11 @@
         self.pool = SidecarPool(reactor)
         self.calls = CallRecords(self.store, reactor)
         self.relay = Relay(reactor, self.membership, self.dispatcher, self.pool, self.metrics)
+        # The record is read by the watch.
+        self.quarantine_record = QuarantineRecord(
+            reactor, self.store, self.relay.crash_tracker, lambda: False
+        )
+        self.relay.crash_tracker.trial_delay = TrialSpread(uuid4().hex).delay
         self.digest_poller = DigestPoller(reactor, self.membership, self.dispatcher, self.pool)
         self.watches = [
             WatchLoop(reactor, self.store, CONFIG_KIND, self.config.offer),
@@ -77,6 +84,7 @@
                 pause=lambda: ENDPOINT_WATCH_PAUSE_SECONDS,
             ),
             self._new_evacuation_watch(),
+            WatchLoop(reactor, self.store, RECORD_KIND, self.quarantine_record.observe),
         ]
         self.instance_poller = InstancePoller(
             reactor, self.store, self.membership.set_leaving_instances
@@ -126,6 +134,7 @@
         yield task.deferLater(self.reactor, FLUSH_SECONDS)
         for watch in self.watches:
             watch.stop()
+        self.quarantine_record.stop()
         self.instance_poller.rounds.stop()
         self.digest_poller.rounds.stop()
         yield self.port.stopListening()
--- a/src/guavacleat/quarantine/record.py
+++ b/src/guavacleat/quarantine/record.py
@@ -1,7 +1,8 @@
 """The quarantined requests and parts, kept in the store for a restart of all gateways at once.
 
 A gateway that starts learns them from its peers. If all gateways were lost at once, they would
-crash more endpoints, so one object in the store holds the latest ones.
+crash more endpoints, so one object in the store holds the latest ones. Gateways that don't report
+to each other learn of them by watching the object.
 """
 
 import random
@@ -75,6 +76,8 @@
         # Changes by fingerprint that are still to be written.
         self._changes: dict[int, _Change] = {}
         self._writing = False
+        # What the record held when it was last observed.
+        self._observed: set[int] = set()
         tracker.on_quarantined = self.quarantined
         tracker.on_cleared = self.cleared
 
@@ -118,10 +121,7 @@
             self.clock.callLater(RETRY_SECONDS, self._start_task, self._read)
             return
         content = _decode(stored)
-        for fingerprint, crashes in list(content.requests.items())[-MAX_RESTORED:]:
-            self.tracker.restore(fingerprint, crashes)
-        for part, crashes in list(content.parts.items())[-MAX_RESTORED:]:
-            self.tracker.restore(part, crashes, is_part=True)
+        self._restore(content)
         if content.requests or content.parts:
             log_message(
                 message_type="quarantine:restored",
@@ -129,6 +129,21 @@
                 parts=len(content.parts),
             )
 
+    def observe(self, stored) -> None:
+        """Merge a version of the record, as a watch returns it."""
+        content = _decode(stored)
+        held = {*content.requests, *content.parts}
+        for fingerprint in self._observed - held:
+            self.tracker.merge_completion(fingerprint, 0.0)
+        self._observed = held
+        self._restore(content)
+
+    def _restore(self, content: _Content) -> None:
+        for fingerprint, crashes in list(content.requests.items())[-MAX_RESTORED:]:
+            self.tracker.restore(fingerprint, crashes)
+        for part, crashes in list(content.parts.items())[-MAX_RESTORED:]:
+            self.tracker.restore(part, crashes, is_part=True)
+
     async def _write(self) -> None:
         """Merge the changes into the stored record; retry until that succeeds."""
         changes, self._changes = self._changes, {}
--- a/src/guavacleat/quarantine/trial_order.py
+++ b/src/guavacleat/quarantine/trial_order.py
@@ -4,12 +4,14 @@
 as many endpoints before any gateway has heard of another's.
 """
 
-from guavacleat.rendezvous import select_members
+from guavacleat.rendezvous import select_members, weight
 
-__all__ = ["TrialOrder"]
+__all__ = ["TrialOrder", "TrialSpread"]
 
 # Longer than a report of a trial takes to the gateways of other data centres.
 TRIAL_INTERVAL_SECONDS = 0.5
+# Gateways that don't know each other try a part within this time.
+TRIAL_SPREAD_SECONDS = 10.0
 
 
 class TrialOrder:
@@ -33,6 +35,21 @@
         return rank * TRIAL_INTERVAL_SECONDS
 
 
+class TrialSpread:
+    """Spreads the trials of gateways that don't know each other.
+
+    :param instance: a name that differs between gateways.
+    """
+
+    def __init__(self, instance: str):
+        self.instance = instance
+
+    def delay(self, fingerprint: int) -> float:
+        """Seconds that this gateway waits longer than the refusal of the part holds."""
+        drawn = weight(self.instance, f"trial {fingerprint}")
+        return TRIAL_SPREAD_SECONDS * int.from_bytes(drawn, "big") / 256 ** len(drawn)
+
+
 def _rank(member: str, members, task: str) -> int:
     """How many of the members come before this one."""
     members = {member, *members}
