Long bodies leave a quarter of the memory to short ones

Since bodies are charged from their announcement on, five callers that announce 4 MB and send nothing would have kept all others out for the idle timeout of 15 s. Bodies of up to 64 KB have a quarter of the memory to themselves.

--- a/src/guavacleat/http1/body_memory.py
+++ b/src/guavacleat/http1/body_memory.py
@@ -4,6 +4,10 @@
 
 # A body is in memory twice while its parts are joined, and while it waits to be sent.
 COPIES = 2
+# Long bodies leave a share of the memory to short ones, so that a few slow callers of long bodies
+# don't keep all others out.
+SHORT_BODY_BYTES = 65536
+LONG_BODIES_SHARE = 0.75
 
 
 class BodyMemory:
@@ -19,9 +23,14 @@
         self.limit = limit
         self.used = 0
 
-    def reserve(self, size: int) -> bool:
-        """Reserve memory for ``size`` bytes of a body; return False if there is too little."""
-        if self.used + COPIES * size > self.limit:
+    def reserve(self, size: int, reserved: int = 0) -> bool:
+        """Reserve memory for ``size`` bytes of a body; return False if there is too little.
+
+        :param reserved: bytes that are reserved for the same body already.
+        """
+        is_short = reserved + size <= SHORT_BODY_BYTES
+        limit = self.limit if is_short else LONG_BODIES_SHARE * self.limit
+        if self.used + COPIES * size > limit:
             return False
         self.used += COPIES * size
         return True
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -191,7 +191,7 @@
 
     def _reserve_memory(self, size: int) -> bool:
         """Reserve memory for a part of the body; without it, reject the request unread."""
-        if self.listener.body_memory.reserve(size):
+        if self.listener.body_memory.reserve(size, self.reserved):
             self.reserved += size
             return True
         retry_after = b"%g" % RETRY_AFTER_NO_MEMORY_SECONDS
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -8,7 +8,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from guavacleat.http1.body_memory import COPIES, BodyMemory
+from guavacleat.http1.body_memory import COPIES, SHORT_BODY_BYTES, BodyMemory
 from guavacleat.http1.server import CallerListener
 from guavacleat.routes import CallerLimits
 
@@ -211,3 +211,13 @@
     lost.connection.connectionLost(Failure(ConnectionLost()))
     rejected.send(CHUNKED + b"50\r\n" + b"x" * 80 + b"\r\n50\r\n" + b"x" * 80)
     assert rejected.rejected_statuses == [413] and body_memory.used == 0
+
+
+def test_long_bodies_leave_memory_to_short_ones():
+    """Guards against a few slow callers of long bodies that keep all others out."""
+    memory = BodyMemory(COPIES * 10 * SHORT_BODY_BYTES)
+    assert memory.reserve(7 * SHORT_BODY_BYTES)
+    assert not memory.reserve(2 * SHORT_BODY_BYTES)
+    assert memory.reserve(SHORT_BODY_BYTES)
+    assert not memory.reserve(1, SHORT_BODY_BYTES)
+    assert memory.reserve(SHORT_BODY_BYTES)
