The loss of a large rack doesn't displace a bad part, nor make reports too long

Cause: what was kept of crashes and told to peers was ranked by all crashes at which something was in flight. A part that all requests of a route share is at each crash of a rack: it filled the reports' share of parts, its crashes pushed those of the bad part out of the log (256), and with 128 crashes, 256 fingerprints and any number of trials the part of a report came to over 8,192 bytes, so that it was left out whole. Peers then never learnt of the bad part. Each interrupted request also counted all crashes of the shared part anew.

Change: of each request or part the latest 8 crashes are kept and told first, in the order of the crashes attributed to it; a report holds at most 64 crashes, 96 parts and 32 trials. The log knows what recurs, so that only that is looked through, and concurrent crashes are counted in sorted times.

Measured: the six new cases of tests/quarantine/test_parts.py (300 endpoints, 10 requests each) failed but one; all pass. Weights and counts are the same: the tests of the tracker and its state machine pass unchanged.

--- a/src/guavacleat/peers/crashes.py
+++ b/src/guavacleat/peers/crashes.py
@@ -5,14 +5,21 @@
 start or were partitioned.
 """
 
+import collections
+import itertools
+
 from guavacleat.protocol.gen.peers import ttypes
 from guavacleat.quarantine import CrashTracker
+from guavacleat.quarantine.crash_log import EVIDENCE_CRASHES
 
 __all__ = ["CrashGossip"]
 
-# Bound the size of a report: a fingerprint takes about ten bytes.
+# Bound the size of a report: a fingerprint takes about ten bytes, a crash, a trial or a clearance
+# with its endpoint and age some forty.
 MAX_FINGERPRINTS_PER_REPORT = 128
-MAX_PARTS_PER_REPORT = 128
+MAX_PARTS_PER_REPORT = 96
+MAX_CRASHES_PER_REPORT = 64
+MAX_TRIALS_PER_REPORT = 32
 MAX_CLEARANCES_PER_REPORT = 64
 
 
@@ -47,7 +54,7 @@
             self._encode_crashes(crashes),
             [
                 ttypes.Trial(trial.fingerprint, trial.endpoint, self._age(trial.started_at))
-                for trial in trials
+                for trial in trials[:MAX_TRIALS_PER_REPORT]
             ],
             [
                 ttypes.Clearance(clearance.fingerprint, self._age(clearance.completed_at))
@@ -72,38 +79,62 @@
             self.tracker.merge_trial(trial.fingerprint, trial.endpoint, trial.age)
 
     def _encode_crashes(self, crashes) -> list[ttypes.EndpointEnd]:
-        requests_by_crash = self._select(
-            {crash: crash.requests for crash in crashes}, MAX_FINGERPRINTS_PER_REPORT
-        )
-        parts_by_crash = self._select(
-            {crash: crash.parts for crash in crashes}, MAX_PARTS_PER_REPORT
+        selection = _Selection(self.tracker)
+        newest_first = sorted(crashes, key=lambda crash: -crash.crashed_at)
+        selection.add({crash: crash.parts for crash in newest_first}, MAX_PARTS_PER_REPORT)
+        selection.add(
+            {crash: crash.requests for crash in newest_first}, MAX_FINGERPRINTS_PER_REPORT
         )
         return [
             ttypes.EndpointEnd(
                 crash.endpoint,
                 self._age(crash.crashed_at),
-                requests_by_crash[crash],
+                [fingerprint for fingerprint in selected if fingerprint in crash.requests],
                 crash.restored,
-                parts_by_crash[crash] or None,
+                [fingerprint for fingerprint in selected if fingerprint in crash.parts] or None,
             )
-            for crash in crashes
-            if requests_by_crash[crash] or parts_by_crash[crash]
+            for crash, selected in selection.by_crash.items()
         ]
 
-    def _select(self, fingerprints_by_crash: dict, limit: int) -> dict:
-        """At most ``limit`` fingerprints by crash: those with several crashes, then the first."""
-        repeated, single = [], []
+    def _age(self, at: float) -> float:
+        return self.clock.seconds() - at
+
+
+class _Selection:
+    """The crashes, and the fingerprints of each, that fit into a report.
+
+    What is attributed the most crashes comes first. What was in flight at a single crash, as most
+    requests and parts were at the loss of a rack, fills the rest.
+    """
+
+    def __init__(self, tracker: CrashTracker):
+        self.tracker = tracker
+        self.by_crash: dict = {}
+
+    def add(self, fingerprints_by_crash: dict, limit: int) -> None:
+        """Add at most ``limit`` fingerprints; the first crashes are preferred."""
+        crashes_by_repeated = collections.defaultdict(list)
+        single = []
         for crash, fingerprints in fingerprints_by_crash.items():
             for fingerprint in fingerprints:
                 if self.tracker.known_crashes(fingerprint) > 1:
-                    repeated.append((crash, fingerprint))
+                    crashes_by_repeated[fingerprint].append(crash)
                 elif len(single) < limit:
                     single.append((crash, fingerprint))
-        repeated.sort(key=lambda pair: -self.tracker.known_crashes(pair[1]))
-        selected = {crash: [] for crash in fingerprints_by_crash}
-        for crash, fingerprint in [*repeated, *single][:limit]:
-            selected[crash].append(fingerprint)
-        return selected
+        repeated = (
+            (crash, fingerprint)
+            for fingerprint in sorted(crashes_by_repeated, key=self._rank)
+            for crash in crashes_by_repeated[fingerprint][:EVIDENCE_CRASHES]
+        )
+        fitting = (
+            (crash, fingerprint)
+            for crash, fingerprint in itertools.chain(repeated, single)
+            if crash in self.by_crash or len(self.by_crash) < MAX_CRASHES_PER_REPORT
+        )
+        for crash, fingerprint in itertools.islice(fitting, limit):
+            self.by_crash.setdefault(crash, []).append(fingerprint)
 
-    def _age(self, at: float) -> float:
-        return self.clock.seconds() - at
+    def _rank(self, fingerprint: int) -> tuple[float, int]:
+        """Sort key: the most crashes attributed, then the most crashes, first."""
+        tracker = self.tracker
+        return -tracker.crash_count(fingerprint), -tracker.known_crashes(fingerprint)
--- a/src/guavacleat/quarantine/attribution.py
+++ b/src/guavacleat/quarantine/attribution.py
@@ -5,8 +5,8 @@
 to be sound is in flight at many endpoints, so crashes at one moment count as one for it.
 """
 
+import bisect
 import functools
-import itertools
 
 from guavacleat.quarantine.crash_log import CrashLog
 from guavacleat.quarantine.messages import QUARANTINE_CRASHES, QUARANTINE_SECONDS, EndpointCrash
@@ -55,28 +55,28 @@
     :param proofs: the parts that used to be sound.
     """
 
-    __slots__ = ("log", "proofs", "_revision", "_counts", "_suspicions")
+    __slots__ = ("log", "proofs", "_revision", "_counts", "_suspicions", "_crash_times")
 
     def __init__(self, log: CrashLog, proofs: PartProofs):
         self.log = log
         self.proofs = proofs
         # Results for this revision of the log, by fingerprint.
-        self._revision = log.revision
+        self._revision: int | None = None
         self._counts: dict[int, float] = {}
         self._suspicions: dict[int, _Suspicion] = {}
+        self._crash_times: list[float] = []
 
     def count(self, fingerprint: int) -> float:
         """The total weight of the crashes that nothing else explains better."""
         self._drop_outdated()
         if fingerprint not in self._counts:
-            self._counts[fingerprint] = self._sum_weights(
-                fingerprint,
-                [
-                    crash
-                    for crash in self.log.by_fingerprint[fingerprint]
-                    if not self._is_explained(crash, fingerprint)
-                ],
-            )
+            explanations = self._explanations(fingerprint)
+            unexplained = [
+                crash
+                for crash in self.log.by_fingerprint[fingerprint]
+                if not any(map(crash.involves, explanations))
+            ]
+            self._counts[fingerprint] = self._sum_weights(fingerprint, unexplained)
         return self._counts[fingerprint]
 
     def is_contested(self, part: int, fingerprints) -> bool:
@@ -86,10 +86,11 @@
         """
         self._drop_outdated()
         suspicion = self._suspicion(part)
-        common = functools.reduce(
-            set.intersection, (crash.fingerprints for crash in self.log.by_fingerprint[part])
+        crashes = self.log.by_fingerprint[part]
+        return any(
+            self._suspicion(other) >= suspicion and all(crash.involves(other) for crash in crashes)
+            for other in self.log.recurrent.difference(fingerprints)
         )
-        return any(self._suspicion(other) >= suspicion for other in common.difference(fingerprints))
 
     def failed_trials(self, fingerprint: int) -> int:
         """Number of crashes by themselves after the moment that began the quarantine.
@@ -101,8 +102,9 @@
         restored = sum(crash.restored for crash in crashes)
         count, failed = float(restored), max(0, restored - QUARANTINE_CRASHES)
         previous_at = float("-inf")
+        self._drop_outdated()
         for moment in _moments([crash for crash in crashes if not crash.restored]):
-            weight = sum(self._weight(crash, fingerprint) for crash in moment)
+            weight = self._sum_observed_weights(fingerprint, moment)
             follows_refusal = moment[0].crashed_at - previous_at >= QUARANTINE_SECONDS[0]
             if count >= QUARANTINE_CRASHES and follows_refusal and len(moment) == weight == 1:
                 failed += 1
@@ -115,6 +117,7 @@
             self._revision = self.log.revision
             self._counts.clear()
             self._suspicions.clear()
+            self._crash_times = _times(self.log.crashes)
 
     def _suspicion(self, fingerprint: int) -> _Suspicion:
         """The suspicion from all crashes at which the request or part was in flight."""
@@ -128,38 +131,41 @@
     def _used_to_be_sound(self, fingerprint: int) -> bool:
         return fingerprint in self.log.parts and self.proofs.used_to_be_sound(fingerprint)
 
-    def _is_explained(self, crash: EndpointCrash, fingerprint: int) -> bool:
-        """Whether something else in flight at the crash explains it better."""
+    def _explanations(self, fingerprint: int) -> list[int]:
+        """What explains a crash better than this request or part, if both were in flight."""
         suspicion = self._suspicion(fingerprint)
-        suspects = (
+        return [
             other
-            for other in itertools.chain(crash.requests, crash.parts)
-            if other != fingerprint and len(self.log.by_fingerprint[other]) >= QUARANTINE_CRASHES
-        )
-        return any(self._suspicion(other).explains(suspicion) for other in suspects)
+            for other in self.log.recurrent
+            if other != fingerprint and self._suspicion(other).explains(suspicion)
+        ]
 
     def _sum_weights(self, fingerprint: int, crashes: list[EndpointCrash]) -> float:
+        observed = [crash for crash in crashes if not crash.restored]
+        restored = len(crashes) - len(observed)
         if self._used_to_be_sound(fingerprint):
-            restored = sum(crash.restored for crash in crashes)
-            observed = [crash for crash in crashes if not crash.restored]
             return float(restored + len(_moments(observed, PART_WINDOW_SECONDS)))
-        return sum(self._weight(crash, fingerprint) for crash in crashes)
+        return restored + self._sum_observed_weights(fingerprint, observed)
 
-    def _weight(self, crash: EndpointCrash, fingerprint: int) -> float:
-        """The weight of a crash for one in flight there; lower in a correlated failure."""
-        if crash.restored:
-            return 1.0
-        concurrent = (
-            other
-            for other in self.log.crashes
-            if not other.restored
-            and abs(other.crashed_at - crash.crashed_at) <= CORRELATION_WINDOW_SECONDS
-            and fingerprint not in other.requests
-            and fingerprint not in other.parts
-        )
-        return (
-            CORRELATED_CRASH_WEIGHT if sum(1 for _ in concurrent) >= MIN_CORRELATED_CRASHES else 1.0
-        )
+    def _sum_observed_weights(self, fingerprint: int, crashes: list[EndpointCrash]) -> float:
+        """The weights of crashes that were not restored; lower in a correlated failure."""
+        own_times = _times(self.log.by_fingerprint[fingerprint])
+        return sum(self._weight(crash.crashed_at, own_times) for crash in crashes)
+
+    def _weight(self, at: float, own_times: list[float]) -> float:
+        concurrent = _count_around(at, self._crash_times) - _count_around(at, own_times)
+        return CORRELATED_CRASH_WEIGHT if concurrent >= MIN_CORRELATED_CRASHES else 1.0
+
+
+def _times(crashes: list[EndpointCrash]) -> list[float]:
+    """The times of the crashes that were not restored, in order."""
+    return sorted(crash.crashed_at for crash in crashes if not crash.restored)
+
+
+def _count_around(at: float, times: list[float]) -> int:
+    """The number of sorted ``times`` within ``CORRELATION_WINDOW_SECONDS`` of a clock time."""
+    first = bisect.bisect_left(times, at - CORRELATION_WINDOW_SECONDS)
+    return bisect.bisect_right(times, at + CORRELATION_WINDOW_SECONDS) - first
 
 
 def _moments(
--- a/src/guavacleat/quarantine/crash_log.py
+++ b/src/guavacleat/quarantine/crash_log.py
@@ -2,9 +2,13 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from guavacleat.quarantine.messages import SUSPECT_CRASHES, EndpointCrash
+from guavacleat.quarantine.messages import QUARANTINE_CRASHES, SUSPECT_CRASHES, EndpointCrash
 
-__all__ = ["CrashLog"]
+__all__ = ["EVIDENCE_CRASHES", "CrashLog"]
+
+# Number of latest crashes of a request or part that are kept and reported before others: enough to
+# count its failed trials.
+EVIDENCE_CRASHES = 8
 
 # Reports about one endpoint that are closer than this in time are about the same crash.
 SAME_CRASH_SECONDS = 0.8
@@ -20,16 +24,18 @@
     """Crashes of endpoints, oldest first, and by the fingerprints of what was in flight.
 
     :ivar parts: the fingerprints that are those of parts of prompts; the others are of requests.
+    :ivar recurrent: the fingerprints with ``QUARANTINE_CRASHES`` crashes or more.
     :ivar revision: grows with each change.
     """
 
-    __slots__ = ("clock", "crashes", "by_fingerprint", "parts", "revision")
+    __slots__ = ("clock", "crashes", "by_fingerprint", "parts", "recurrent", "revision")
 
     def __init__(self, clock: IReactorTime):
         self.clock = clock
         self.crashes: list[EndpointCrash] = []
         self.by_fingerprint: dict[int, list[EndpointCrash]] = {}
         self.parts: set[int] = set()
+        self.recurrent: set[int] = set()
         self.revision = 0
 
     def find(
@@ -71,7 +77,10 @@
                 return False
             self.remove_fingerprint(crash, least)
         members.add(fingerprint)
-        self.by_fingerprint.setdefault(fingerprint, []).append(crash)
+        crashes = self.by_fingerprint.setdefault(fingerprint, [])
+        crashes.append(crash)
+        if len(crashes) >= QUARANTINE_CRASHES:
+            self.recurrent.add(fingerprint)
         if is_part:
             self.parts.add(fingerprint)
         self.revision += 1
@@ -85,6 +94,8 @@
         crash.parts.discard(fingerprint)
         crashes = self.by_fingerprint[fingerprint]
         crashes.remove(crash)
+        if len(crashes) < QUARANTINE_CRASHES:
+            self.recurrent.discard(fingerprint)
         if not crashes:
             del self.by_fingerprint[fingerprint]
             self.parts.discard(fingerprint)
@@ -110,13 +121,23 @@
         return any(crash.crashed_at >= at for crash in crashes)
 
     def _evict(self) -> None:
-        """Drop expired crashes, and the oldest if there are too many; keep those with suspects."""
+        """Drop expired crashes without suspects, and one if there are too many."""
         oldest = self.clock.seconds() - CRASH_RETENTION_SECONDS
         expired = [crash for crash in self.crashes if crash.crashed_at < oldest]
         for crash in expired:
             if not self.suspects(crash):
                 self.remove(crash)
         if len(self.crashes) >= MAX_CRASHES:
-            self.remove(
-                min(self.crashes, key=lambda crash: (bool(self.suspects(crash)), crash.crashed_at))
-            )
+            self.remove(self._least_needed())
+
+    def _least_needed(self) -> EndpointCrash:
+        """The oldest crash; the evidence against what recurs is needed most, then suspects."""
+        evidence = {
+            crash
+            for fingerprint in self.recurrent
+            for crash in self.by_fingerprint[fingerprint][-EVIDENCE_CRASHES:]
+        }
+        return min(
+            self.crashes,
+            key=lambda crash: (crash in evidence, bool(self.suspects(crash)), crash.crashed_at),
+        )
--- a/src/guavacleat/quarantine/messages.py
+++ b/src/guavacleat/quarantine/messages.py
@@ -59,6 +59,10 @@
         """The fingerprints of all that may have caused it."""
         return self.requests | self.parts
 
+    def involves(self, fingerprint: int) -> bool:
+        """Whether the request or part was in flight."""
+        return fingerprint in self.requests or fingerprint in self.parts
+
 
 class Trial:
     """An isolated run of a suspected request or part, to see whether it crashes ``endpoint``.
--- a/src/guavacleat/quarantine/tracker.py
+++ b/src/guavacleat/quarantine/tracker.py
@@ -108,11 +108,8 @@
     def _status(self, fingerprint: int, fingerprints: tuple[int, ...]) -> QuarantineStatus:
         """How a request with ``fingerprints`` must be handled because of one of them."""
         is_part = self.is_part(fingerprint)
-        threshold = QUARANTINE_CRASHES if is_part else SUSPECT_CRASHES
-        if len(self._log.by_fingerprint[fingerprint]) < threshold:
-            return QuarantineStatus(QuarantineState.FREE, self._attribution.count(fingerprint))
         count = self._attribution.count(fingerprint)
-        if count < threshold:
+        if count < (QUARANTINE_CRASHES if is_part else SUSPECT_CRASHES):
             return QuarantineStatus(QuarantineState.FREE, count)
         contested = is_part and self._attribution.is_contested(fingerprint, fingerprints)
         wait = 0.0 if contested else self._refused_until(fingerprint, count) - self.clock.seconds()
@@ -139,9 +136,8 @@
         """Fingerprints with at least QUARANTINE_CRASHES attributed crashes."""
         return [
             fingerprint
-            for fingerprint, crashes in self._log.by_fingerprint.items()
-            if len(crashes) >= QUARANTINE_CRASHES
-            and self._attribution.count(fingerprint) >= QUARANTINE_CRASHES
+            for fingerprint in self._log.recurrent
+            if self._attribution.count(fingerprint) >= QUARANTINE_CRASHES
         ]
 
     def crash_count(self, fingerprint: int) -> float:
@@ -357,9 +353,7 @@
         """Update trials and quarantine after this gateway observed a confirmed crash."""
         crash.updated_at = self.clock.seconds()
         self._end_trials(crash)
-        for fingerprint in crash.fingerprints:
-            if len(self._log.by_fingerprint[fingerprint]) < QUARANTINE_CRASHES:
-                continue
+        for fingerprint in filter(crash.involves, self._log.recurrent):
             count = self._attribution.count(fingerprint)
             if count >= QUARANTINE_CRASHES:
                 log_message(
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -5,6 +5,9 @@
 import pytest
 
 from guavacleat.peers.crashes import MAX_PARTS_PER_REPORT, CrashGossip
+from guavacleat.peers.fitting import fit_report
+from guavacleat.peers.report import GatewayReport, decode_report
+from guavacleat.placement import EndpointLoad
 from guavacleat.quarantine import AnswerProgress, CrashTracker, QuarantineState, part_fingerprints
 from guavacleat.quarantine.crash_log import MAX_PARTS_PER_CRASH
 from guavacleat.quarantine.fingerprint import MAX_PARTS
@@ -204,3 +207,62 @@
     for _ in range(3):
         crash(tracker, BAD)
     assert tracker.status(BAD).retry_after == QUARANTINE_SECONDS[0] + 4.0
+
+
+# A rack of a deployment of 3,000 endpoints; more than the crashes that are remembered.
+RACK_ENDPOINTS = 300
+REQUESTS_PER_ENDPOINT = 10
+
+
+def lose_rack(tracker, *parts):
+    """Crash a rack of endpoints whose requests share these parts."""
+    for number in range(RACK_ENDPOINTS):
+        for request in range(REQUESTS_PER_ENDPOINT):
+            own_part = 10**6 + REQUESTS_PER_ENDPOINT * number + request
+            crash(tracker, *parts, own_part, endpoint=f"i-{number:010x}")
+
+
+def test_the_loss_of_a_large_rack_does_not_displace_a_bad_part(tracker, clock):
+    """Guards against forgetting a bad part for the crashes of a rack that share another part."""
+    tracker.part_proven(SHARED, clock.seconds())
+    clock.advance(1.0)
+    for _ in range(3):
+        crash(tracker, SHARED, BAD)
+    clock.advance(2.0)
+    lose_rack(tracker, SHARED)
+    assert tracker.status(next(REQUESTS), BAD).quarantined
+
+
+@pytest.mark.parametrize("proven", [True, False])
+@pytest.mark.parametrize("rack_first", [True, False])
+def test_the_loss_of_a_large_rack_does_not_hide_a_bad_part_from_peers(clock, rack_first, proven):
+    """Guards against reports filled, or made too long, by what was in flight at a rack."""
+    tracker, peer = CrashTracker(clock), CrashTracker(clock)
+    if proven:
+        tracker.part_proven(SHARED, clock.seconds())
+    clock.advance(1.0)
+    if rack_first:
+        lose_rack(tracker, SHARED)
+        clock.advance(2.0)
+    for _ in range(3):
+        crash(tracker, SHARED, BAD)
+    if not rack_first:
+        clock.advance(2.0)
+        lose_rack(tracker, SHARED)
+    message = CrashGossip(clock, tracker).build_message(15.0, True, True)
+    loads = {f"i-{number:010x}": EndpointLoad(12, 150000, 30000) for number in range(3000)}
+    report = GatewayReport("g1", 1, 1, loads, crashes=message)
+    decoded = decode_report(fit_report(report).data)
+    CrashGossip(clock, peer).apply_message(decoded.crashes)
+    assert peer.known_crashes(BAD) == 3
+
+
+def test_a_report_at_all_bounds_still_contains_the_crashes(tracker, clock):
+    """Guards against a report so long that the crashes are left out whole."""
+    lose_rack(tracker, SHARED)
+    for number in range(300):
+        tracker.merge_completion(10**8 + number, 0.0)
+        tracker.merge_trial(10**9 + number, f"i-{number:010x}", 0.0)
+    message = CrashGossip(clock, tracker).build_message(15.0, True, True)
+    fitted = fit_report(GatewayReport("front-nasr-a-35", 1 << 61, 77, {}, crashes=message))
+    assert "crashes" not in fitted.left_out
