Quarantine: one function says whether a request is refused, one which keys it has

Found on reading the diff as a newcomer. isolation.py asked for the same state in three functions; check_quarantine now raises what quarantine_refusal returns, and is_refused is gone. The guard built the tuple of a request's keys in three places, and asked for its status before asking which keys are suspects, which says the same. answer_began is parts_proven, as it is called only then. A bad part in the middle of three is a case of its own.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -2,6 +2,7 @@
 
 import sys
 
+# Without pathlib, whose import takes longer than all that precedes the handler of the signal.
 sys.path.insert(0, __file__.rpartition("/")[0] + "/../src")
 
 from guavacleat.hangup import hangups  # noqa: E402
--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -3,7 +3,7 @@
 import functools
 
 from guavacleat.forwarding.connecting import connect
-from guavacleat.forwarding.isolation import is_refused
+from guavacleat.forwarding.isolation import quarantine_refusal
 from guavacleat.forwarding.memory import RunCopy, StreamMemory
 from guavacleat.forwarding.messages import ForwardingMetadata, ResumePoint
 from guavacleat.forwarding.request import ForwardedRequest
@@ -47,7 +47,7 @@
         if (
             self.session.finished
             or self.session.time_left() <= 0
-            or is_refused(self.context, self.request)
+            or quarantine_refusal(self.context, self.request)
         ):
             self.context.load.end(entry.id, run)
             connection.abandon()
@@ -63,7 +63,7 @@
             self.context.feedback,
             AnswerProgress(
                 self.context.clock,
-                functools.partial(self.context.quarantine.answer_began, self.request),
+                functools.partial(self.context.quarantine.parts_proven, self.request),
             ),
         )
         attempt.connection, attempt.run, attempt.backup = connection, run, backup
--- a/src/guavacleat/forwarding/isolation.py
+++ b/src/guavacleat/forwarding/isolation.py
@@ -7,7 +7,6 @@
 
 __all__ = [
     "check_quarantine",
-    "is_refused",
     "may_resume_at",
     "place_isolated",
     "quarantine_refusal",
@@ -17,14 +16,6 @@
 RETRY_AFTER_NOT_LIGHTLY_LOADED_SECONDS = 1.0
 
 
-def check_quarantine(context, request: ForwardedRequest) -> QuarantineStatus:
-    """Return the request's quarantine status; raise :class:`RefusalError` if it must not run."""
-    status = context.quarantine.status(request)
-    if status.state is QuarantineState.REFUSED:
-        raise _refusal(status, status.retry_after)
-    return status
-
-
 def quarantine_refusal(context, request: ForwardedRequest) -> RefusalError | None:
     """The refusal of a request that must not run; None if it may."""
     status = context.quarantine.status(request)
@@ -33,14 +24,17 @@
     return _refusal(status, status.retry_after)
 
 
-def is_refused(context, request: ForwardedRequest) -> bool:
-    """Whether the request must not be sent; it may have been quarantined while it waited."""
-    return context.quarantine.status(request).state is QuarantineState.REFUSED
+def check_quarantine(context, request: ForwardedRequest) -> None:
+    """Raise :class:`RefusalError` if the request must not run."""
+    refusal = quarantine_refusal(context, request)
+    if refusal is not None:
+        raise refusal
 
 
 def place_isolated(context, request: ForwardedRequest, tried: set[str]) -> EndpointEntry | None:
     """Return the least loaded endpoint for a suspect request; None if none is available."""
-    status = check_quarantine(context, request)
+    check_quarantine(context, request)
+    status = context.quarantine.status(request)
     entry = context.placement.least_loaded(request, tried)
     must_be_alone = status.quarantined and not status.contested
     if entry is not None and must_be_alone and not context.placement.is_lightly_loaded(entry):
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -11,7 +11,7 @@
 from twisted.internet import task
 
 from guavacleat.forwarding.connecting import connect
-from guavacleat.forwarding.isolation import is_refused, place_isolated
+from guavacleat.forwarding.isolation import place_isolated, quarantine_refusal
 from guavacleat.forwarding.messages import ForwardingMetadata
 from guavacleat.forwarding.refusals import RefusalError, RefusalReason, no_endpoint, throttled
 from guavacleat.forwarding.request import ForwardedRequest
@@ -137,7 +137,7 @@
             self._log_attempt(request, entry, AttemptOutcome.UNREACHABLE, response, repr(exc))
             return AttemptOutcome.UNREACHABLE, response
         time_left = request.deadline - context.clock.seconds()
-        if time_left <= 0 or request.exchange.disconnected or is_refused(context, request):
+        if time_left <= 0 or request.exchange.disconnected or quarantine_refusal(context, request):
             connection.abandon()
             return AttemptOutcome.UNREACHABLE, response
         attempt_timeout = time_left
@@ -208,7 +208,7 @@
             quarantine.request_completed(request)
             if response.head.status < SERVER_ERROR:
                 # The endpoint began to answer at some time after this.
-                quarantine.answer_began(request, started_at)
+                quarantine.parts_proven(request, started_at)
         quarantine.run_finished(request)
 
     def _deliver(self, request: ForwardedRequest, response: CheckedResponse) -> None:
--- a/src/guavacleat/quarantine/guard.py
+++ b/src/guavacleat/quarantine/guard.py
@@ -48,7 +48,7 @@
         """How the request must be handled now."""
         if not self.tracker.crashes_by_fingerprint:
             return QuarantineStatus(QuarantineState.FREE)
-        return self.tracker.status(request.content_key, *request.part_keys)
+        return self.tracker.status(*_keys(request))
 
     def is_unrestricted(self, request) -> bool:
         """Whether the request may run on any endpoint, whatever else runs there."""
@@ -56,16 +56,14 @@
 
     def request_sent(self, request, endpoint: str) -> None:
         """Record that the request is sent to an endpoint."""
-        if self.status(request).state is not QuarantineState.ISOLATED:
-            return
-        keys = (request.content_key, *request.part_keys)
-        for key in self.tracker.suspects(keys):
-            self.tracker.begin_trial(key, endpoint)
+        if self.tracker.crashes_by_fingerprint:
+            for key in self.tracker.suspects(_keys(request)):
+                self.tracker.begin_trial(key, endpoint)
 
     def run_finished(self, request) -> None:
         """Record that the request's run on an endpoint is over, whatever its outcome."""
         if self.tracker.trials_by_fingerprint:
-            for key in (request.content_key, *request.part_keys):
+            for key in _keys(request):
                 self.tracker.end_trial(key)
 
     def request_completed(self, request) -> None:
@@ -73,7 +71,7 @@
         if self.tracker.crashes_by_fingerprint:
             self.tracker.request_completed(request.content_key)
 
-    def answer_began(self, request, began_at: float) -> None:
+    def parts_proven(self, request, began_at: float) -> None:
         """Record that an endpoint has begun to answer the request and has not crashed on it.
 
         :param began_at: clock time of the answer's beginning.
@@ -87,7 +85,7 @@
         """Record that the endpoint, not this gateway or the caller, interrupted the request.
 
         :param sent_at: clock time at which the request was sent.
-        :param parts_proven: whether :meth:`answer_began` was called for this run.
+        :param parts_proven: whether :meth:`parts_proven` was called for this run.
         """
         parts = () if parts_proven else request.part_keys
         crash = self.tracker.request_interrupted(endpoint, request.content_key, sent_at, parts)
@@ -129,3 +127,8 @@
 
     def _log_error(self, failure) -> None:
         log_message(message_type="quarantine:error", error=failure.getTraceback())
+
+
+def _keys(request) -> tuple[int, ...]:
+    """The fingerprints of a request: its own, and those of its parts."""
+    return (request.content_key, *request.part_keys)
--- a/src/guavacleat/streams/relay.py
+++ b/src/guavacleat/streams/relay.py
@@ -100,7 +100,7 @@
             before_start = None
             self.resumes += failure is not None
             sink.set_handle(stream.handle())
-            stream.progress.on_proven = functools.partial(self.quarantine.answer_began, request)
+            stream.progress.on_proven = functools.partial(self.quarantine.parts_proven, request)
             try:
                 yield self._pull_all(request, stream, sink, progress)
                 if progress.finish_reason == FINISH_REASON_STOP:
--- a/tests/quarantine/parts_fleet.py
+++ b/tests/quarantine/parts_fleet.py
@@ -9,6 +9,7 @@
     "ALONE",
     "BAD",
     "ENGINE",
+    "SHARED_AROUND",
     "SHARED_FIRST",
     "SHARED_SECOND",
     "STABILITY_SECONDS",
@@ -19,6 +20,7 @@
 # The parts of bad requests; sound ones share those that are not bad.
 SHARED_FIRST = ("common0", BAD)
 SHARED_SECOND = (BAD, "common0")
+SHARED_AROUND = ("common0", BAD, "common1")
 ALONE = (BAD,)
 # From this time after the fifth crash on, few requests with the part may reach endpoints.
 STABILITY_SECONDS = 3.0
--- a/tests/quarantine/test_crashing_parts.py
+++ b/tests/quarantine/test_crashing_parts.py
@@ -7,6 +7,7 @@
     ALONE,
     BAD,
     ENGINE,
+    SHARED_AROUND,
     SHARED_FIRST,
     SHARED_SECOND,
     STABILITY_SECONDS,
@@ -21,6 +22,7 @@
 PARTS = [
     pytest.param(SHARED_FIRST, id="second-part"),
     pytest.param(SHARED_SECOND, id="first-part"),
+    pytest.param(SHARED_AROUND, id="middle-part"),
     pytest.param(ALONE, id="only-part"),
 ]
 
