Wording: the succession of processes, the order of trials, the timeout of an attempt

Found on reading the diff as a newcomer: figures of speech in succession.py and trial_order.py, and a constant that told of the answers it was set by, which docs/CAPACITY.md does. No behaviour changes.

--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -22,9 +22,9 @@
 
 __all__ = ["PlainForwarder"]
 
-# Timeout of an attempt that can be retried elsewhere, as a multiple of the route's latency goal.
-# The slowest in a hundred answers of a sound endpoint take about twice the goal; the second attempt
-# needs most of the route's timeout.
+# Timeout of an attempt that can be retried elsewhere, as a multiple of the route's latency goal:
+# longer than slow answers of a sound endpoint, with most of the route's timeout left for the second
+# attempt.
 ATTEMPT_TIMEOUT_GOALS = 3.0
 # Maximum number of sends of one request, including those that an endpoint refused.
 MAX_SENDS = 4
--- a/src/guavacleat/membership/registry.py
+++ b/src/guavacleat/membership/registry.py
@@ -89,7 +89,7 @@
             self.unreadable_ids.discard(entry.id)
         self.lapsed_ids.discard(entry.id)
         self.entries_by_id[entry.id] = entry
-        self.succession.heard(entry)
+        self.succession.record_write(entry)
         restarted = is_earlier or (previous is not None and previous.started_before(entry))
         if restarted:
             self._report_restart(previous)
--- a/src/guavacleat/membership/succession.py
+++ b/src/guavacleat/membership/succession.py
@@ -19,18 +19,18 @@
 class ProcessSuccession:
     """The processes that write the entries, by the endpoint's id."""
 
-    __slots__ = ("clock", "_heard_at_by_id", "_candidates_by_id")
+    __slots__ = ("clock", "_written_at_by_id", "_candidates_by_id")
 
     def __init__(self, clock: IReactorTime):
         self.clock = clock
         # When the known process last wrote its entry.
-        self._heard_at_by_id: dict[str, float] = {}
+        self._written_at_by_id: dict[str, float] = {}
         # The latest entries with earlier start times than the known one.
         self._candidates_by_id: dict[str, EndpointEntry] = {}
 
-    def heard(self, entry: EndpointEntry) -> None:
+    def record_write(self, entry: EndpointEntry) -> None:
         """Record an entry of the known process."""
-        self._heard_at_by_id[entry.id] = self.clock.seconds()
+        self._written_at_by_id[entry.id] = self.clock.seconds()
         self._candidates_by_id.pop(entry.id, None)
 
     def is_successor(self, entry: EndpointEntry, confirmed: bool) -> bool:
@@ -41,10 +41,10 @@
         candidate = self._candidates_by_id.get(entry.id)
         self._candidates_by_id[entry.id] = entry
         goes_on = candidate is not None and candidate.is_same_process(entry)
-        heard_at = self._heard_at_by_id.get(entry.id, float("-inf"))
-        is_silent = self.clock.seconds() - heard_at >= SILENCE_SECONDS
+        written_at = self._written_at_by_id.get(entry.id, float("-inf"))
+        is_silent = self.clock.seconds() - written_at >= SILENCE_SECONDS
         return is_silent and (goes_on or confirmed)
 
     def forget(self, id: str) -> None:
-        self._heard_at_by_id.pop(id, None)
+        self._written_at_by_id.pop(id, None)
         self._candidates_by_id.pop(id, None)
--- a/src/guavacleat/quarantine/trial_order.py
+++ b/src/guavacleat/quarantine/trial_order.py
@@ -1,7 +1,7 @@
 """Which gateway tries a quarantined part first.
 
 The refusal of a part ends at all gateways at the same time. Trials at several of them would crash
-as many endpoints before any gateway has heard of another's.
+as many endpoints before a report of the first trial arrives.
 """
 
 from guavacleat.rendezvous import select_members, weight
