Reports hold the crashes of a hundred endpoints again, and a bad request at the loss of a rack

Cause: bounded a report to 64 crashes, whatever they held, and filled it with all parts, those of a single crash too, before any request. Beyond the test's case that hides a request which crashes endpoints: at the loss of a rack whose prompts share nothing, 64 crashes with a part each came before its three.

Change: a report's crashes are bounded by their bytes, and what was in flight at several crashes, parts and requests, comes before what was at one.

--- a/src/guavacleat/peers/crashes.py
+++ b/src/guavacleat/peers/crashes.py
@@ -14,13 +14,15 @@
 
 __all__ = ["CrashGossip"]
 
-# Bound the size of a report: a fingerprint takes about ten bytes, a crash, a trial or a clearance
-# with its endpoint and age some forty.
+# Bound the size of a report.
 MAX_FINGERPRINTS_PER_REPORT = 128
 MAX_PARTS_PER_REPORT = 96
-MAX_CRASHES_PER_REPORT = 64
+MAX_CRASH_BYTES_PER_REPORT = 5000
 MAX_TRIALS_PER_REPORT = 32
 MAX_CLEARANCES_PER_REPORT = 64
+# Encoded size of a crash, with its endpoint and age, and of each fingerprint at it.
+CRASH_BYTES = 32
+FINGERPRINT_BYTES = 10
 
 
 class CrashGossip:
@@ -79,12 +81,14 @@
             self.tracker.merge_trial(trial.fingerprint, trial.endpoint, trial.age)
 
     def _encode_crashes(self, crashes) -> list[ttypes.EndpointEnd]:
-        selection = _Selection(self.tracker)
         newest_first = sorted(crashes, key=lambda crash: -crash.crashed_at)
-        selection.add({crash: crash.parts for crash in newest_first}, MAX_PARTS_PER_REPORT)
-        selection.add(
-            {crash: crash.requests for crash in newest_first}, MAX_FINGERPRINTS_PER_REPORT
-        )
+        parts = _Ranking(self.tracker, {crash: crash.parts for crash in newest_first})
+        requests = _Ranking(self.tracker, {crash: crash.requests for crash in newest_first})
+        selection = _Selection()
+        part_limit = selection.add(parts.repeated(), MAX_PARTS_PER_REPORT)
+        request_limit = selection.add(requests.repeated(), MAX_FINGERPRINTS_PER_REPORT)
+        selection.add(parts.single, part_limit)
+        selection.add(requests.single, request_limit)
         return [
             ttypes.EndpointEnd(
                 crash.endpoint,
@@ -100,41 +104,49 @@
         return self.clock.seconds() - at
 
 
-class _Selection:
-    """The crashes, and the fingerprints of each, that fit into a report.
+class _Ranking:
+    """The parts, or the requests, that were in flight at crashes, the most suspected first.
 
-    What is attributed the most crashes comes first. What was in flight at a single crash, as most
-    requests and parts were at the loss of a rack, fills the rest.
+    :param fingerprints_by_crash: the first crashes are preferred.
+    :ivar single: (crash, fingerprint) of those in flight at a single crash, as most requests and
+        parts are at the loss of a rack.
     """
 
-    def __init__(self, tracker: CrashTracker):
+    def __init__(self, tracker: CrashTracker, fingerprints_by_crash: dict):
         self.tracker = tracker
-        self.by_crash: dict = {}
-
-    def add(self, fingerprints_by_crash: dict, limit: int) -> None:
-        """Add at most ``limit`` fingerprints; the first crashes are preferred."""
-        crashes_by_repeated = collections.defaultdict(list)
-        single = []
+        self.single: list[tuple] = []
+        self._crashes_by_repeated = collections.defaultdict(list)
         for crash, fingerprints in fingerprints_by_crash.items():
             for fingerprint in fingerprints:
-                if self.tracker.known_crashes(fingerprint) > 1:
-                    crashes_by_repeated[fingerprint].append(crash)
-                elif len(single) < limit:
-                    single.append((crash, fingerprint))
-        repeated = (
-            (crash, fingerprint)
-            for fingerprint in sorted(crashes_by_repeated, key=self._rank)
-            for crash in crashes_by_repeated[fingerprint][:EVIDENCE_CRASHES]
-        )
-        fitting = (
-            (crash, fingerprint)
-            for crash, fingerprint in itertools.chain(repeated, single)
-            if crash in self.by_crash or len(self.by_crash) < MAX_CRASHES_PER_REPORT
-        )
-        for crash, fingerprint in itertools.islice(fitting, limit):
-            self.by_crash.setdefault(crash, []).append(fingerprint)
+                if tracker.known_crashes(fingerprint) > 1:
+                    self._crashes_by_repeated[fingerprint].append(crash)
+                else:
+                    self.single.append((crash, fingerprint))
 
-    def _rank(self, fingerprint: int) -> tuple[float, int]:
-        """Sort key: the most crashes attributed, then the most crashes, first."""
-        tracker = self.tracker
-        return -tracker.crash_count(fingerprint), -tracker.known_crashes(fingerprint)
+    def repeated(self):
+        """Iterate over (crash, fingerprint) of those in flight at several crashes."""
+        for fingerprint in sorted(self._crashes_by_repeated, key=self._suspicion, reverse=True):
+            for crash in self._crashes_by_repeated[fingerprint][:EVIDENCE_CRASHES]:
+                yield crash, fingerprint
+
+    def _suspicion(self, fingerprint: int) -> tuple[float, int]:
+        """Sort key: the crashes attributed, then all crashes."""
+        return self.tracker.crash_count(fingerprint), self.tracker.known_crashes(fingerprint)
+
+
+class _Selection:
+    """The crashes, and the fingerprints of each, that fit into a report."""
+
+    def __init__(self):
+        self.by_crash: dict = {}
+        self._remaining_bytes = MAX_CRASH_BYTES_PER_REPORT
+
+    def add(self, pairs, limit: int) -> int:
+        """Add what fits of ``limit`` pairs (crash, fingerprint); return how many were not added."""
+        for crash, fingerprint in itertools.islice(pairs, limit):
+            size = FINGERPRINT_BYTES + (0 if crash in self.by_crash else CRASH_BYTES)
+            if size <= self._remaining_bytes:
+                self._remaining_bytes -= size
+                self.by_crash.setdefault(crash, []).append(fingerprint)
+                limit -= 1
+        return limit
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -214,11 +214,11 @@
 REQUESTS_PER_ENDPOINT = 10
 
 
-def lose_rack(tracker, *parts):
-    """Crash a rack of endpoints whose requests share these parts."""
+def lose_rack(tracker, *parts, requests=REQUESTS_PER_ENDPOINT):
+    """Crash a rack of endpoints, each with some requests that share these parts."""
     for number in range(RACK_ENDPOINTS):
-        for request in range(REQUESTS_PER_ENDPOINT):
-            own_part = 10**6 + REQUESTS_PER_ENDPOINT * number + request
+        for request in range(requests):
+            own_part = 10**6 + requests * number + request
             crash(tracker, *parts, own_part, endpoint=f"i-{number:010x}")
 
 
@@ -257,6 +257,18 @@
     assert peer.known_crashes(BAD) == 3
 
 
+def test_the_loss_of_a_large_rack_does_not_hide_a_bad_request_from_peers(clock):
+    """Guards against reports filled by the parts of prompts that were in flight at a rack."""
+    tracker, peer = CrashTracker(clock), CrashTracker(clock)
+    for number in range(3):
+        tracker.confirm(tracker.request_interrupted(f"e{number}", 77))
+    clock.advance(2.0)
+    lose_rack(tracker, requests=1)
+    message = CrashGossip(clock, tracker).build_message(15.0, True, True)
+    CrashGossip(clock, peer).apply_message(message)
+    assert peer.known_crashes(77) == 3
+
+
 def test_a_report_at_all_bounds_still_contains_the_crashes(tracker, clock):
     """Guards against a report so long that the crashes are left out whole."""
     lose_rack(tracker, SHARED)
