A crowded gateway gets its part of the limits that endpoints name

Cause: gateways shared a limit equally, whoever got the requests.

Change: reports hold the demand for services with a limit; 0.75 of a limit is shared by it, the rest equally. What is due to gateways that are not heard of stays reserved, so that shares sum to one also between parts that are cut off from each other. Cold endpoints are still shared equally: too many requests crash them.

The limits hold while the crowd moves to another gateway every 3 s, and when all links are cut meanwhile (4 and 8 gateways, new test). Not covered: limits for which only some gateways are senders (more gateways than 5 + twice the limit).

--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -34,9 +34,11 @@
 from guavacleat.stopping import run_stop_step
 from guavacleat.throttling import (
     ColdEndpoints,
+    DemandMeter,
     EndpointThrottle,
     LimitRegister,
     RateBound,
+    ServiceDemand,
     ShareRule,
 )
 
@@ -105,12 +107,14 @@
             reactor, self.crash_tracker, EndpointProbe(self.pool, self.registry)
         )
         self.limits = LimitRegister(reactor)
+        self.demand = DemandMeter(reactor, self.peers)
         self.throttle = EndpointThrottle(
             reactor,
             ColdEndpoints(reactor, self._find_service),
             self.limits,
             share=self._share_rule(),
             cold_bound=_cold_bound(settings.bounds),
+            demand=self.demand,
         )
         placement = Placement(
             self.registry,
@@ -166,8 +170,14 @@
             settings.data_centre,
             settings.regions_by_data_centre,
             self.source,
+            self.demand,
         )
 
+    def demands_by_service(self) -> dict[str, ServiceDemand]:
+        """This gateway's demand for the services with endpoints that name a limit."""
+        entries = map(self.registry.entries_by_id.get, self.limits.limited_ids())
+        return self.demand.report({entry.service for entry in entries if entry is not None})
+
     def _find_service(self, name: str) -> ServiceTraits | None:
         """The service, without limits if it is not listed; None without a configuration."""
         table = self.holder.table
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -144,6 +144,7 @@
             ingress.limits,
             self._peer_report_received,
             ingress.context.queue.backlogs_by_service,
+            ingress.demands_by_service,
             self.should_watch.is_selected,
             self.link_bytes_per_second,
         )
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -29,7 +29,7 @@
 from guavacleat.periodic import Periodic
 from guavacleat.placement import EndpointLoad, LoadTracker
 from guavacleat.quarantine import CrashTracker
-from guavacleat.throttling import LimitRegister
+from guavacleat.throttling import LimitRegister, ServiceDemand
 from guavacleat.totals import sum_by_key
 
 __all__ = ["PeerExchange"]
@@ -56,6 +56,8 @@
     :param on_report: called after each accepted report.
     :param own_backlogs: returns this gateway's :class:`~guavacleat.admission.backlog.Backlog` by
         service.
+    :param own_demands: returns this gateway's :class:`~guavacleat.throttling.ServiceDemand` by
+        service.
     :param is_watcher: returns whether this gateway is one of the watchers of the store.
     :param link_bytes_per_second: bandwidth of this instance's link; None if unknown.
     """
@@ -74,6 +76,7 @@
         limits: LimitRegister,
         on_report=lambda: None,
         own_backlogs=dict,
+        own_demands=dict,
         is_watcher=lambda: True,
         link_bytes_per_second: float | None = None,
     ):
@@ -89,6 +92,7 @@
         self.limit_gossip = LimitGossip(reactor, limits)
         self.on_report = on_report
         self.own_backlogs = own_backlogs
+        self.own_demands = own_demands
         self.is_watcher = is_watcher
         self.link_bytes_per_second = link_bytes_per_second
         self.summaries = SummaryExchange(
@@ -224,6 +228,7 @@
             store_failing=self.registry.store_unreachable(),
             store_silence=self.registry.store_silence(),
             backlogs_by_service=self.own_backlogs(),
+            demands_by_service=self.own_demands(),
         )
         data = self._encode(report, self._schedule)
         if data is not None:
@@ -281,6 +286,10 @@
                 Backlog,
                 [self.own_backlogs(), *(report.backlogs_by_service for report in neighbours)],
             ),
+            demands_by_service=sum_by_key(
+                ServiceDemand,
+                [self.own_demands(), *(report.demands_by_service for report in neighbours)],
+            ),
         )
         return self._encode(summary, self._summary_schedule)
 
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -3,6 +3,8 @@
 The accelerated protocol is implemented in C and takes a small part of the CPU of the Python one.
 """
 
+import math
+
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
@@ -12,6 +14,7 @@
 from guavacleat.placement import EndpointLoad
 from guavacleat.protocol.gen.peers import ttypes
 from guavacleat.store import Revision
+from guavacleat.throttling import ServiceDemand
 
 __all__ = [
     "BadReportError",
@@ -51,6 +54,7 @@
     :param limits: what endpoints say of their request rates, see ``peers.limits``.
     :param backlogs_by_service: generations that wait for an engine; in a summary those of all
         gateways that it covers.
+    :param demands_by_service: demand for services with endpoints that name a limit; likewise.
     """
 
     __slots__ = (
@@ -73,6 +77,7 @@
         "evacuations",
         "backlogs_by_service",
         "limits",
+        "demands_by_service",
     )
 
     def __init__(
@@ -96,6 +101,7 @@
         evacuations: tuple[EvacuationChange, ...] | None = (),
         backlogs_by_service: dict[str, Backlog] | None = None,
         limits: list[ttypes.EndpointLimit] | None = None,
+        demands_by_service: dict[str, ServiceDemand] | None = None,
     ):
         self.instance = instance
         self.incarnation = incarnation
@@ -116,6 +122,7 @@
         self.evacuations = evacuations
         self.backlogs_by_service = backlogs_by_service or {}
         self.limits = limits
+        self.demands_by_service = demands_by_service or {}
 
     @property
     def is_summary(self) -> bool:
@@ -149,6 +156,11 @@
             for name, backlog in report.backlogs_by_service.items()
         ],
         report.limits,
+        [
+            ttypes.ServiceDemand(name, demand.gateways, demand.rate)
+            for name, demand in report.demands_by_service.items()
+        ]
+        or None,
     )
     return _to_bytes(message)
 
@@ -227,6 +239,11 @@
             for backlog in message.backlogs or ()
         },
         message.limits,
+        {
+            demand.service_name: ServiceDemand(demand.gateways, demand.rate)
+            for demand in message.demands or ()
+            if 0 <= demand.rate < math.inf and demand.gateways >= 0
+        },
     )
 
 
--- a/src/guavacleat/peers/table.py
+++ b/src/guavacleat/peers/table.py
@@ -11,6 +11,7 @@
 from guavacleat.admission.backlog import Backlog
 from guavacleat.peers.report import GatewayReport
 from guavacleat.placement import EndpointLoad
+from guavacleat.throttling import ServiceDemand
 from guavacleat.totals import sum_of
 
 __all__ = ["PeerTable", "GATEWAY_RESTART_SECONDS", "PEER_TIMEOUT_SECONDS"]
@@ -103,6 +104,12 @@
         backlogs = (report.backlogs_by_service.get(service) for report in reports)
         return sum_of(Backlog, (backlog for backlog in backlogs if backlog is not None))
 
+    def demand(self, service: str) -> ServiceDemand:
+        """The demand for the service at the other gateways that report theirs."""
+        reports = [*self.alive(), *self.summaries()]
+        demands = (report.demands_by_service.get(service) for report in reports)
+        return sum_of(ServiceDemand, (demand for demand in demands if demand is not None))
+
     def store_silence(self) -> float:
         """Seconds since the store last responded to a peer, according to their reports."""
         now = self.clock.seconds()
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -522,8 +522,8 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.fingerprints))
-            for iter6 in self.fingerprints:
-                oprot.writeI64(iter6)
+            for iter12 in self.fingerprints:
+                oprot.writeI64(iter12)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.restored is not None:
@@ -783,33 +783,33 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = EndpointEnd()
-                        _elem12.read(iprot)
-                        self.ends.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = EndpointEnd()
+                        _elem19.read(iprot)
+                        self.ends.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.trials = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = Trial()
-                        _elem18.read(iprot)
-                        self.trials.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = Trial()
+                        _elem25.read(iprot)
+                        self.trials.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.clearances = []
-                    (_etype22, _size19) = iprot.readListBegin()
-                    for _i23 in range(_size19):
-                        _elem24 = Clearance()
-                        _elem24.read(iprot)
-                        self.clearances.append(_elem24)
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = Clearance()
+                        _elem31.read(iprot)
+                        self.clearances.append(_elem31)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -826,22 +826,22 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter25 in self.ends:
-                iter25.write(oprot)
+            for iter32 in self.ends:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.trials is not None:
             oprot.writeFieldBegin('trials', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.trials))
-            for iter26 in self.trials:
-                iter26.write(oprot)
+            for iter33 in self.trials:
+                iter33.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.clearances is not None:
             oprot.writeFieldBegin('clearances', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.clearances))
-            for iter27 in self.clearances:
-                iter27.write(oprot)
+            for iter34 in self.clearances:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -981,6 +981,104 @@
         return not (self == other)
 
 
+class ServiceDemand(object):
+    """
+    Attributes:
+     - service_name
+     - gateways
+     - rate
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'gateways',
+        'rate',
+    )
+
+
+    def __init__(self, service_name=None, gateways=None, rate=None,):
+        self.service_name = service_name
+        self.gateways = gateways
+        self.rate = rate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.gateways = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceDemand')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.gateways is not None:
+            oprot.writeFieldBegin('gateways', TType.I32, 2)
+            oprot.writeI32(self.gateways)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 3)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.gateways is None:
+            raise TProtocolException(message='Required field gateways is unset!')
+        if self.rate is None:
+            raise TProtocolException(message='Required field rate is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EndpointLimit(object):
     """
     Attributes:
@@ -1100,6 +1198,7 @@
      - evacuations
      - backlogs
      - limits
+     - demands
 
     """
 
@@ -1124,10 +1223,11 @@
         'evacuations',
         'backlogs',
         'limits',
+        'demands',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None, crashes=None, revisions_from=None, evacuations=None, backlogs=None, limits=None,):
+    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None, crashes=None, revisions_from=None, evacuations=None, backlogs=None, limits=None, demands=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
@@ -1148,6 +1248,7 @@
         self.evacuations = evacuations
         self.backlogs = backlogs
         self.limits = limits
+        self.demands = demands
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1176,22 +1277,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = EndpointLoad()
-                        _elem33.read(iprot)
-                        self.loads.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = EndpointLoad()
+                        _elem40.read(iprot)
+                        self.loads.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = EndpointChange()
-                        _elem39.read(iprot)
-                        self.changes.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = EndpointChange()
+                        _elem46.read(iprot)
+                        self.changes.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1259,33 +1360,44 @@
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.evacuations = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = Evacuation()
-                        _elem45.read(iprot)
-                        self.evacuations.append(_elem45)
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = Evacuation()
+                        _elem52.read(iprot)
+                        self.evacuations.append(_elem52)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.backlogs = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = Backlog()
-                        _elem51.read(iprot)
-                        self.backlogs.append(_elem51)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = Backlog()
+                        _elem58.read(iprot)
+                        self.backlogs.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype55, _size52) = iprot.readListBegin()
-                    for _i56 in range(_size52):
-                        _elem57 = EndpointLimit()
-                        _elem57.read(iprot)
-                        self.limits.append(_elem57)
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = EndpointLimit()
+                        _elem64.read(iprot)
+                        self.limits.append(_elem64)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = ServiceDemand()
+                        _elem70.read(iprot)
+                        self.demands.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1314,15 +1426,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter58 in self.loads:
-                iter58.write(oprot)
+            for iter71 in self.loads:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter59 in self.changes:
-                iter59.write(oprot)
+            for iter72 in self.changes:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stops_in is not None:
@@ -1376,22 +1488,29 @@
         if self.evacuations is not None:
             oprot.writeFieldBegin('evacuations', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
-            for iter60 in self.evacuations:
-                iter60.write(oprot)
+            for iter73 in self.evacuations:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backlogs is not None:
             oprot.writeFieldBegin('backlogs', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.backlogs))
-            for iter61 in self.backlogs:
-                iter61.write(oprot)
+            for iter74 in self.backlogs:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter62 in self.limits:
-                iter62.write(oprot)
+            for iter75 in self.limits:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 21)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter76 in self.demands:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1493,6 +1612,13 @@
     (3, TType.I32, 'waiting', None, None, ),  # 3
     (4, TType.I32, 'dispatched', None, None, ),  # 4
 )
+all_structs.append(ServiceDemand)
+ServiceDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'gateways', None, None, ),  # 2
+    (3, TType.DOUBLE, 'rate', None, None, ),  # 3
+)
 all_structs.append(EndpointLimit)
 EndpointLimit.thrift_spec = (
     None,  # 0
@@ -1523,6 +1649,7 @@
     (18, TType.LIST, 'evacuations', (TType.STRUCT, [Evacuation, None], False), None, ),  # 18
     (19, TType.LIST, 'backlogs', (TType.STRUCT, [Backlog, None], False), None, ),  # 19
     (20, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 20
+    (21, TType.LIST, 'demands', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 21
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/src/guavacleat/throttling/demand.py
@@ -0,0 +1,92 @@
+"""How many requests the gateways get, by service.
+
+The balancer may hand most connections to one gateway. Gateways therefore share the limit of an
+endpoint by their demand, as they last reported it to each other.
+"""
+
+import math
+
+from twisted.internet.interfaces import IReactorTime
+
+from guavacleat.totals import Summable
+
+__all__ = ["DemandMeter", "ServiceDemand", "share_by_demand"]
+
+# Time constant of the average; a few reports long, so that gateways agree on it.
+AVERAGING_SECONDS = 2.0
+# Part of a rate that is shared by demand; of the rest, each gateway gets as much as the others.
+DEMAND_WEIGHT = 0.75
+
+
+class ServiceDemand(Summable):
+    """The demand for a service at one gateway or at several.
+
+    :param gateways: number of gateways that report their demand.
+    :param rate: requests per second, those that were refused included.
+    """
+
+    __slots__ = ("gateways", "rate")
+
+    def __init__(self, gateways: int = 0, rate: float = 0.0):
+        self.gateways = gateways
+        self.rate = rate
+
+
+class DemandMeter:
+    """Measures this gateway's demand.
+
+    :param peers: has ``demand(service)``, the :class:`ServiceDemand` of the other gateways that
+        are reachable; None if there are none.
+    """
+
+    def __init__(self, clock: IReactorTime, peers=None):
+        self.clock = clock
+        self.peers = peers
+        # The average rate of each service, and the clock time for which it holds.
+        self._averages: dict[str, tuple[float, float]] = {}
+        # The demand at this gateway and at the others, as of the latest report.
+        self._own_by_service: dict[str, ServiceDemand] = {}
+        self._others_by_service: dict[str, ServiceDemand] = {}
+
+    def record(self, service: str) -> None:
+        """Count a request."""
+        rate = self._rate(service) + 1 / AVERAGING_SECONDS
+        self._averages[service] = rate, self.clock.seconds()
+
+    def report(self, services) -> dict[str, ServiceDemand]:
+        """The demand for these services, to report to the other gateways now."""
+        self._own_by_service = {
+            service: ServiceDemand(1, self._rate(service)) for service in services
+        }
+        if self.peers is not None:
+            self._others_by_service = {
+                service: self.peers.demand(service) for service in self._own_by_service
+            }
+        return self._own_by_service
+
+    def share(self, service: str, gateways: int) -> float:
+        """This gateway's share of a rate that all gateways share.
+
+        :param gateways: number of known gateways, this one included.
+        """
+        own, others = self._own_by_service.get(service), self._others_by_service.get(service)
+        if own is None or others is None:
+            return 1 / gateways
+        return share_by_demand(own, others, gateways)
+
+    def _rate(self, service: str) -> float:
+        rate, at = self._averages.get(service, (0.0, 0.0))
+        return rate * math.exp((at - self.clock.seconds()) / AVERAGING_SECONDS)
+
+
+def share_by_demand(own: ServiceDemand, others: ServiceDemand, gateways: int) -> float:
+    """A gateway's share of a rate; the shares of ``gateways`` that hear of each other sum to 1.
+
+    Each gateway that isn't heard of keeps the share that it has if it hears of no other one.
+    """
+    total = own.rate + others.rate
+    if total <= 0:
+        return 1 / gateways
+    heard = min(gateways, own.gateways + others.gateways)
+    by_demand = heard / gateways * own.rate / total
+    return (1 - DEMAND_WEIGHT) / gateways + DEMAND_WEIGHT * by_demand
--- a/src/guavacleat/throttling/limits.py
+++ b/src/guavacleat/throttling/limits.py
@@ -132,9 +132,13 @@
         statement = self.find(endpoint_id)
         return None if statement is None else statement.rate
 
+    def limited_ids(self) -> list[str]:
+        """The ids of the endpoints with a limit."""
+        return [id for id in list(self.latest_by_id) if self.find(id) is not None]
+
     def count(self) -> int:
         """The number of endpoints with a limit."""
-        return sum(self.find(id) is not None for id in list(self.latest_by_id))
+        return len(self.limited_ids())
 
     def record_send(self, endpoint_id: str) -> None:
         """Count a request sent to the endpoint."""
--- a/src/guavacleat/throttling/shares.py
+++ b/src/guavacleat/throttling/shares.py
@@ -3,8 +3,9 @@
 A cold endpoint crashes if it gets more requests per second than its maximum rate; others name a
 maximum rate in their answers. The gateways share such a rate without communicating:
 
-- Few gateways each get an equal share of the rate. A gateway that lost its peers keeps counting
-  those it knew, so that its share does not grow.
+- Few gateways each get an equal share of the rate that a cold endpoint takes, and share a rate that
+  an endpoint names by their demand. A gateway that lost its peers keeps counting those it knew, so
+  that its share does not grow.
 - Each gateway with a share may send at least one request at any moment. If all of them doing so at
   once could exceed the bound, only some of them, the senders, get a share, selected per endpoint by
   rendezvous hashing. Within a data centre, gateways that are cut off from each other may select
@@ -14,6 +15,7 @@
 """
 
 from guavacleat.rendezvous import select_members
+from guavacleat.throttling.demand import DemandMeter
 
 __all__ = ["RateBound", "ShareRule"]
 
@@ -48,28 +50,45 @@
     :param gateways: the other gateways, with ``gateway_count()``, ``data_centres()``, which returns
         the names of the data centres where there are some, and ``local_gateways()``, which returns
         the names of the gateways in this data centre as far as they are reachable.
+    :param demand: this gateway's :class:`~.demand.DemandMeter`; None if all shares are equal.
     """
 
-    def __init__(self, instance: str, data_centre: str, data_centres, gateways):
+    def __init__(
+        self,
+        instance: str,
+        data_centre: str,
+        data_centres,
+        gateways,
+        demand: DemandMeter | None = None,
+    ):
         self.instance = instance
         self.data_centre = data_centre
         self.listed_data_centres = {data_centre, *data_centres}
         self.gateways = gateways
+        self.demand = demand
 
-    def rate(self, endpoint_id: str, rate: float, bound: RateBound) -> float:
+    def rate(
+        self, endpoint_id: str, rate: float, bound: RateBound, service: str | None = None
+    ) -> float:
         """Requests per second that this gateway may send the endpoint; 0 if it is not a sender.
 
         :param rate: maximum requests per second to the endpoint, from all gateways.
+        :param service: share the rate by the demand for this service; None for equal shares.
         """
         allowed, sustained = bound.requests(rate), rate * bound.window
         count = max(1, self.gateways.gateway_count())
         if sustained + count <= allowed:
-            return rate / count
+            return rate * self._part(service, count)
         senders = max(1, int(allowed / 2 - SENDERS_RATE_SHARE * sustained))
         if not self._is_sender(endpoint_id, senders):
             return 0.0
         return SENDERS_RATE_SHARE * rate / senders
 
+    def _part(self, service: str | None, count: int) -> float:
+        if service is None or self.demand is None:
+            return 1 / count
+        return self.demand.share(service, count)
+
     def _is_sender(self, endpoint_id: str, senders: int) -> bool:
         local_senders = self._local_senders(endpoint_id, senders)
         if not local_senders:
--- a/src/guavacleat/throttling/throttle.py
+++ b/src/guavacleat/throttling/throttle.py
@@ -14,6 +14,7 @@
 
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.throttling.cold import ColdEndpoints
+from guavacleat.throttling.demand import DemandMeter
 from guavacleat.throttling.limits import LimitRegister
 from guavacleat.throttling.pauses import PauseRegister
 from guavacleat.throttling.shares import RateBound, ShareRule
@@ -73,6 +74,7 @@
     :param pauses: the :class:`~.pauses.PauseRegister`.
     :param share: this gateway's :class:`~.shares.ShareRule`; None if it is the only gateway.
     :param cold_bound: by how much the rate of a cold endpoint may be exceeded.
+    :param demand: counts the requests, those refused included.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         pauses: PauseRegister | None = None,
         share: ShareRule | None = None,
         cold_bound: RateBound | None = None,
+        demand: DemandMeter | None = None,
     ):
         self.clock = clock
         self.cold = cold or ColdEndpoints(clock)
@@ -90,6 +93,7 @@
         self.pauses = pauses or PauseRegister(clock)
         self.share = share
         self.cold_bound = cold_bound or RateBound(overshoot=1.5, slack=5.0, window=1.0)
+        self.demand = demand or DemandMeter(clock)
         self.cold.on_cold = self._log_cold
         # Clock times of the last requests to endpoints with a limit, and the latest times at which
         # refused callers were told to return for them.
@@ -124,6 +128,7 @@
     def record_send(self, entry: EndpointEntry) -> None:
         """Count a request that is being sent to the endpoint."""
         self.limits.record_send(entry.id)
+        self.demand.record(entry.service)
         self.space_next(entry)
 
     def space_next(self, entry: EndpointEntry) -> None:
@@ -137,6 +142,7 @@
     def promise(self, entry: EndpointEntry) -> float:
         """Seconds after which a caller that is refused now may return; each gets another time."""
         now = self.clock.seconds()
+        self.demand.record(entry.service)
         interval = max((reason.interval for reason in self._restrictions(entry)), default=0.0)
         allowed_at = now + self.seconds_until_allowed(entry)
         if math.isinf(interval):
@@ -182,7 +188,8 @@
             restrictions.append(_Restriction(ThrottleCause.COLD, share, -math.inf, cold_until))
         statement = self.limits.find(entry.id)
         if statement is not None:
-            share = self._share(entry, max(MIN_RATE, statement.rate), NAMED_LIMIT_BOUND)
+            rate = max(MIN_RATE, statement.rate)
+            share = self._share(entry, rate, NAMED_LIMIT_BOUND, entry.service)
             restrictions.append(_Restriction(ThrottleCause.LIMIT, share, statement.since, math.inf))
         paused_until = self.pauses.until(entry.id)
         if paused_until is not None:
@@ -199,5 +206,7 @@
             share=round(self._share(entry, rate, self.cold_bound), 3),
         )
 
-    def _share(self, entry: EndpointEntry, rate: float, bound: RateBound) -> float:
-        return rate if self.share is None else self.share.rate(entry.id, rate, bound)
+    def _share(
+        self, entry: EndpointEntry, rate: float, bound: RateBound, service: str | None = None
+    ) -> float:
+        return rate if self.share is None else self.share.rate(entry.id, rate, bound, service)
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -173,6 +173,7 @@
         self.peers = PeerTable(self.clock)
         self.crash_tracker = CrashTracker(self.clock)
         self.limits = LimitRegister(self.clock)
+        self.demands_by_service = dict
         self.load.peers = self.peers
         self.context = types.SimpleNamespace(queue=GenerationQueue(self.clock, None))
         self.evacuations = EvacuationRegister(self.clock)
--- a/tests/throttling/test_limits_fleet.py
+++ b/tests/throttling/test_limits_fleet.py
@@ -98,6 +98,22 @@
     assert not fleet.logs[0].exceeded_limits()
 
 
+@pytest.mark.parametrize("gateways", [4, 8])
+@pytest.mark.parametrize("cut_off", [False, True])
+def test_limit_holds_while_one_gateway_after_the_other_gets_most_requests(gateways, cut_off):
+    """Guards against shares by demand that exceed the limit when the demand moves."""
+    fleet = StatementFleet(gateways=gateways, data_centres=2)
+    for log in fleet.logs:
+        log.name_limit(4.0)
+    fleet.send(4.0)
+    for number in range(6):
+        fleet.send_to(f"g{number % gateways}", 3.0, per_second=60.0)
+        if cut_off and number == 2:
+            addresses = [gateway.settings.ip for gateway in fleet.gateways.values()]
+            fleet.network.blocked_links |= set(itertools.permutations(addresses, 2))
+    assert not any(log.exceeded_limits() for log in fleet.logs)
+
+
 def test_gateways_without_requests_learn_of_a_limit_and_of_its_end():
     fleet = StatementFleet()
     gateways = fleet.gateways.values()
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -87,6 +87,15 @@
   4: required i32 dispatched,
 }
 
+// The requests for a service that the sender, or the gateways that it covers, got lately.
+struct ServiceDemand {
+  1: required string service_name,
+  // Gateways that tell their demand.
+  2: required i32 gateways,
+  // Requests per second, those refused included.
+  3: required double rate,
+}
+
 // An endpoint's limit of its request rate, as it said in an answer ``age`` seconds ago.
 struct EndpointLimit {
   1: required string endpoint,
@@ -129,4 +138,6 @@
   19: optional list<Backlog> backlogs,
   // What endpoints told the sender lately; in a summary, the gateways that it covers.
   20: optional list<EndpointLimit> limits,
+  // Of services with endpoints that name a limit.
+  21: optional list<ServiceDemand> demands,
 }
