A crowded gateway is one of the senders to endpoints with a limit, however many gateways there are

What callers saw: with more gateways than 5 + twice a limit only some, the senders, may send to an endpoint, each equally much.

Cause: the senders of an endpoint were selected by its id alone, whoever got the requests.

Change: reports hold the largest demands of single gateways. One with an eighth of all demand, and twice an equal part, takes the place of a sender for each endpoint; such gateways share up to 0.75 of what the senders share, by demand. The number of senders and their rate together stay as they were, so that halves that are cut off from each other still keep the bound.

--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -157,7 +157,7 @@
         ],
         report.limits,
         [
-            ttypes.ServiceDemand(name, demand.gateways, demand.rate)
+            ttypes.ServiceDemand(name, demand.gateways, demand.rate, list(demand.largest))
             for name, demand in report.demands_by_service.items()
         ]
         or None,
@@ -240,9 +240,12 @@
         },
         message.limits,
         {
-            demand.service_name: ServiceDemand(demand.gateways, demand.rate)
+            demand.service_name: ServiceDemand(
+                demand.gateways, demand.rate, tuple(demand.largest or ())
+            )
             for demand in message.demands or ()
-            if 0 <= demand.rate < math.inf and demand.gateways >= 0
+            if demand.gateways >= 0
+            and all(0 <= rate < math.inf for rate in (demand.rate, *(demand.largest or ())))
         },
     )
 
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -987,6 +987,7 @@
      - service_name
      - gateways
      - rate
+     - largest
 
     """
 
@@ -994,13 +995,15 @@
         'service_name',
         'gateways',
         'rate',
+        'largest',
     )
 
 
-    def __init__(self, service_name=None, gateways=None, rate=None,):
+    def __init__(self, service_name=None, gateways=None, rate=None, largest=None,):
         self.service_name = service_name
         self.gateways = gateways
         self.rate = rate
+        self.largest = largest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1026,6 +1029,16 @@
                     self.rate = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.largest = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = iprot.readDouble()
+                        self.largest.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1048,6 +1061,13 @@
             oprot.writeFieldBegin('rate', TType.DOUBLE, 3)
             oprot.writeDouble(self.rate)
             oprot.writeFieldEnd()
+        if self.largest is not None:
+            oprot.writeFieldBegin('largest', TType.LIST, 4)
+            oprot.writeListBegin(TType.DOUBLE, len(self.largest))
+            for iter41 in self.largest:
+                oprot.writeDouble(iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1277,22 +1297,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = EndpointLoad()
-                        _elem40.read(iprot)
-                        self.loads.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = EndpointLoad()
+                        _elem47.read(iprot)
+                        self.loads.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = EndpointChange()
-                        _elem46.read(iprot)
-                        self.changes.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = EndpointChange()
+                        _elem53.read(iprot)
+                        self.changes.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1360,44 +1380,44 @@
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.evacuations = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = Evacuation()
-                        _elem52.read(iprot)
-                        self.evacuations.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = Evacuation()
+                        _elem59.read(iprot)
+                        self.evacuations.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.backlogs = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = Backlog()
-                        _elem58.read(iprot)
-                        self.backlogs.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = Backlog()
+                        _elem65.read(iprot)
+                        self.backlogs.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype62, _size59) = iprot.readListBegin()
-                    for _i63 in range(_size59):
-                        _elem64 = EndpointLimit()
-                        _elem64.read(iprot)
-                        self.limits.append(_elem64)
+                    (_etype69, _size66) = iprot.readListBegin()
+                    for _i70 in range(_size66):
+                        _elem71 = EndpointLimit()
+                        _elem71.read(iprot)
+                        self.limits.append(_elem71)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 21:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = ServiceDemand()
-                        _elem70.read(iprot)
-                        self.demands.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = ServiceDemand()
+                        _elem77.read(iprot)
+                        self.demands.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1426,15 +1446,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter71 in self.loads:
-                iter71.write(oprot)
+            for iter78 in self.loads:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter72 in self.changes:
-                iter72.write(oprot)
+            for iter79 in self.changes:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stops_in is not None:
@@ -1488,29 +1508,29 @@
         if self.evacuations is not None:
             oprot.writeFieldBegin('evacuations', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
-            for iter73 in self.evacuations:
-                iter73.write(oprot)
+            for iter80 in self.evacuations:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backlogs is not None:
             oprot.writeFieldBegin('backlogs', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.backlogs))
-            for iter74 in self.backlogs:
-                iter74.write(oprot)
+            for iter81 in self.backlogs:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter75 in self.limits:
-                iter75.write(oprot)
+            for iter82 in self.limits:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter76 in self.demands:
-                iter76.write(oprot)
+            for iter83 in self.demands:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1618,6 +1638,7 @@
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.I32, 'gateways', None, None, ),  # 2
     (3, TType.DOUBLE, 'rate', None, None, ),  # 3
+    (4, TType.LIST, 'largest', (TType.DOUBLE, None, False), None, ),  # 4
 )
 all_structs.append(EndpointLimit)
 EndpointLimit.thrift_spec = (
--- a/src/guavacleat/throttling/demand.py
+++ b/src/guavacleat/throttling/demand.py
@@ -4,18 +4,24 @@
 endpoint by their demand, as they last reported it to each other.
 """
 
+import heapq
 import math
 
 from twisted.internet.interfaces import IReactorTime
 
 from guavacleat.totals import Summable
 
-__all__ = ["DemandMeter", "ServiceDemand", "share_by_demand"]
+__all__ = ["Crowd", "DemandMeter", "ServiceDemand", "find_crowd", "share_by_demand"]
 
 # Time constant of the average; a few reports long, so that gateways agree on it.
 AVERAGING_SECONDS = 2.0
 # Part of a rate that is shared by demand; of the rest, each gateway gets as much as the others.
 DEMAND_WEIGHT = 0.75
+# A gateway is crowded if its demand is at least this part of all, and twice an equal part.
+MIN_CROWDED_PART = 1 / 8
+MIN_CROWDED_FACTOR = 2.0
+# Bounds the size of a report; no more gateways than this can be crowded.
+MAX_LARGEST = int(1 / MIN_CROWDED_PART)
 
 
 class ServiceDemand(Summable):
@@ -23,13 +29,42 @@
 
     :param gateways: number of gateways that report their demand.
     :param rate: requests per second, those that were refused included.
+    :param largest: the largest rates of single gateways, in descending order.
     """
 
-    __slots__ = ("gateways", "rate")
+    __slots__ = ("gateways", "rate", "largest")
 
-    def __init__(self, gateways: int = 0, rate: float = 0.0):
+    def __init__(self, gateways: int = 0, rate: float = 0.0, largest: tuple[float, ...] = ()):
         self.gateways = gateways
         self.rate = rate
+        self.largest = tuple(largest)
+
+    @classmethod
+    def of_gateway(cls, rate: float):
+        """The demand at one gateway."""
+        return cls(1, rate, (rate,))
+
+    def add(self, other: "ServiceDemand") -> "ServiceDemand":
+        """Add ``other`` to this demand and return it."""
+        super().add(other)
+        self.largest = tuple(heapq.nlargest(MAX_LARGEST, self.largest))
+        return self
+
+
+class Crowd:
+    """The gateways that get far more requests than others.
+
+    :param gateways: their number.
+    :param part: the part of a rate that is due to them together.
+    :param own_part: the part that is due to this gateway.
+    """
+
+    __slots__ = ("gateways", "part", "own_part")
+
+    def __init__(self, gateways: int = 0, part: float = 0.0, own_part: float = 0.0):
+        self.gateways = gateways
+        self.part = part
+        self.own_part = own_part
 
 
 class DemandMeter:
@@ -56,7 +91,7 @@
     def report(self, services) -> dict[str, ServiceDemand]:
         """The demand for these services, to report to the other gateways now."""
         self._own_by_service = {
-            service: ServiceDemand(1, self._rate(service)) for service in services
+            service: ServiceDemand.of_gateway(self._rate(service)) for service in services
         }
         if self.peers is not None:
             self._others_by_service = {
@@ -74,6 +109,13 @@
             return 1 / gateways
         return share_by_demand(own, others, gateways)
 
+    def crowd(self, service: str, gateways: int, most: int) -> Crowd:
+        """The crowded gateways, none if they are more than ``most``; see :meth:`share`."""
+        own, others = self._own_by_service.get(service), self._others_by_service.get(service)
+        if own is None or others is None:
+            return Crowd()
+        return find_crowd(own, others, gateways, most)
+
     def _rate(self, service: str) -> float:
         rate, at = self._averages.get(service, (0.0, 0.0))
         return rate * math.exp((at - self.clock.seconds()) / AVERAGING_SECONDS)
@@ -90,3 +132,15 @@
     heard = min(gateways, own.gateways + others.gateways)
     by_demand = heard / gateways * own.rate / total
     return (1 - DEMAND_WEIGHT) / gateways + DEMAND_WEIGHT * by_demand
+
+
+def find_crowd(own: ServiceDemand, others: ServiceDemand, gateways: int, most: int) -> Crowd:
+    """The crowded ones of the ``gateways`` that are known; none if there are more than ``most``."""
+    total = own.rate + others.rate
+    least = total * max(MIN_CROWDED_PART, MIN_CROWDED_FACTOR / gateways)
+    crowded = [rate for rate in (*own.largest, *others.largest) if rate >= least > 0]
+    if not 0 < len(crowded) <= most:
+        return Crowd()
+    part = min(DEMAND_WEIGHT, sum(crowded) / total)
+    own_part = part * own.rate / sum(crowded) if own.rate >= least else 0.0
+    return Crowd(len(crowded), part, own_part)
--- a/src/guavacleat/throttling/shares.py
+++ b/src/guavacleat/throttling/shares.py
@@ -9,13 +9,14 @@
 - Each gateway with a share may send at least one request at any moment. If all of them doing so at
   once could exceed the bound, only some of them, the senders, get a share, selected per endpoint by
   rendezvous hashing. Within a data centre, gateways that are cut off from each other may select
-  twice as many senders; therefore half of what the bound allows is shared.
+  twice as many senders; therefore half of what the bound allows is shared. Of a rate that an
+  endpoint names, the gateways that get far more requests than others are senders, too.
 
 The other gateways use other endpoints meanwhile.
 """
 
 from guavacleat.rendezvous import select_members
-from guavacleat.throttling.demand import DemandMeter
+from guavacleat.throttling.demand import Crowd, DemandMeter
 
 __all__ = ["RateBound", "ShareRule"]
 
@@ -80,15 +81,23 @@
         if sustained + count <= allowed:
             return rate * self._part(service, count)
         senders = max(1, int(allowed / 2 - SENDERS_RATE_SHARE * sustained))
-        if not self._is_sender(endpoint_id, senders):
-            return 0.0
-        return SENDERS_RATE_SHARE * rate / senders
+        crowd = self._crowd(service, count, senders - 1)
+        part = crowd.own_part
+        senders -= crowd.gateways
+        if self._is_sender(endpoint_id, senders):
+            part += (1 - crowd.part) / senders
+        return SENDERS_RATE_SHARE * rate * part
 
     def _part(self, service: str | None, count: int) -> float:
         if service is None or self.demand is None:
             return 1 / count
         return self.demand.share(service, count)
 
+    def _crowd(self, service: str | None, count: int, most: int) -> Crowd:
+        if service is None or self.demand is None:
+            return Crowd()
+        return self.demand.crowd(service, count, most)
+
     def _is_sender(self, endpoint_id: str, senders: int) -> bool:
         local_senders = self._local_senders(endpoint_id, senders)
         if not local_senders:
--- a/tests/ingress/test_crowded_gateway.py
+++ b/tests/ingress/test_crowded_gateway.py
@@ -39,21 +39,23 @@
         return self.outcomes[200] / self.outcomes.total()
 
 
-# (path, service, requests a second, limit that each endpoint names in its answers)
+# (path, service, requests a second, limit that each endpoint names in its answers, gateways)
 CASES = [
-    pytest.param("/listing/", ENGINE, 50.0, None, id="engine-stream"),
-    pytest.param("/listing/", None, 50.0, None, id="stream"),
-    pytest.param("/page/", None, 150.0, None, id="idempotent"),
-    pytest.param("/record/", None, 150.0, None, id="non-idempotent"),
-    pytest.param("/page/", None, 50.0, 12.0, id="limited"),
+    pytest.param("/listing/", ENGINE, 50.0, None, 4, id="engine-stream"),
+    pytest.param("/listing/", None, 50.0, None, 4, id="stream"),
+    pytest.param("/page/", None, 150.0, None, 4, id="idempotent"),
+    pytest.param("/record/", None, 150.0, None, 4, id="non-idempotent"),
+    pytest.param("/page/", None, 50.0, 12.0, 4, id="limited"),
+    pytest.param("/page/", None, 14.0, 3.0, 12, id="limited-12-gateways"),
+    pytest.param("/page/", None, 28.0, 6.0, 24, id="limited-24-gateways"),
 ]
 
 
-@pytest.mark.parametrize("path,service,rate,limit", CASES)
-def test_a_crowded_gateway_serves_nearly_as_often_as_all_did(path, service, rate, limit):
+@pytest.mark.parametrize("path,service,rate,limit,gateways", CASES)
+def test_a_crowded_gateway_serves_nearly_as_often_as_all_did(path, service, rate, limit, gateways):
     """Guards against limits per gateway that refuse what the fleet could serve."""
     fleet = CrashingFleet(
-        gateways=4, data_centres=2, work_seconds=0.05, event_seconds=0.05, service=service
+        gateways=gateways, data_centres=2, work_seconds=0.05, event_seconds=0.05, service=service
     )
     for endpoint in fleet.endpoints:
         endpoint.standin.rate_limit = limit
--- a/tests/throttling/test_demand.py
+++ b/tests/throttling/test_demand.py
@@ -12,7 +12,7 @@
     """The shares of gateways that hear only of those in their group; ``groups`` hold demands."""
     return [
         share_by_demand(
-            ServiceDemand(1, demand),
+            ServiceDemand.of_gateway(demand),
             ServiceDemand(len(group) - 1, sum(group) - demand),
             gateways,
         )
@@ -78,9 +78,9 @@
 
 
 def test_a_report_contains_the_demands():
-    demands = {"svc": ServiceDemand(1, 20.0), "other": ServiceDemand(2, float("nan"))}
+    demands = {"svc": ServiceDemand.of_gateway(20.0), "other": ServiceDemand(2, float("nan"))}
     report = GatewayReport("g1", 1, 1, {}, demands_by_service=demands)
     decoded = decode_report(encode_report(report)).demands_by_service
     assert decoded.keys() == {"svc"}
     total = sum_of(ServiceDemand, [decoded["svc"], demands["svc"]])
-    assert (total.gateways, total.rate) == (2, 40.0)
+    assert (total.gateways, total.rate, total.largest) == (2, 40.0, (20.0, 20.0))
--- a/tests/throttling/test_limits_fleet.py
+++ b/tests/throttling/test_limits_fleet.py
@@ -98,13 +98,13 @@
     assert not fleet.logs[0].exceeded_limits()
 
 
-@pytest.mark.parametrize("gateways", [4, 8])
+@pytest.mark.parametrize("gateways, rate", [(4, 4.0), (8, 4.0), (12, 2.0), (24, 4.0)])
 @pytest.mark.parametrize("cut_off", [False, True])
-def test_limit_holds_while_one_gateway_after_the_other_gets_most_requests(gateways, cut_off):
+def test_limit_holds_while_one_gateway_after_the_other_gets_most_requests(gateways, rate, cut_off):
     """Guards against shares by demand that exceed the limit when the demand moves."""
     fleet = StatementFleet(gateways=gateways, data_centres=2)
     for log in fleet.logs:
-        log.name_limit(4.0)
+        log.name_limit(rate)
     fleet.send(4.0)
     for number in range(6):
         fleet.send_to(f"g{number % gateways}", 3.0, per_second=60.0)
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -94,6 +94,8 @@
   2: required i32 gateways,
   // Requests per second, those refused included.
   3: required double rate,
+  // The largest rates of single gateways.
+  4: optional list<double> largest,
 }
 
 // An endpoint's limit of its request rate, as it said in an answer ``age`` seconds ago.
