--- a/src/guavacleat/throttling/shares.py
+++ b/src/guavacleat/throttling/shares.py
@@ -1,7 +1,7 @@
 """A gateway's share of the maximum request rate of an endpoint.
 
 A cold endpoint crashes if it gets more requests per second than its maximum rate; others name a
-maximum rate in their answers. The gateways share such a rate without communicating:
+maximum rate in their answers. The gateways share such a rate without asking each other:
 
 - Few gateways each get an equal share of the rate that a cold endpoint takes, and share a rate that
   an endpoint names by their demand. A gateway that lost its peers keeps counting those it knew, so
