Shares: the meter alone knows whether a demand has been reported

ShareRule and DemandMeter each tested, for shares and for crowds, whether there is anything to share by. The meter keeps both demands of a service together and answers for all cases; the rule always has a meter. Behaviour is the same: tests/throttling (shares, demand, throttle, fleet of limits), the crowded gateway and tests/evacuations pass, with the same assertions.

--- a/src/guavacleat/throttling/demand.py
+++ b/src/guavacleat/throttling/demand.py
@@ -80,8 +80,7 @@
         # The average rate of each service, and the clock time for which it holds.
         self._averages: dict[str, tuple[float, float]] = {}
         # The demand at this gateway and at the others, as of the latest report.
-        self._own_by_service: dict[str, ServiceDemand] = {}
-        self._others_by_service: dict[str, ServiceDemand] = {}
+        self._reported_by_service: dict[str, tuple[ServiceDemand, ServiceDemand]] = {}
 
     def record(self, service: str) -> None:
         """Count a request."""
@@ -90,31 +89,26 @@
 
     def report(self, services) -> dict[str, ServiceDemand]:
         """The demand for these services, to report to the other gateways now."""
-        self._own_by_service = {
-            service: ServiceDemand.of_gateway(self._rate(service)) for service in services
-        }
+        own = {service: ServiceDemand.of_gateway(self._rate(service)) for service in services}
         if self.peers is not None:
-            self._others_by_service = {
-                service: self.peers.demand(service) for service in self._own_by_service
+            self._reported_by_service = {
+                service: (demand, self.peers.demand(service)) for service, demand in own.items()
             }
-        return self._own_by_service
+        return own
 
-    def share(self, service: str, gateways: int) -> float:
+    def share(self, service: str | None, gateways: int) -> float:
         """This gateway's share of a rate that all gateways share.
 
+        :param service: None for equal shares.
         :param gateways: number of known gateways, this one included.
         """
-        own, others = self._own_by_service.get(service), self._others_by_service.get(service)
-        if own is None or others is None:
-            return 1 / gateways
-        return share_by_demand(own, others, gateways)
+        reported = self._reported_by_service.get(service)
+        return 1 / gateways if reported is None else share_by_demand(*reported, gateways)
 
-    def crowd(self, service: str, gateways: int, most: int) -> Crowd:
+    def crowd(self, service: str | None, gateways: int, most: int) -> Crowd:
         """The crowded gateways, none if they are more than ``most``; see :meth:`share`."""
-        own, others = self._own_by_service.get(service), self._others_by_service.get(service)
-        if own is None or others is None:
-            return Crowd()
-        return find_crowd(own, others, gateways, most)
+        reported = self._reported_by_service.get(service)
+        return Crowd() if reported is None else find_crowd(*reported, gateways, most)
 
     def _rate(self, service: str) -> float:
         rate, at = self._averages.get(service, (0.0, 0.0))
--- a/src/guavacleat/throttling/shares.py
+++ b/src/guavacleat/throttling/shares.py
@@ -16,7 +16,7 @@
 """
 
 from guavacleat.rendezvous import select_members
-from guavacleat.throttling.demand import Crowd, DemandMeter
+from guavacleat.throttling.demand import DemandMeter
 
 __all__ = ["RateBound", "ShareRule"]
 
@@ -51,7 +51,7 @@
     :param gateways: the other gateways, with ``gateway_count()``, ``data_centres()``, which returns
         the names of the data centres where there are some, and ``local_gateways()``, which returns
         the names of the gateways in this data centre as far as they are reachable.
-    :param demand: this gateway's :class:`~.demand.DemandMeter`; None if all shares are equal.
+    :param demand: this gateway's :class:`~.demand.DemandMeter`.
     """
 
     def __init__(
@@ -60,7 +60,7 @@
         data_centre: str,
         data_centres,
         gateways,
-        demand: DemandMeter | None = None,
+        demand: DemandMeter,
     ):
         self.instance = instance
         self.data_centre = data_centre
@@ -79,25 +79,15 @@
         allowed, sustained = bound.requests(rate), rate * bound.window
         count = max(1, self.gateways.gateway_count())
         if sustained + count <= allowed:
-            return rate * self._part(service, count)
+            return rate * self.demand.share(service, count)
         senders = max(1, int(allowed / 2 - SENDERS_RATE_SHARE * sustained))
-        crowd = self._crowd(service, count, senders - 1)
+        crowd = self.demand.crowd(service, count, senders - 1)
         part = crowd.own_part
         senders -= crowd.gateways
         if self._is_sender(endpoint_id, senders):
             part += (1 - crowd.part) / senders
         return SENDERS_RATE_SHARE * rate * part
 
-    def _part(self, service: str | None, count: int) -> float:
-        if service is None or self.demand is None:
-            return 1 / count
-        return self.demand.share(service, count)
-
-    def _crowd(self, service: str | None, count: int, most: int) -> Crowd:
-        if service is None or self.demand is None:
-            return Crowd()
-        return self.demand.crowd(service, count, most)
-
     def _is_sender(self, endpoint_id: str, senders: int) -> bool:
         local_senders = self._local_senders(endpoint_id, senders)
         if not local_senders:
--- a/tests/throttling/test_shares.py
+++ b/tests/throttling/test_shares.py
@@ -62,7 +62,7 @@
 
     def meter(name):
         if rates is None:
-            return None
+            return DemandMeter(Clock())
         heard = [number for number in range(count) if is_reachable(name, f"g{number}")]
         return make_meter(rates, int(name[1:]), heard)
 
