Slow peers: a connection is cut for silence, not for lack of room

Callers that stopped reading for 4 s got a truncated answer, without any disruption, plain and streams; a request whose endpoint did not read its body for 5 s ended with 502. Cause: TCP_USER_TIMEOUT of 3 s also ends connections whose peer acknowledges every window probe and only has no room for more data. Evidence: TCP_INFO of a caller that pauses shows nothing unacknowledged and an acknowledgement at most 1.5 s old; of one that drops all packets, unacknowledged data or probes and an acknowledgement as old as the silence. Change: the option is gone; connections with data to send are polled twice a second, and aborted when their peer has acknowledged nothing for 3 s. This works because the kernel resets what it reports as unacknowledged with each acknowledgement, also with one that grants no room.

The ingress as a process moves to a module of its own, shared by the two test files.

--- a/src/guavacleat/http1/client.py
+++ b/src/guavacleat/http1/client.py
@@ -12,7 +12,7 @@
 from twisted.internet.error import ConnectionDone
 
 from guavacleat.http1.messages import ResponseHead
-from guavacleat.http1.sockets import enable_dead_peer_detection
+from guavacleat.http1.sockets import UnreachablePeerDetector, configure_socket
 
 __all__ = ["ResponseListener", "ResponseFailure", "EndpointConnection"]
 
@@ -48,12 +48,14 @@
 class EndpointConnection(protocol.Protocol):
     """A connection to one address; ``on_idle(connection)`` is called when it can be reused.
 
+    :param detector: aborts the connection if the endpoint becomes unreachable; None for nothing.
     :ivar request_count: number of requests sent on it.
     """
 
-    def __init__(self, on_idle, on_closed):
+    def __init__(self, on_idle, on_closed, detector: UnreachablePeerDetector | None = None):
         self.on_idle = on_idle
         self.on_closed = on_closed
+        self.detector = detector
         self.parser = None
         self.listener: ResponseListener | None = None
         self.request_count = 0
@@ -63,7 +65,7 @@
 
     def connectionMade(self):  # noqa: N802 - Twisted's name
         self.open = True
-        enable_dead_peer_detection(self.transport)
+        configure_socket(self.transport)
 
     def send(self, method, target, headers, body: bytes, listener: ResponseListener) -> None:
         """Send a request; ``headers`` must not include framing or hop-by-hop headers."""
@@ -80,6 +82,8 @@
         self.transport.write(encoded)
         if body:
             self.transport.write(self.parser.send(h11.Data(data=body)))
+        if self.detector is not None:
+            self.detector.data_sent(self.transport)
         self.parser.send(h11.EndOfMessage())
 
     def abandon(self) -> None:
--- a/src/guavacleat/http1/pool.py
+++ b/src/guavacleat/http1/pool.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer, protocol
 
 from guavacleat.http1.client import EndpointConnection
+from guavacleat.http1.sockets import UnreachablePeerDetector
 
 __all__ = ["ConnectionPool"]
 
@@ -25,6 +26,7 @@
         self.idle_by_address: dict[tuple[str, int], collections.deque] = {}
         self.timers_by_connection: dict[EndpointConnection, object] = {}
         self.opened_count = 0
+        self.detector = UnreachablePeerDetector(reactor)
 
     def connect(self, address: tuple[str, int]) -> defer.Deferred:
         """Fire with an idle connection to ``address``, or with a new one."""
@@ -44,6 +46,7 @@
             EndpointConnection,
             lambda connection: self._release(address, connection),
             lambda connection: self._remove(address, connection),
+            self.detector,
         )
         return connector.connectTCP(*address, timeout=self.connect_timeout)
 
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -10,7 +10,7 @@
 
 from guavacleat.http1.body_memory import BodyMemory
 from guavacleat.http1.messages import RequestHead
-from guavacleat.http1.sockets import enable_dead_peer_detection
+from guavacleat.http1.sockets import UnreachablePeerDetector, configure_socket
 
 __all__ = ["CallerConnection", "CallerExchange", "CallerListener"]
 
@@ -103,7 +103,7 @@
         self.open = True
         limits = self.listener.limits()
         self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
-        enable_dead_peer_detection(self.transport)
+        configure_socket(self.transport)
         self.transport.registerProducer(self, True)
         self.listener.connections.add(self)
         self._set_timer(limits.idle_timeout, self._idle_timed_out)
@@ -261,6 +261,7 @@
     def _send(self, event) -> None:
         if self.open:
             self.transport.write(self.parser.send(event))
+            self.listener.detector.data_sent(self.transport)
 
     def close(self) -> None:
         """Close after sending the buffered data."""
@@ -319,6 +320,7 @@
         self.limits = limits
         self.on_rejected = on_rejected
         self.body_memory = body_memory or BodyMemory()
+        self.detector = UnreachablePeerDetector(reactor)
         self.connections: set[CallerConnection] = set()
         self.closing = False
 
--- a/tests/e2e/platform_standins.py
+++ b/tests/e2e/platform_standins.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
@@ -88,43 +89,63 @@
 
 
 class EngineState:
-    """An engine's received requests; clearing ``release`` blocks the events of its streams."""
+    """An engine's received requests and its answers; clearing ``release`` blocks its streams.
+
+    :ivar answer: body of the answers to plain requests; the request's own if None.
+    :ivar events: data of the events of a stream.
+    :ivar read_pause: seconds for which the engine doesn't read the body of a request.
+    :ivar broken_at: monotonic time at which an answer could not be sent, or a request was cut.
+    :ivar on_request: called with the socket of each request before its body is read.
+    """
 
     def __init__(self, delay=0.0):
         self.requests = []
         self.delay = delay
         self.release = threading.Event()
         self.release.set()
+        self.answer = None
+        self.events = ["x"] * 3
+        self.read_pause = 0.0
+        self.broken_at = None
+        self.on_request = lambda connection: None
 
 
 class EngineHandler(QuietHandler):
     def do_POST(self):  # noqa: N802 - the library's name
         state = self.server.state
-        body = self.read_body()
+        state.on_request(self.connection)
+        time.sleep(state.read_pause)
+        try:
+            self.answer(state, self.read_body())
+        except ConnectionError:
+            state.broken_at = time.monotonic()
+            self.close_connection = True
+
+    def answer(self, state, body):
         state.requests.append((self.path, dict(self.headers), body))
         seal = [("Attempt-Id", self.headers["Attempt-Id"]), ("Response-Seal", "s")]
         if self.path.startswith("/plain/"):
-            self.reply(200, b"echo:" + body, seal)
+            self.reply(200, b"echo:" + body if state.answer is None else state.answer, seal)
             return
         self.send_response(200)
         for name, value in [*seal, ("Transfer-Encoding", "chunked")]:
             self.send_header(name, value)
         self.end_headers()
-        for number in range(1, 4):
+        for number, data in enumerate(state.events, 1):
             state.release.wait(5)
-            event = f"id: {number}\ndata: x\n\n".encode()
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
         self.wfile.write(b"0\r\n\r\n")
 
 
-def configuration(version=1):
+def configuration(version=1, timeout_ms=5000):
     def route(prefix, kind):
         return {
             "name": prefix,
             "host": "h.example",
             "pathPrefix": prefix,
             "kind": kind,
-            "timeoutMs": 5000,
+            "timeoutMs": timeout_ms,
             "latencyGoalMs": 1000,
             "service": "svc",
             "maxAttempts": 1,
--- a/tests/e2e/test_ingress.py
+++ b/tests/e2e/test_ingress.py
@@ -1,98 +1,13 @@
 """The ingress as a process, against stand-ins of the platform's store and an engine."""
 
 import http.client
-import json
 import signal
-import socket
 import subprocess
 import sys
 import time
 
-import pytest
-
-from tests.e2e.platform_standins import (
-    EngineHandler,
-    EngineState,
-    Server,
-    StoreHandler,
-    StoreState,
-    configuration,
-)
-
-START_TIMEOUT_SECONDS = 20.0
-STOP_TIMEOUT_SECONDS = 10.0
-
-
-def free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
-class Ingress:
-    """A started ingress; :meth:`stop` returns its log lines."""
-
-    def __init__(self, tmp_path, store):
-        self.port, self.ready_port = free_port(), free_port()
-        peer_port = free_port()
-        settings = tmp_path / "node.conf"
-        settings.write_text(
-            f"nodeName=g1\nip=127.0.0.1\nzone=dc\nlisten.front=127.0.0.1:{self.port}\n"
-            f"listen.ready=127.0.0.1:{self.ready_port}\ninternalPorts={peer_port},{peer_port}\n"
-            f"platform.address={store.address}\nlimits.memoryMb=150\nbounds.graceS=8\n"
-        )
-        command = ["-m", "guavacleat", "ingress", f"--settings={settings}", "--metrics_port=0"]
-        self.process = subprocess.Popen([sys.executable, *command], stdout=subprocess.PIPE)
-
-    def request(self, path, port=None, method="POST", headers=None, body=b""):
-        connection = http.client.HTTPConnection("127.0.0.1", port or self.port, timeout=10)
-        own = {"Host": "h.example", "Attempt-Id": "r1", "Key": "k1", "Deadline-Ms": "4000"}
-        connection.request(method, path, body, {**own, **(headers or {})})
-        response = connection.getresponse()
-        return response.status, response.read(), response
-
-    def is_ready(self):
-        try:
-            return self.request("/-/readyz", self.ready_port, "GET")[0] == 200
-        except OSError:
-            return False
-
-    def wait_ready(self):
-        deadline = time.monotonic() + START_TIMEOUT_SECONDS
-        while not self.is_ready():
-            assert time.monotonic() < deadline, "not ready in time"
-            time.sleep(0.05)
-
-    def stop(self):
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGTERM)
-        out, _ = self.process.communicate(timeout=STOP_TIMEOUT_SECONDS)
-        return [json.loads(line) for line in out.splitlines()]
-
-
-@pytest.fixture
-def engine_state():
-    return EngineState()
-
-
-@pytest.fixture
-def store_state():
-    return StoreState()
-
-
-@pytest.fixture
-def ingress(tmp_path, store_state, engine_state):
-    store, engine = Server(StoreHandler, store_state), Server(EngineHandler, engine_state)
-    store_state.write("config", "main", configuration())
-    entry = {"service": "svc", "address": engine.address, "zone": "dc", "state": "ready"}
-    store_state.write("servers", "i-1", entry)
-    started = Ingress(tmp_path, store)
-    yield started
-    engine_state.release.set()
-    started.process.kill()
-    started.process.wait()
-    store.close()
-    engine.close()
+from tests.e2e.ingress_process import START_TIMEOUT_SECONDS, STOP_TIMEOUT_SECONDS
+from tests.e2e.platform_standins import configuration
 
 
 def test_plain_and_stream_requests_are_served_and_explained(ingress, engine_state):
--- /dev/null
+++ b/tests/e2e/test_slow_peers.py
@@ -0,0 +1,140 @@
+"""Callers and endpoints that read slowly, or not at all, over real sockets."""
+
+import ctypes
+import http.client
+import itertools
+import socket
+import time
+
+import pytest
+
+from tests.e2e.platform_standins import configuration
+
+# Longer than an unreachable peer may stay undetected.
+PAUSE_SECONDS = 5.0
+# Time to detect an unreachable peer, plus the time to act on it.
+DETECTION_SECONDS = 5.0
+TIMEOUT_MS = 30000
+ROUTES = ["/plain/x", "/stream/x"]
+RECEIVE_BUFFER_BYTES = 65536
+SO_ATTACH_FILTER = 26
+RETURN_CONSTANT = 6
+
+
+class SocketFilter(ctypes.Structure):
+    """The kernel's struct sock_filter."""
+
+    _fields_ = [
+        ("code", ctypes.c_ushort),
+        ("jt", ctypes.c_ubyte),
+        ("jf", ctypes.c_ubyte),
+        ("k", ctypes.c_uint),
+    ]
+
+
+class SocketFilterProgram(ctypes.Structure):
+    """The kernel's struct sock_fprog."""
+
+    _fields_ = [("len", ctypes.c_ushort), ("filter", ctypes.POINTER(SocketFilter))]
+
+
+def become_unreachable(connection):
+    """Drop all that arrives on a socket, so that its peer gets no acknowledgement."""
+    drop_all = (SocketFilter * 1)(SocketFilter(RETURN_CONSTANT, 0, 0, 0))
+    program = SocketFilterProgram(1, drop_all)
+    connection.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, bytes(program))
+
+
+class Caller:
+    """A request on a connection with a small receive buffer."""
+
+    def __init__(self, port, path):
+        self.connection = socket.socket()
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self.connection.settimeout(TIMEOUT_MS / 1000)
+        self.connection.connect(("127.0.0.1", port))
+        self.send_head(path, 0)
+
+    def send_head(self, path, body_bytes):
+        self.connection.sendall(
+            b"POST %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: r1\r\nKey: k1\r\n"
+            b"Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n"
+            % (path.encode(), TIMEOUT_MS, body_bytes)
+        )
+
+    def read_answer(self):
+        """Read the answer; return its status and body, or the error that cut it."""
+        response = http.client.HTTPResponse(self.connection)
+        try:
+            response.begin()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException) as exc:
+            return None, repr(exc)
+
+
+@pytest.fixture
+def port(ingress, store_state):
+    """The port of an ingress whose routes have a long timeout."""
+    store_state.write("config", "main", configuration(2, TIMEOUT_MS))
+    ingress.wait_ready()
+    return ingress.port
+
+
+def set_answer(engine_state, size):
+    engine_state.answer = b"y" * size
+    engine_state.events = ["y" * 1000] * (size // 1000)
+
+
+def is_whole(path, answer, size):
+    status, body = answer
+    expected = {
+        "/plain/x": lambda: body == b"y" * size,
+        "/stream/x": lambda: body.count(b"data: " + b"y" * 1000) == size // 1000,
+    }
+    return status == 200 and expected[path]()
+
+
+@pytest.mark.parametrize("path", ROUTES)
+@pytest.mark.parametrize("size", [250_000, 3_000_000])
+def test_an_answer_reaches_a_caller_that_pauses(port, engine_state, path, size):
+    """Guards against taking a caller for unreachable that has no room for more data."""
+    set_answer(engine_state, size)
+    callers = [Caller(port, path) for _ in range(4)]
+    time.sleep(PAUSE_SECONDS)
+    assert all(is_whole(path, caller.read_answer(), size) for caller in callers)
+
+
+@pytest.mark.parametrize("pause", [0.0, PAUSE_SECONDS])
+def test_an_unreachable_caller_is_found(port, engine_state, pause):
+    """Guards against engines that work for callers that are gone, also after a pause."""
+    engine_state.events = itertools.repeat("y" * 1000)
+    caller = Caller(port, "/stream/x")
+    assert caller.connection.recv(1000)
+    time.sleep(pause)
+    become_unreachable(caller.connection)
+    gone_at = time.monotonic()
+    while engine_state.broken_at is None:
+        assert time.monotonic() < gone_at + DETECTION_SECONDS, "the stream still runs"
+        time.sleep(0.05)
+
+
+def test_an_endpoint_that_reads_slowly_gets_the_whole_request(port, engine_state):
+    """Guards against taking an endpoint for unreachable that has no room for more data."""
+    engine_state.read_pause = PAUSE_SECONDS
+    body = b"z" * 3_500_000
+    caller = Caller(port, "/plain/x")
+    assert caller.read_answer() == (200, b"echo:")
+    caller.send_head("/plain/x", len(body))
+    caller.connection.sendall(body)
+    assert caller.read_answer() == (200, b"echo:" + body)
+
+
+def test_an_unreachable_endpoint_is_found(port, engine_state):
+    """Guards against requests that wait until their deadline for an endpoint that is gone."""
+    engine_state.on_request = become_unreachable
+    engine_state.read_pause = 2 * DETECTION_SECONDS
+    caller = Caller(port, "/plain/x")
+    sent_at = time.monotonic()
+    status, _ = caller.read_answer()
+    assert status == 502
+    assert time.monotonic() < sent_at + DETECTION_SECONDS
