Refusals: a reset no longer overtakes the response to a request that still arrives

Callers that were still sending a body got a reset in place of the 413, or of the 503 with Retry-After for lack of memory: they could not know that nothing had run. Cause: the connection was closed right after the response, and the kernel answers what arrives on a closed socket with a reset, which discards the response in the caller's receive buffer. Idle connections are closed as before: a request that crosses the close must stay unread, so that its caller can repeat it.

The closed callers of tests/http1/test_server.py and tests/network.py now count a connection that is closed for sending as closed, as the other end closes when it sees that.

--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -9,6 +9,7 @@
 from twisted.internet import protocol
 
 from guavacleat.http1.body_memory import BodyMemory
+from guavacleat.http1.closing import ConnectionCloser
 from guavacleat.http1.messages import RequestHead
 from guavacleat.http1.sockets import UnreachablePeerDetector, configure_socket
 
@@ -98,6 +99,8 @@
         self.reserved = 0
         self.timer = None
         self.paused = False
+        # Set once this side closes the connection, unless it aborts it.
+        self.closer: ConnectionCloser | None = None
 
     def connectionMade(self):  # noqa: N802 - Twisted's name
         self.open = True
@@ -109,6 +112,9 @@
         self._set_timer(limits.idle_timeout, self._idle_timed_out)
 
     def dataReceived(self, data):  # noqa: N802 - Twisted's name
+        if self.closer is not None:
+            self.closer.data_discarded()
+            return
         self.parser.receive_data(data)
         if self.exchange is not None:
             if len(self.parser.trailing_data[0]) > READ_AHEAD_BYTES:
@@ -120,6 +126,8 @@
         del reason
         self.open = False
         self._set_timer(None, None)
+        if self.closer is not None:
+            self.closer.connection_lost()
         self._release_memory()
         self.listener.connections.discard(self)
         exchange, self.exchange = self.exchange, None
@@ -220,7 +228,7 @@
             response = h11.Response(status_code=status, headers=headers, reason=b"")
             self.transport.write(self.parser.send(response))
             self.transport.write(self.parser.send(h11.EndOfMessage()))
-        self.close()
+        self.close(linger=True)
 
     def _request_timed_out(self) -> None:
         self._reject(REQUEST_TIMEOUT)
@@ -251,7 +259,7 @@
         if not self.open:
             return
         if self.parser.our_state is h11.MUST_CLOSE or self.parser.their_state is not h11.DONE:
-            self.close()
+            self.close(linger=True)
             return
         self.parser.start_next_cycle()
         self.transport.resumeProducing()
@@ -263,13 +271,23 @@
             self.transport.write(self.parser.send(event))
             self.listener.detector.data_sent(self.transport)
 
-    def close(self) -> None:
-        """Close after sending the buffered data."""
+    def close(self, linger: bool = False) -> None:
+        """Close after sending the buffered data.
+
+        :param linger: whether to read on until the caller has the response to a request of which
+            it may still send the rest. A caller whose request crosses the close of an idle
+            connection must not see it read, so that it can safely repeat it.
+        """
         self._set_timer(None, None)
         if self.open:
             self.open = False
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
+            self.closer = ConnectionCloser(
+                self.listener.reactor,
+                self.transport,
+                self.listener.detector.read_state,
+                self.listener.limits().idle_timeout,
+                linger,
+            )
 
     def abort(self) -> None:
         if self.open:
--- a/tests/e2e/test_slow_peers.py
+++ b/tests/e2e/test_slow_peers.py
@@ -3,7 +3,9 @@
 import ctypes
 import http.client
 import itertools
+import signal
 import socket
+import threading
 import time
 
 import pytest
@@ -48,12 +50,12 @@
 class Caller:
     """A request on a connection with a small receive buffer."""
 
-    def __init__(self, port, path):
+    def __init__(self, port, path, body_bytes=0):
         self.connection = socket.socket()
         self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.connection.settimeout(TIMEOUT_MS / 1000)
         self.connection.connect(("127.0.0.1", port))
-        self.send_head(path, 0)
+        self.send_head(path, body_bytes)
 
     def send_head(self, path, body_bytes):
         self.connection.sendall(
@@ -62,14 +64,20 @@
             % (path.encode(), TIMEOUT_MS, body_bytes)
         )
 
-    def read_answer(self):
+    def read_answer(self, bytes_per_second=None):
         """Read the answer; return its status and body, or the error that cut it."""
         response = http.client.HTTPResponse(self.connection)
+        parts = []
         try:
             response.begin()
-            return response.status, response.read()
+            step = RECEIVE_BUFFER_BYTES if bytes_per_second is None else bytes_per_second // 20
+            while part := response.read(step):
+                parts.append(part)
+                if bytes_per_second is not None:
+                    time.sleep(len(part) / bytes_per_second)
         except (OSError, http.client.HTTPException) as exc:
             return None, repr(exc)
+        return response.status, b"".join(parts)
 
 
 @pytest.fixture
@@ -94,6 +102,21 @@
     return status == 200 and expected[path]()
 
 
+def read_all(callers, **arguments):
+    """The answers of all callers, which read at the same time."""
+    answers = [None] * len(callers)
+
+    def read(number):
+        answers[number] = callers[number].read_answer(**arguments)
+
+    threads = [threading.Thread(target=read, args=(number,)) for number in range(len(callers))]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return answers
+
+
 @pytest.mark.parametrize("path", ROUTES)
 @pytest.mark.parametrize("size", [250_000, 3_000_000])
 def test_an_answer_reaches_a_caller_that_pauses(port, engine_state, path, size):
@@ -101,7 +124,7 @@
     set_answer(engine_state, size)
     callers = [Caller(port, path) for _ in range(4)]
     time.sleep(PAUSE_SECONDS)
-    assert all(is_whole(path, caller.read_answer(), size) for caller in callers)
+    assert all(is_whole(path, answer, size) for answer in read_all(callers))
 
 
 @pytest.mark.parametrize("pause", [0.0, PAUSE_SECONDS])
@@ -138,3 +161,44 @@
     status, _ = caller.read_answer()
     assert status == 502
     assert time.monotonic() < sent_at + DETECTION_SECONDS
+
+
+def send_slowly(caller, body):
+    """Send a request at some 5 MB/s, whatever the response is meanwhile."""
+    caller.send_head("/plain/x", len(body))
+    for start in range(0, len(body), 100_000):
+        caller.connection.sendall(body[start : start + 100_000])
+        time.sleep(0.02)
+
+
+def test_a_refusal_reaches_a_caller_that_is_still_sending(port):
+    """Guards against a reset that overtakes the response to a body that is too long."""
+    caller = Caller(port, "/plain/x")
+    assert caller.read_answer()[0] == 200
+    send_slowly(caller, b"z" * 6_000_000)
+    assert caller.read_answer()[0] == 413
+
+
+def test_a_refusal_for_lack_of_memory_reaches_a_caller_that_is_still_sending(port):
+    """Guards against a reset that overtakes the promise that a request has not run."""
+    # These announce more than there is memory for.
+    others = [Caller(port, "/plain/x", 4_000_000) for _ in range(12)]
+    time.sleep(0.5)
+    caller = Caller(port, "/plain/x")
+    assert caller.read_answer()[0] == 200
+    send_slowly(caller, b"z" * 4_000_000)
+    assert caller.read_answer()[0] == 503
+    for other in others:
+        other.connection.close()
+
+
+def test_an_idle_connection_is_closed_without_reading_on(ingress, port):
+    """Guards against reading a request that will not be answered, which nobody could repeat."""
+    caller = Caller(port, "/plain/x")
+    assert caller.read_answer()[0] == 200
+    ingress.process.send_signal(signal.SIGTERM)
+    assert caller.connection.recv(1) == b""
+    with pytest.raises(ConnectionError):
+        for _ in range(20):
+            caller.connection.sendall(b"z")
+            time.sleep(0.05)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -30,6 +30,7 @@
         self.connection = self.listener.buildProtocol(None)
         self.transport = StringTransport()
         self.transport.abortConnection = self.transport.loseConnection
+        self.transport.loseWriteConnection = self.transport.loseConnection
         self.connection.makeConnection(self.transport)
 
     def send(self, data):
@@ -164,6 +165,15 @@
     assert caller.closed
 
 
+def test_what_follows_a_rejected_request_is_discarded(caller):
+    """Guards against buffering the rest of a body that was rejected for its size."""
+    caller.send(post(101, 50))
+    for _ in range(10):
+        caller.send(b"x" * 1000)
+    assert caller.rejected_statuses == [413]
+    assert len(caller.connection.parser.trailing_data[0]) <= 50
+
+
 def test_expect_100_continue(caller):
     caller.send(b"POST /a HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\ncontent-length: 1\r\n\r\n")
     assert caller.received.startswith(b"HTTP/1.1 100")
--- a/tests/network.py
+++ b/tests/network.py
@@ -87,6 +87,10 @@
     def loseConnection(self):  # noqa: N802 - Twisted's name
         self._close(ConnectionDone(), ConnectionDone())
 
+    def loseWriteConnection(self):  # noqa: N802 - Twisted's name
+        """Close; the other end closes its side as soon as it sees that."""
+        self.loseConnection()
+
     def abortConnection(self):  # noqa: N802 - Twisted's name
         self._close(ConnectionAborted(), ConnectionLost())
 
