Stops: responses in send buffers are sent before, and after, the end of the process

Callers that paused while they read got truncated responses around a SIGTERM, or when the idle timeout closed their connection. Cause: a request counts as ended when its last byte is written to the transport, and a stop waited for nothing else; and the kernel drops a closed connection whose peer has no room once its probes are at their maximum interval (1 s since the detection of unreachable peers; before that, TCP_USER_TIMEOUT ended it after 3 s). Change: a stop waits, within its grace, until callers have acknowledged their responses; a connection that is closed gets the kernel's usual probe interval back, so that the kernel sends on.

--- a/src/guavacleat/http1/closing.py
+++ b/src/guavacleat/http1/closing.py
@@ -1,6 +1,6 @@
 """Closes callers' connections without cutting responses that are still being sent."""
 
-from guavacleat.http1.sockets import SendState
+from guavacleat.http1.sockets import SendState, prepare_close
 
 __all__ = ["ConnectionCloser"]
 
@@ -41,6 +41,7 @@
         self.acknowledged_bytes = 0
         # When the caller last took data, was last owed data, and last sent data.
         self.progressed_at = self.sent_at = self.received_at = reactor.seconds()
+        prepare_close(transport)
         transport.unregisterProducer()
         if linger:
             # Reading may be paused because of pipelined data.
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -294,6 +294,11 @@
             self.open = False
             self.transport.abortConnection()
 
+    def is_sending(self) -> bool:
+        """Whether the caller has not acknowledged all data that was sent."""
+        state = self.listener.detector.read_state(self.transport)
+        return state is not None and state.pending
+
     def pauseProducing(self):  # noqa: N802 - Twisted's name
         """Called by the transport when its send buffer is full."""
         self.paused = True
@@ -346,6 +351,10 @@
         del addr
         return CallerConnection(self)
 
+    def is_sending(self) -> bool:
+        """Whether callers have yet to receive a part of a response that has ended."""
+        return any(connection.is_sending() for connection in self.connections)
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in list(self.connections):
--- a/src/guavacleat/http1/sockets.py
+++ b/src/guavacleat/http1/sockets.py
@@ -12,7 +12,13 @@
 
 from eliot import log_message
 
-__all__ = ["SendState", "UnreachablePeerDetector", "configure_socket", "read_send_state"]
+__all__ = [
+    "SendState",
+    "UnreachablePeerDetector",
+    "configure_socket",
+    "prepare_close",
+    "read_send_state",
+]
 
 # Together these close an idle connection to an unreachable peer after about 3 s, instead of hours
 # with the kernel's defaults. A link that has healed counts as sound again after 3 s.
@@ -27,6 +33,7 @@
 MAX_PROBE_INTERVAL_MS = 1000
 # Socket option of Linux 6.15 and later, which the socket module does not name yet.
 TCP_RTO_MAX_MS = 44
+DEFAULT_PROBE_INTERVAL_MS = 120000
 # Fields of the kernel's struct tcp_info: tcpi_probes, tcpi_unacked, tcpi_last_ack_recv (ms),
 # tcpi_bytes_acked, tcpi_notsent_bytes.
 TCP_INFO_FIELDS = struct.Struct("=3xB 20xI 28xI 60xQ 16xI")
@@ -62,8 +69,23 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    _set_probe_interval(sock, MAX_PROBE_INTERVAL_MS)
+
+
+def prepare_close(transport) -> None:
+    """Let the kernel send the rest of the data after the close, however slow the peer is.
+
+    The kernel drops a closed connection without room for data once its probes reach their maximum
+    interval.
+    """
+    get_handle = getattr(transport, "getHandle", None)
+    if get_handle is not None:
+        _set_probe_interval(get_handle(), DEFAULT_PROBE_INTERVAL_MS)
+
+
+def _set_probe_interval(sock, milliseconds: int) -> None:
     with contextlib.suppress(OSError):  # Older kernels.
-        sock.setsockopt(socket.IPPROTO_TCP, TCP_RTO_MAX_MS, MAX_PROBE_INTERVAL_MS)
+        sock.setsockopt(socket.IPPROTO_TCP, TCP_RTO_MAX_MS, milliseconds)
 
 
 def read_send_state(transport) -> SendState | None:
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -290,6 +290,10 @@
         """Log that changed settings were invalid; the current ones stay in force."""
         log_message(message_type="process:settings-refused", error=str(error))
 
+    def _is_busy(self) -> bool:
+        """Whether a request is in progress, or a response is still being sent."""
+        return bool(self.dispatch.in_flight) or self.caller_listener.is_sending()
+
     @defer.inlineCallbacks
     def stop(self):
         """Stop gracefully: report not ready, serve new and running requests, then close."""
@@ -302,7 +306,7 @@
         run_stop_step(self.source.announce_stop, began + grace)
         while True:
             waited = self.reactor.seconds() - began
-            if waited >= grace or (waited >= STOP_NOTICE_SECONDS and not self.dispatch.in_flight):
+            if waited >= grace or (waited >= STOP_NOTICE_SECONDS and not self._is_busy()):
                 break
             run_stop_step(self.dispatch.refuse_queued)
             yield task.deferLater(self.reactor, STOP_POLL_SECONDS)
--- a/tests/e2e/platform_standins.py
+++ b/tests/e2e/platform_standins.py
@@ -138,7 +138,7 @@
         self.wfile.write(b"0\r\n\r\n")
 
 
-def configuration(version=1, timeout_ms=5000):
+def configuration(version=1, timeout_ms=5000, limits=None):
     def route(prefix, kind):
         return {
             "name": prefix,
@@ -157,6 +157,6 @@
         "version": version,
         "routes": [route("/plain/", "non_idempotent"), route("/stream/", "stream")],
         "services": [{"name": "svc", "maxConns": 10}],
-        "limits": {},
+        "limits": limits or {},
         "tenants": [{"name": "t1", "apiKeys": ["k1"]}],
     }
--- a/tests/e2e/test_slow_peers.py
+++ b/tests/e2e/test_slow_peers.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from tests.e2e.ingress_process import STOP_TIMEOUT_SECONDS
 from tests.e2e.platform_standins import configuration
 
 # Longer than an unreachable peer may stay undetected.
@@ -17,6 +18,7 @@
 # Time to detect an unreachable peer, plus the time to act on it.
 DETECTION_SECONDS = 5.0
 TIMEOUT_MS = 30000
+GRACE_SECONDS = 8.0
 ROUTES = ["/plain/x", "/stream/x"]
 RECEIVE_BUFFER_BYTES = 65536
 SO_ATTACH_FILTER = 26
@@ -127,6 +129,35 @@
     assert all(is_whole(path, answer, size) for answer in read_all(callers))
 
 
+@pytest.mark.parametrize("path", ROUTES)
+@pytest.mark.parametrize("pause", [PAUSE_SECONDS, GRACE_SECONDS + 2.0])
+def test_a_stop_does_not_cut_the_response_of_a_caller_that_pauses(
+    ingress, port, engine_state, path, pause
+):
+    """Guards against a process that ends before the responses in its send buffers are sent."""
+    size = 1_000_000
+    set_answer(engine_state, size)
+    callers = [Caller(port, path) for _ in range(4)]
+    time.sleep(0.7)
+    ingress.process.send_signal(signal.SIGTERM)
+    time.sleep(pause)
+    assert all(is_whole(path, caller.read_answer(), size) for caller in callers)
+    assert ingress.process.wait(timeout=STOP_TIMEOUT_SECONDS) == 0
+
+
+def test_a_connection_is_not_idle_while_its_caller_takes_a_response(
+    port, store_state, engine_state
+):
+    """Guards against an idle timeout that cuts the response of a caller that pauses."""
+    store_state.write("config", "main", configuration(3, TIMEOUT_MS, {"idleTimeoutMs": 1000}))
+    time.sleep(0.5)
+    size = 1_000_000
+    set_answer(engine_state, size)
+    caller = Caller(port, "/plain/x")
+    time.sleep(PAUSE_SECONDS)
+    assert is_whole("/plain/x", caller.read_answer(), size)
+
+
 @pytest.mark.parametrize("pause", [0.0, PAUSE_SECONDS])
 def test_an_unreachable_caller_is_found(port, engine_state, pause):
     """Guards against engines that work for callers that are gone, also after a pause."""
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -10,6 +10,7 @@
 
 from guavacleat.http1.body_memory import COPIES, SHORT_BODY_BYTES, BodyMemory
 from guavacleat.http1.server import CallerListener
+from guavacleat.http1.sockets import SendState
 from guavacleat.routes import CallerLimits
 
 LIMITS = CallerLimits(
@@ -165,6 +166,20 @@
     assert caller.closed
 
 
+@pytest.mark.parametrize("linger", [True, False])
+def test_a_connection_is_sending_until_its_caller_has_the_response(caller, linger):
+    """Guards against a stop that counts a response as sent once it is in a buffer."""
+    pending, sent = SendState(True, False, 0, None), SendState(False, False, 9, None)
+    caller.send(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n")
+    caller.listener.detector.read_state = lambda transport: pending
+    caller.exchanges[0].respond(200, [], b"x")
+    assert caller.listener.is_sending()
+    caller.connection.close(linger)
+    assert caller.listener.is_sending()
+    caller.listener.detector.read_state = lambda transport: sent
+    assert not caller.listener.is_sending()
+
+
 def test_what_follows_a_rejected_request_is_discarded(caller):
     """Guards against buffering the rest of a body that was rejected for its size."""
     caller.send(post(101, 50))
--- a/tests/ingress/test_stop.py
+++ b/tests/ingress/test_stop.py
@@ -75,6 +75,19 @@
     assert result_of(stopping) is None
 
 
+@pytest.mark.parametrize("taken_after,stopped_after", [(1.0, 3.0), (5.0, 5.0), (60.0, 7.5)])
+def test_a_stop_waits_until_callers_have_their_responses(fleet, taken_after, stopped_after):
+    """Guards against a process that ends with the rest of a response in its send buffer."""
+    gateway, began_at = fleet.gateways["g0"], fleet.network.seconds()
+    gateway.caller_listener.is_sending = lambda: fleet.network.seconds() < began_at + taken_after
+    fleet.send_harmless("/record/1", gateway="g0")
+    stopping = gateway.stop()
+    fleet.network.pass_time(stopped_after - 0.2)
+    assert fleet.harmless_outcomes[200] == 1 and not stopping.called
+    fleet.network.pass_time(0.4)
+    assert result_of(stopping) is None
+
+
 ENGINE = {"engine": {"slots": 6, "memory_tokens": 100000}}
 
 
