Slow callers: a full send buffer also pauses the next response, and a resumed stream

A caller that did not read had the rest of its stream, or the response to its next request on the same connection, buffered whole in the gateway's memory. Cause: the transport says once that its buffer is full; the producer of the next response, and the engine at which a stream resumed, were never told. Change: an exchange pauses its producer when it is set while the connection is paused, and a session pauses each attempt that it takes up then.

The two new tests failed before.

--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -171,6 +171,8 @@
 
     def _use_attempt(self, attempt: StreamAttempt) -> None:
         self.attempt = attempt
+        if self.request.exchange.paused:
+            self.pause()
         self.memory.use_run(attempt.run)
         self.memory.set_copy(attempt.backup)
 
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -41,12 +41,28 @@
         self.head = head
         self.body = body
         self.on_disconnect = None
-        # Producer of the response, with pause() and resume() for backpressure.
-        self.producer = None
+        self._producer = None
         self.status: int | None = None
         self.ended = False
         self.aborted = False
 
+    @property
+    def producer(self):
+        """The source of the response, with ``pause()`` and ``resume()`` for backpressure."""
+        return self._producer
+
+    @producer.setter
+    def producer(self, producer) -> None:
+        self._producer = producer
+        # The send buffer may be full of the response to the request before.
+        if producer is not None and self.paused:
+            producer.pause()
+
+    @property
+    def paused(self) -> bool:
+        """Whether the caller has to read before more of a response is sent."""
+        return self.connection.paused
+
     @property
     def head_sent(self) -> bool:
         """Whether the response head was sent."""
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -83,6 +83,7 @@
         self.target = None
         self.headers = {}
         self.abandoned = False
+        self.paused = False
         self.transport = self
 
     def send(self, method, target, headers, body, listener):
@@ -94,6 +95,12 @@
         self.open, self.abandoned = False, True
         self.break_connection(ResponseFailure.ABANDONED)
 
+    def pause(self):
+        self.paused = True
+
+    def resume(self):
+        self.paused = False
+
     def begin(self, status=200, id=b"r1", signed=True, not_run=False, statements=()):
         headers = [(b"id", id)] if id is not None else []
         headers += [(b"sealed", b"1")] if signed else []
@@ -153,6 +160,7 @@
 
     def __init__(self):
         self.open = True
+        self.paused = False
         self.head = None
         self.data = b""
         self.complete = False
--- a/tests/forwarding/test_session.py
+++ b/tests/forwarding/test_session.py
@@ -64,6 +64,19 @@
     assert caller.complete
 
 
+def test_a_slow_caller_pauses_the_engine_at_which_its_stream_resumes(harness):
+    """Guards against buffering the rest of a stream for a caller that does not read."""
+    session, caller, connection = start_running_stream(harness)
+    session.memory.set_copy(RunCopy(make_entry("e2"), make_entry("e2"), "h1"))
+    caller.paused = True
+    session.pause()
+    connection.break_connection()
+    second_connection = harness.pool.connections[1]
+    assert connection.paused and second_connection.paused
+    session.resume()
+    assert not second_connection.paused
+
+
 def test_missing_event_ends_the_stream(harness):
     """Guards against completing a stream in which an event id was skipped."""
     _, caller, connection = start_running_stream(harness)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -139,25 +139,38 @@
     assert disconnects == [True] and caller.exchanges[0].disconnected
 
 
-def test_slow_reader_pauses_the_producer(caller):
-    caller.send(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n")
-    exchange = caller.exchanges[0]
+class RecordingProducer:
+    def __init__(self):
+        self.calls = []
 
-    class RecordingProducer:
-        calls = []
+    def pause(self):
+        self.calls.append("pause")
 
-        def pause(self):
-            self.calls.append("pause")
+    def resume(self):
+        self.calls.append("resume")
 
-        def resume(self):
-            self.calls.append("resume")
 
+def test_slow_reader_pauses_the_producer(caller):
+    caller.send(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n")
+    exchange = caller.exchanges[0]
     exchange.producer = RecordingProducer()
     caller.connection.pauseProducing()
     caller.connection.resumeProducing()
     assert exchange.producer.calls == ["pause", "resume"]
 
 
+def test_slow_reader_of_a_response_pauses_the_producer_of_the_next(caller, clock):
+    """Guards against buffering a whole response behind one that fills the send buffer."""
+    caller.send(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\nGET /b HTTP/1.1\r\nhost: h\r\n\r\n")
+    caller.connection.pauseProducing()
+    caller.exchanges[0].respond(200, [], b"x")
+    clock.advance(0)
+    exchange = caller.exchanges[1]
+    exchange.producer = RecordingProducer()
+    caller.connection.resumeProducing()
+    assert exchange.producer.calls == ["pause", "resume"]
+
+
 def test_closing_listener_closes_the_connection_after_the_response(caller):
     caller.send(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n")
     caller.listener.closing = True
