Completions interface: slow callers keep their responses, unreachable ones are found

In the product's own form a stop ended 0.5 s after the last request, with what was left in the send buffers; the idle timeout of 60 s closed, and 15 s later aborted, the connection of a caller that was still taking a response; and a caller that was gone without a close was never detected, so that its generation went on. Cause: a request counts as ended when its last byte is written (as in the ingress), and twisted.web's idle timeout does not know of the send buffer. Change: a site of our own asks the kernel: stops wait within their grace until callers have acknowledged everything, the idle timeout spares callers that make progress, and connections have the ingress's detector.

--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -5,7 +5,6 @@
 from eliot import log_message
 from twisted.application import service
 from twisted.internet import defer, task
-from twisted.web.server import Site
 
 from guavacleat.admission.dispatcher import Dispatcher
 from guavacleat.config.holder import CONFIG_KIND, ConfigHolder
@@ -13,6 +12,7 @@
 from guavacleat.evacuations.objects import EVACUATION_KIND, decode_evacuation
 from guavacleat.gateway.app import GatewayApp
 from guavacleat.gateway.sidecars import SidecarPool
+from guavacleat.gateway.site import CompletionsSite
 from guavacleat.idempotency import CallRecords
 from guavacleat.membership import MembershipView
 from guavacleat.membership.instances import InstancePoller
@@ -91,6 +91,7 @@
         )
         self.in_flight = 0
         self.stopping = False
+        self.site = CompletionsSite(GatewayApp(self).resource(), reactor)
         self.port = None
 
     def _new_evacuation_watch(self) -> WatchLoop:
@@ -115,8 +116,7 @@
         self.instance_poller.rounds.start()
         self.digest_poller.rounds.start()
         host, port = self.listen
-        site = Site(GatewayApp(self).resource())
-        self.port = self.reactor.listenTCP(port, site, interface=host)
+        self.port = self.reactor.listenTCP(port, self.site, interface=host)
         log_message(message_type="gateway:started", address=self.address())
 
     def address(self) -> str:
@@ -126,12 +126,11 @@
     def stopService(self):  # noqa: N802 - Twisted's name
         """Stop gracefully: refuse new requests as not run, let running streams finish."""
         self.stopping = True
-        waited = 0.0
-        while self.in_flight and waited < self.stop_grace:
-            yield task.deferLater(self.reactor, STOP_POLL_SECONDS, lambda: None)
-            waited += STOP_POLL_SECONDS
-        # Leave time to flush the last responses.
+        stops_at = self.reactor.seconds() + self.stop_grace
+        yield self._wait_while(lambda: self.in_flight, stops_at)
+        # Leave time to write the last responses.
         yield task.deferLater(self.reactor, FLUSH_SECONDS)
+        yield self._wait_while(self.site.is_sending, stops_at)
         for watch in self.watches:
             watch.stop()
         self.quarantine_record.stop()
@@ -142,6 +141,12 @@
         log_message(message_type="gateway:stopped", unfinished=self.in_flight)
         yield super().stopService()
 
+    @defer.inlineCallbacks
+    def _wait_while(self, is_busy, until: float):
+        """Wait while ``is_busy()``, at most until this clock time."""
+        while is_busy() and self.reactor.seconds() < until:
+            yield task.deferLater(self.reactor, STOP_POLL_SECONDS)
+
     def status(self) -> dict:
         """The body of ``GET /status``."""
         deployment = self.config.deployment
