Slow callers: unsent responses count towards the memory for bodies

Since slow callers are no longer cut after 3 s, a gateway may hold some 320 KB for each of them until its deadline; 300 of them would exceed a process's 150 MB, and the platform would kill it with all its requests. Cause: the memory for bodies was released when a response ended, whatever waited in the send buffer. Change: what is written while the buffer is full counts until the transport has drained it; while it fills the memory, new bodies are refused with Retry-After.

test_unsent_responses_count_as_memory_until_the_caller_reads failed before in both forms.

--- a/src/guavacleat/http1/body_memory.py
+++ b/src/guavacleat/http1/body_memory.py
@@ -1,4 +1,7 @@
-"""Memory for the bodies of requests, from their first byte to the end of the response."""
+"""Memory for requests' bodies, from their first byte to the end of the response.
+
+Unsent responses share it. They can't be refused; while they fill the memory, bodies are.
+"""
 
 __all__ = ["BodyMemory"]
 
@@ -11,7 +14,7 @@
 
 
 class BodyMemory:
-    """Memory that the bodies of all requests share.
+    """Memory that the bodies of all requests, and unsent data of their responses, share.
 
     :param limit: bytes; infinite by default.
     :ivar used: bytes that are reserved.
@@ -37,3 +40,10 @@
 
     def release(self, size: int) -> None:
         self.used -= COPIES * size
+
+    def add_unsent(self, size: int) -> None:
+        """Count bytes of responses that callers have yet to read."""
+        self.used += size
+
+    def remove_unsent(self, size: int) -> None:
+        self.used -= size
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -113,6 +113,8 @@
         self.size = 0
         # Bytes of the current request's body for which memory is reserved.
         self.reserved = 0
+        # Bytes written since the transport's send buffer was full.
+        self.unsent = 0
         self.timer = None
         self.paused = False
         # Set once this side closes the connection, unless it aborts it.
@@ -145,6 +147,7 @@
         if self.closer is not None:
             self.closer.connection_lost()
         self._release_memory()
+        self._buffer_drained()
         self.listener.connections.discard(self)
         exchange, self.exchange = self.exchange, None
         if exchange is not None and not exchange.ended and exchange.on_disconnect is not None:
@@ -283,9 +286,18 @@
         self.listener.reactor.callLater(0, self._read)
 
     def _send(self, event) -> None:
-        if self.open:
-            self.transport.write(self.parser.send(event))
-            self.listener.detector.data_sent(self.transport)
+        if not self.open:
+            return
+        data = self.parser.send(event)
+        self.transport.write(data)
+        self.listener.detector.data_sent(self.transport)
+        if self.paused:
+            self.unsent += len(data)
+            self.listener.body_memory.add_unsent(len(data))
+
+    def _buffer_drained(self) -> None:
+        self.listener.body_memory.remove_unsent(self.unsent)
+        self.unsent = 0
 
     def close(self, linger: bool = False) -> None:
         """Close after sending the buffered data.
@@ -323,6 +335,7 @@
 
     def resumeProducing(self):  # noqa: N802 - Twisted's name
         self.paused = False
+        self._buffer_drained()
         if self.exchange is not None:
             self.listener.flow_changed(self.exchange, paused=False)
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -251,6 +251,19 @@
     assert rejected.rejected_statuses == [413] and body_memory.used == 0
 
 
+@pytest.mark.parametrize("drain", ["resumeProducing", "connectionLost"])
+def test_unsent_responses_count_as_memory_until_the_caller_reads(clock, body_memory, drain):
+    """Guards against slow callers whose responses exceed the memory of the process."""
+    slow, other = Caller(clock, body_memory), Caller(clock, body_memory)
+    slow.send(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+    slow.connection.pauseProducing()
+    slow.exchanges[0].respond(200, [], b"x" * 200)
+    other.send(post(80, 80))
+    assert other.rejected_statuses == [503]
+    getattr(slow.connection, drain)()
+    assert body_memory.used == 0
+
+
 def test_long_bodies_leave_memory_to_short_ones():
     """Guards against a few slow callers of long bodies that keep all others out."""
     memory = BodyMemory(COPIES * 10 * SHORT_BODY_BYTES)
