http1: the exchange has a module of its own

Moved without a change: CallerExchange, from http1/server.py to http1/exchange.py. tests/http1 and tests/forwarding pass.

--- a/src/guavacleat/forwarding/request.py
+++ b/src/guavacleat/forwarding/request.py
@@ -1,7 +1,7 @@
 """A caller's request with its route, account, service and deadline."""
 
 from guavacleat.forwarding.messages import RequestMetadata
-from guavacleat.http1.server import CallerExchange
+from guavacleat.http1.exchange import CallerExchange
 from guavacleat.lengths import LengthForecast
 from guavacleat.quarantine import fingerprint, part_fingerprints
 from guavacleat.routes import Account, Route, ServiceTraits
--- a/src/guavacleat/forwarding/response.py
+++ b/src/guavacleat/forwarding/response.py
@@ -7,8 +7,8 @@
 from guavacleat.forwarding.messages import ResponseMetadata
 from guavacleat.forwarding.statements import EndpointStatements
 from guavacleat.http1.client import ResponseFailure, ResponseListener
+from guavacleat.http1.exchange import CallerExchange
 from guavacleat.http1.messages import ResponseHead, end_to_end_headers
-from guavacleat.http1.server import CallerExchange
 
 __all__ = [
     "ResponseCheck",
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -1,8 +1,8 @@
 """HTTP server for callers' connections; requests on a connection are handled one after another.
 
-The handler receives a :class:`CallerExchange` with a complete request and responds to it once.
-Requests with ambiguous framing, such as two lengths, are rejected with 400 and the connection is
-closed, which prevents request smuggling.
+The handler receives a :class:`~.exchange.CallerExchange` with a complete request and responds to
+it once. Requests with ambiguous framing, such as two lengths, are rejected with 400 and the
+connection is closed, which prevents request smuggling.
 """
 
 import h11
@@ -10,10 +10,11 @@
 
 from guavacleat.http1.body_memory import BodyMemory
 from guavacleat.http1.closing import ConnectionCloser
+from guavacleat.http1.exchange import CallerExchange
 from guavacleat.http1.messages import RequestHead
 from guavacleat.http1.sockets import UnreachablePeerDetector, configure_socket
 
-__all__ = ["CallerConnection", "CallerExchange", "CallerListener"]
+__all__ = ["CallerConnection", "CallerListener"]
 
 # Limit on the pipelined data that is buffered while a request is processed. Reading continues
 # meanwhile in order to detect a disconnect.
@@ -29,78 +30,6 @@
 HEADER_OVERHEAD_BYTES = 4
 
 
-class CallerExchange:
-    """A request and its response.
-
-    ``on_disconnect()``, if set, is called if the caller disconnects before the response is
-    complete.
-    """
-
-    def __init__(self, connection: "CallerConnection", head: RequestHead, body: bytes):
-        self.connection = connection
-        self.head = head
-        self.body = body
-        self.on_disconnect = None
-        self._producer = None
-        self.status: int | None = None
-        self.ended = False
-        self.aborted = False
-
-    @property
-    def producer(self):
-        """The source of the response, with ``pause()`` and ``resume()`` for backpressure."""
-        return self._producer
-
-    @producer.setter
-    def producer(self, producer) -> None:
-        self._producer = producer
-        # The send buffer may be full of the response to the request before.
-        if producer is not None and self.paused:
-            producer.pause()
-
-    @property
-    def paused(self) -> bool:
-        """Whether the caller has to read before more of a response is sent."""
-        return self.connection.paused
-
-    @property
-    def head_sent(self) -> bool:
-        """Whether the response head was sent."""
-        return self.status is not None
-
-    @property
-    def disconnected(self) -> bool:
-        return not self.connection.open
-
-    def start_response(
-        self, status: int, reason: bytes, headers: list[tuple[bytes, bytes]]
-    ) -> None:
-        """Send the response head; without a content-length header the body is sent in chunks."""
-        self.status = status
-        self.connection.send_head(status, reason, headers)
-
-    def write(self, data: bytes) -> None:
-        self.connection.send_body(data)
-
-    def end(self) -> None:
-        """Complete the response."""
-        self.ended = True
-        self.connection.send_end()
-
-    def respond(self, status: int, headers, body: bytes, reason: bytes = b"") -> None:
-        """Send a complete response."""
-        self.start_response(status, reason, [*headers, (b"content-length", b"%d" % len(body))])
-        if body and self.head.method != b"HEAD":
-            self.write(body)
-        self.end()
-
-    def abort(self) -> None:
-        """Close the connection without completing the response, so that it is seen as truncated."""
-        self.ended = True
-        self.aborted = True
-        self.connection.abort()
-
-
 class CallerConnection(protocol.Protocol):
     """A connection from a caller, accepted by ``listener``."""
 
@@ -351,7 +280,7 @@
 class CallerListener(protocol.Factory):
     """Protocol factory of :class:`CallerConnection`.
 
-    :param handle: called with each :class:`CallerExchange`.
+    :param handle: called with each :class:`~.exchange.CallerExchange`.
     :param limits: returns the current :class:`~guavacleat.routes.CallerLimits`.
     :param on_rejected: called with the response status of each rejected request.
     :param body_memory: the :class:`~.body_memory.BodyMemory` of the requests; None for no limit.
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -11,8 +11,8 @@
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.session import StreamSession
 from guavacleat.forwarding.timings import GenerationSpeed
+from guavacleat.http1.exchange import CallerExchange
 from guavacleat.http1.messages import end_to_end_headers
-from guavacleat.http1.server import CallerExchange
 from guavacleat.lengths import LengthForecast
 from guavacleat.peers.table import GATEWAY_RESTART_SECONDS
 from guavacleat.quarantine import format_fingerprint
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -13,8 +13,9 @@
 from guavacleat.forwarding.isolation import quarantine_refusal
 from guavacleat.forwarding.wire import Wire
 from guavacleat.http1.body_memory import BodyMemory
+from guavacleat.http1.exchange import CallerExchange
 from guavacleat.http1.pool import ConnectionPool
-from guavacleat.http1.server import CallerExchange, CallerListener
+from guavacleat.http1.server import CallerListener
 from guavacleat.ingress.dispatch import Dispatch
 from guavacleat.ingress.lag import LoopLag
 from guavacleat.ingress.metrics import IngressMetrics
--- a/src/guavacleat/standin/routed.py
+++ b/src/guavacleat/standin/routed.py
@@ -14,7 +14,8 @@
 from twisted.internet.interfaces import IReactorTime
 
 from guavacleat.forwarding.prompt import parse_prompt_parts
-from guavacleat.http1.server import CallerExchange, CallerListener
+from guavacleat.http1.exchange import CallerExchange
+from guavacleat.http1.server import CallerListener
 from guavacleat.routes import CallerLimits
 
 __all__ = ["CRASH_BODY", "StandinEndpoint", "EndpointFault"]
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -11,8 +11,8 @@
 from guavacleat.forwarding.statements import StatementHeaders, parse_statements
 from guavacleat.forwarding.wire import Wire
 from guavacleat.http1.client import ResponseFailure
+from guavacleat.http1.exchange import CallerExchange
 from guavacleat.http1.messages import RequestHead, ResponseHead
-from guavacleat.http1.server import CallerExchange
 from guavacleat.membership.entries import EndpointEntry, EndpointState
 from guavacleat.membership.liveness import EndpointProbe
 from guavacleat.membership.registry import EndpointRegistry
--- a/tests/ingress/test_dispatch.py
+++ b/tests/ingress/test_dispatch.py
@@ -3,8 +3,8 @@
 import pytest
 from eliot import add_destinations, remove_destination
 
+from guavacleat.http1.exchange import CallerExchange
 from guavacleat.http1.messages import RequestHead
-from guavacleat.http1.server import CallerExchange
 from guavacleat.ingress.dispatch import STOP_ACCEPT_STREAMS_SECONDS, Dispatch
 from guavacleat.ingress.metrics import IngressMetrics
 from guavacleat.peers import PeerTable
