Completions interface: a stop refuses what is still queued at its end

Cause: a stop waited for requests in progress until its grace was over, and then ended. Change: what still waits then is refused as not run, with a short retry delay for another gateway. With the default grace of 600 s nothing changes.

--- a/src/guavacleat/gateway/service.py
+++ b/src/guavacleat/gateway/service.py
@@ -8,6 +8,7 @@
 
 from guavacleat.admission.dispatcher import Dispatcher
 from guavacleat.config.holder import CONFIG_KIND, ConfigHolder
+from guavacleat.errors import NotRunError
 from guavacleat.evacuations import EvacuationRegister
 from guavacleat.evacuations.objects import EVACUATION_KIND, decode_evacuation
 from guavacleat.gateway.app import GatewayApp
@@ -32,6 +33,7 @@
 STOP_GRACE_SECONDS = 600.0
 STOP_POLL_SECONDS = 0.1
 FLUSH_SECONDS = 0.5
+RETRY_AFTER_STOPPING_SECONDS = 0.1
 ENDPOINT_WATCH_PAUSE_SECONDS = 0.2
 ROUTER = "cache-load"
 
@@ -128,6 +130,7 @@
         self.stopping = True
         stops_at = self.reactor.seconds() + self.stop_grace
         yield self._wait_while(lambda: self.in_flight, stops_at)
+        self.dispatcher.refuse_where(_stop_refusal)
         # Leave time to write the last responses.
         yield task.deferLater(self.reactor, FLUSH_SECONDS)
         yield self._wait_while(self.site.is_sending, stops_at)
@@ -175,3 +178,12 @@
             "store_bytes": self.store.bytes,
             "latency": self.metrics.latencies.summary(),
         }
+
+
+def _stop_refusal(request) -> NotRunError:
+    """The refusal of a request that still waits for an endpoint when the process ends."""
+    return NotRunError(
+        f"this gateway stops before an endpoint takes the request (service {request.service}).",
+        "retry another gateway.",
+        retry_after=RETRY_AFTER_STOPPING_SECONDS,
+    )
