Slow endpoints: an attempt isn't given up while the endpoint takes the request

A request that may be repeated was given up after three times its latency goal, also while its endpoint was still taking a long body; the next endpoint got the body from the start, with less time. Cause: a time limit where the other end is alive and only slow, the class of the slow callers. Change: while the endpoint has acknowledged a part of the request since the last check, and not all of it, the limit starts anew, up to the deadline.

test_an_endpoint_that_is_still_reading_the_request_is_not_given_up failed before (its double has no such method, and the attempt was abandoned). Found by reading; not run over real sockets with two endpoints.

--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -159,14 +159,22 @@
         response.connection = connection
         timed_out = []
 
+        def seconds_left():
+            return max(0.0, request.deadline - context.clock.seconds())
+
         def expire():
+            nonlocal timer
+            # An endpoint that is still reading the request isn't given up for another attempt.
+            if seconds_left() > 0 and connection.is_taking_request():
+                timer = context.clock.callLater(min(seconds_left(), attempt_timeout), expire)
+                return
             timed_out.append(True)
             connection.abandon()
 
         def progressed():
             # An answer that arrives isn't given up for another attempt, and one that the caller
             # has begun to get can't be.
-            left = max(0.0, request.deadline - context.clock.seconds())
+            left = seconds_left()
             if timer.active():
                 timer.reset(left if response.streaming else min(left, attempt_timeout))
 
--- a/src/guavacleat/http1/client.py
+++ b/src/guavacleat/http1/client.py
@@ -12,7 +12,7 @@
 from twisted.internet.error import ConnectionDone
 
 from guavacleat.http1.messages import ResponseHead
-from guavacleat.http1.sockets import UnreachablePeerDetector, configure_socket
+from guavacleat.http1.sockets import UnreachablePeerDetector, configure_socket, read_send_state
 
 __all__ = ["ResponseListener", "ResponseFailure", "EndpointConnection"]
 
@@ -62,6 +62,7 @@
         self.open = False
         self.keep_alive_seconds: float | None = None
         self._paused = False
+        self._acknowledged_bytes = 0
 
     def connectionMade(self):  # noqa: N802 - Twisted's name
         self.open = True
@@ -93,6 +94,16 @@
             self.transport.abortConnection()
         self._fail(ResponseFailure.ABANDONED)
 
+    def is_taking_request(self) -> bool:
+        """Whether the endpoint has acknowledged a part of the request since the last call, but not
+        yet all of it.
+        """
+        state = read_send_state(self.transport) if self.open else None
+        if state is None or not state.pending:
+            return False
+        before, self._acknowledged_bytes = self._acknowledged_bytes, state.acknowledged_bytes
+        return state.acknowledged_bytes > before
+
     def pause(self) -> None:
         """Stop reading the current response, as its receiver is slow."""
         if self.open and self.listener is not None and not self._paused:
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -84,6 +84,7 @@
         self.headers = {}
         self.abandoned = False
         self.paused = False
+        self.taking_request = False
         self.transport = self
 
     def send(self, method, target, headers, body, listener):
@@ -95,6 +96,9 @@
         self.open, self.abandoned = False, True
         self.break_connection(ResponseFailure.ABANDONED)
 
+    def is_taking_request(self):
+        return self.taking_request
+
     def pause(self):
         self.paused = True
 
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -169,6 +169,29 @@
     assert len(harness.pool.connections) == 1
 
 
+def test_an_endpoint_that_is_still_reading_the_request_is_not_given_up(harness, clock):
+    """Guards against sending a long body to one endpoint after the other, each time in part."""
+    request, _, _ = start_request(harness, timeout=8.0)
+    connection = harness.pool.connections[0]
+    attempt_timeout = ATTEMPT_TIMEOUT_GOALS * request.route.latency_goal
+    connection.taking_request = True
+    clock.advance(attempt_timeout)
+    clock.advance(attempt_timeout)
+    assert connection.open and len(harness.pool.connections) == 1
+    connection.taking_request = False
+    clock.advance(attempt_timeout)
+    assert connection.abandoned and len(harness.pool.connections) == 2
+
+
+def test_an_endpoint_that_reads_the_request_until_its_deadline_is_given_up(harness, clock):
+    _, _, refusals = start_request(harness, timeout=8.0)
+    harness.pool.connections[0].taking_request = True
+    for _ in range(20):
+        clock.advance(0.5)
+    assert harness.pool.connections[0].abandoned
+    assert refusals[0].reason is RefusalReason.EXPIRED
+
+
 def test_an_answer_that_the_caller_gets_waits_for_a_silent_endpoint(harness, clock):
     """Guards against cutting what can't be repeated since its endpoint pauses."""
     _, caller, _ = start_request(harness, timeout=8.0)
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -8,6 +8,7 @@
 from twisted.python.failure import Failure
 
 from guavacleat.http1.client import EndpointConnection, ResponseFailure, ResponseListener
+from guavacleat.http1.sockets import SendState
 
 
 class RecordingListener(ResponseListener):
@@ -109,6 +110,20 @@
     assert harness.transport.value().endswith(b"x" * 50)
 
 
+def test_an_endpoint_takes_a_request_while_it_acknowledges_parts_of_it(harness, monkeypatch):
+    states = [
+        SendState(True, True, 100, None),
+        SendState(True, False, 100, None),
+        SendState(True, True, 200, None),
+        SendState(False, False, 300, None),
+        None,
+    ]
+    monkeypatch.setattr("guavacleat.http1.client.read_send_state", lambda _: states.pop(0))
+    harness.send_request(b"POST", b"x" * 300)
+    taking = [harness.connection.is_taking_request() for _ in range(len(states))]
+    assert taking == [True, False, True, False, False]
+
+
 def test_abandoned_request_fails_once(harness):
     listener = harness.send_request()
     harness.connection.abandon()
