Detection of unreachable peers: no failure of a check ends it, or a stop

Reading the diff: a kernel that does not report the state of a connection would have ended the polls for good, and a stop at once. The state is unknown then, which is logged; polls go on after an exception, and a stop asks like any other step. Watching a connection that is watched already creates no object. The address in the log line is ip:port. test_a_failing_step_does_not_end_a_stop covers the new step.

--- a/src/guavacleat/http1/sockets.py
+++ b/src/guavacleat/http1/sockets.py
@@ -12,6 +12,8 @@
 
 from eliot import log_message
 
+from guavacleat.addresses import format_address
+
 __all__ = [
     "SendState",
     "UnreachablePeerDetector",
@@ -89,11 +91,18 @@
 
 
 def read_send_state(transport) -> SendState | None:
-    """The state of an open TCP transport; None if it is closed or no socket."""
+    """The state of an open TCP transport; None if it is closed, no socket, or not known."""
     get_handle = getattr(transport, "getHandle", None)
     if get_handle is None or not transport.connected:
         return None
-    info = get_handle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_FIELDS.size)
+    try:
+        info = get_handle().getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_FIELDS.size)
+    except OSError as exc:
+        log_message(message_type="connection:state-unknown", error=str(exc))
+        return None
+    if len(info) < TCP_INFO_FIELDS.size:
+        log_message(message_type="connection:state-unknown", error="the kernel is too old")
+        return None
     probes, unacked, silent_ms, acknowledged_bytes, unsent = TCP_INFO_FIELDS.unpack(info)
     return SendState(
         pending=bool(unacked or unsent),
@@ -150,9 +159,13 @@
 
     def data_sent(self, transport) -> None:
         """Watch a connection until all of its data is acknowledged."""
+        watched = self.watched_by_transport.get(transport)
+        if watched is not None:
+            watched.idle_polls = 0
+            return
         if not self.watched_by_transport:
             self._schedule()
-        self.watched_by_transport.setdefault(transport, _Watched()).idle_polls = 0
+        self.watched_by_transport[transport] = _Watched()
 
     def _schedule(self) -> None:
         self._polled_at = self.reactor.seconds()
@@ -160,11 +173,13 @@
 
     def _poll(self) -> None:
         elapsed = self.reactor.seconds() - self._polled_at
-        for transport, watched in list(self.watched_by_transport.items()):
-            if not self._check(transport, watched, elapsed):
-                del self.watched_by_transport[transport]
-        if self.watched_by_transport:
-            self._schedule()
+        try:
+            for transport, watched in list(self.watched_by_transport.items()):
+                if not self._check(transport, watched, elapsed):
+                    del self.watched_by_transport[transport]
+        finally:
+            if self.watched_by_transport:
+                self._schedule()
 
     def _check(self, transport, watched: _Watched, elapsed: float) -> bool:
         """Check a connection's peer; return whether to check it again."""
@@ -175,6 +190,9 @@
         if watched.silent_polls * POLL_SECONDS < UNREACHABLE_AFTER_SECONDS:
             # The transport may have more data, which the kernel gets before the next poll.
             return watched.idle_polls < MAX_IDLE_POLLS
-        log_message(message_type="connection:unreachable", peer=str(transport.getPeer()))
+        peer = transport.getPeer()
+        log_message(
+            message_type="connection:unreachable", peer=format_address((peer.host, peer.port))
+        )
         transport.abortConnection()
         return False
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -307,7 +307,8 @@
         run_stop_step(self.source.announce_stop, began + grace)
         while True:
             waited = self.reactor.seconds() - began
-            if waited >= grace or (waited >= STOP_NOTICE_SECONDS and not self._is_busy()):
+            busy = yield run_stop_step(self._is_busy)
+            if waited >= grace or (waited >= STOP_NOTICE_SECONDS and not busy):
                 break
             run_stop_step(self.dispatch.refuse_queued)
             yield task.deferLater(self.reactor, STOP_POLL_SECONDS)
--- a/tests/ingress/test_stop.py
+++ b/tests/ingress/test_stop.py
@@ -61,6 +61,7 @@
     "source.stop",
     "endpoint_poller.stop",
     "caller_listener.close_idle",
+    "caller_listener.is_sending",
 ]
 
 
