--- a/benchmarks/compare_ways.py
+++ b/benchmarks/compare_ways.py
@@ -1,8 +1,9 @@
 """Compares ways of building a decision: checkouts of this repository that play the same days.
 
 Each way is a directory with a checkout. Every play (a site file and a day) is run with each seed in
-every way, without charging processor time, and the ways are compared pairwise with the first one.
-Results are appended to a file, so that an interrupted comparison continues where it ended.
+every way, and the ways are compared pairwise with the first one. Processor time, which differs
+between runs of one seed, is charged only on demand. Results are appended to a file, so that an
+interrupted comparison continues where it ended.
 
     python benchmarks/compare_ways.py --bench=PATH --way=base=../base --way=new=../new \\
         --play=SITE.toml:scale-1 --seeds=101-105 --results=out/ways.jsonl
@@ -20,7 +21,8 @@
 
 RUN_TIMEOUT_SECONDS = 900
 # A day's line: its name, machines, then score, worth, served, refused and failed shares.
-DAY_LINE = re.compile(r"^(\S+) +\d+/\d+ +[\d.-]+ +([\d.-]+) +([\d.-]+) +([\d.-]+) +([\d.-]+)")
+DAY_LINE = re.compile(r"^(\S+) +\d+/\d+" + r" +([\d.-]+)" * 5)
+FIGURES = ("score", "worth", "served", "refused", "failed")
 BROKEN_RULES = re.compile(r"BROKEN: (.*)$")
 
 
@@ -40,10 +42,10 @@
     def key(self) -> str:
         return f"{self.way} {Path(self.site).stem} {Path(self.day).stem} {self.seed}"
 
-    def play(self, bench: str, why: str) -> dict:
+    def play(self, bench: str, why: str, charge_cpu: bool) -> dict:
         """Run the day and return its figures."""
-        command = [bench, "run", self.site, self.day, "--seed", str(self.seed)]
-        command += ["--no-cpu", "--jobs", "1"]
+        command = [bench, "run", self.site, self.day, "--seed", str(self.seed), "--jobs", "1"]
+        command += [] if charge_cpu else ["--no-cpu"]
         done = subprocess.run(
             [*command, "--why", f"{self.way}: {why}"],
             cwd=self.directory,
@@ -53,10 +55,8 @@
         )
         lines = done.stdout.splitlines()
         found = next(filter(None, map(DAY_LINE.match, lines)), None)
-        figures = dict(key=self.key, worth=None, served=None, failed=None)
-        if found:
-            worth, served, _, failed = map(float, found.groups()[1:])
-            figures.update(worth=worth, served=served, failed=failed)
+        values = map(float, found.groups()[1:]) if found else itertools.repeat(None)
+        figures = {"key": self.key, **dict(zip(FIGURES, values, strict=False))}
         figures["broken"] = [found[1] for found in map(BROKEN_RULES.search, lines) if found]
         if not found:
             figures["error"] = (done.stdout + done.stderr)[-2000:]
@@ -70,6 +70,8 @@
     parser.add_argument("--play", action="append", required=True, help="SITE:DAY")
     parser.add_argument("--seeds", default="101-105", help="FIRST-LAST")
     parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--charge-cpu", action="store_true", help="charge processor time")
+    parser.add_argument("--figure", choices=FIGURES, default="worth", help="what is compared")
     parser.add_argument("--why", default="comparison of ways")
     parser.add_argument("--results", type=Path, default=Path("out/ways.jsonl"))
     return parser.parse_args()
@@ -103,7 +105,10 @@
         concurrent.futures.ThreadPoolExecutor(arguments.jobs) as executor,
         arguments.results.open("a") as file,
     ):
-        futures = [executor.submit(run.play, arguments.bench, arguments.why) for run in missing]
+        futures = [
+            executor.submit(run.play, arguments.bench, arguments.why, arguments.charge_cpu)
+            for run in missing
+        ]
         for future in concurrent.futures.as_completed(futures):
             figures = future.result()
             results_by_key[figures["key"]] = figures
@@ -112,9 +117,9 @@
     return results_by_key
 
 
-def print_table(runs: list[Run], results_by_key: dict[str, dict]) -> None:
-    """One line per play and way: mean worth, and the paired difference from the first way."""
-    worth = {run.key: results_by_key.get(run.key, {}).get("worth") for run in runs}
+def print_table(runs: list[Run], results_by_key: dict[str, dict], figure: str) -> None:
+    """One line per play and way: mean figure, and the paired difference from the first way."""
+    values = {run.key: results_by_key.get(run.key, {}).get(figure) for run in runs}
     ways = list(dict.fromkeys(run.way for run in runs))
     plays = list(dict.fromkeys((run.site, run.day) for run in runs))
     for site, day in plays:
@@ -124,9 +129,9 @@
             keys = [f"{way} {Path(site).stem} {Path(day).stem} {seed}" for seed in seeds]
             bases = [f"{ways[0]} {Path(site).stem} {Path(day).stem} {seed}" for seed in seeds]
             pairs = [
-                (worth[key], worth[base])
+                (values[key], values[base])
                 for key, base in zip(keys, bases, strict=True)
-                if worth[key] is not None and worth[base] is not None
+                if values[key] is not None and values[base] is not None
             ]
             print(_table_line(f"{Path(site).stem} {Path(day).stem}", way, pairs))
     for figures in results_by_key.values():
@@ -147,7 +152,7 @@
 def main():
     arguments = parse_arguments()
     runs = planned_runs(arguments)
-    print_table(runs, run_all(arguments, runs))
+    print_table(runs, run_all(arguments, runs), arguments.figure)
 
 
 if __name__ == "__main__":
