Stops: plain requests that wait are refused in time, and nothing is sent at the very end

A plain request waits for a throttled endpoint for up to half its latency goal; with a long goal that is more than the grace, and its caller got a closed connection without an answer. What got its connection at the very end of the grace was still sent to its endpoint, run, and cut. Change: the context knows when the process ends. A plain request that waits looks again twice a second, and is refused as not run when its place would come later; nothing is sent from then on.

The three new tests failed before.

--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -33,7 +33,8 @@
     ) -> StreamAttempt | None:
         """Send the request to ``entry``, resuming at ``resume`` if given.
 
-        Returns None if the connection failed, or if the stream ended or was quarantined meanwhile.
+        Returns None if the connection failed, or if the stream ended, was quarantined, or this
+        process stopped meanwhile.
 
         :param with_backup: whether a backup may be requested.
         """
@@ -47,6 +48,7 @@
         if (
             self.session.finished
             or self.session.time_left() <= 0
+            or self.context.is_stopped
             or quarantine_refusal(self.context, self.request)
         ):
             self.context.load.end(entry.id, run)
--- a/src/guavacleat/forwarding/context.py
+++ b/src/guavacleat/forwarding/context.py
@@ -1,5 +1,7 @@
 """The gateway components that forwarding uses."""
 
+import math
+
 __all__ = ["ForwardingContext"]
 
 
@@ -16,6 +18,7 @@
     :param queue: :class:`~guavacleat.admission.generations.GenerationQueue`.
     :param quarantine: :class:`~guavacleat.quarantine.QuarantineGuard`.
     :param feedback: :class:`~guavacleat.forwarding.feedback.EndpointFeedback`.
+    :ivar stops_at: clock time at which this process ends; nothing is sent from then on.
     """
 
     __slots__ = (
@@ -29,6 +32,7 @@
         "queue",
         "quarantine",
         "feedback",
+        "stops_at",
     )
 
     def __init__(
@@ -54,3 +58,9 @@
         self.queue = queue
         self.quarantine = quarantine
         self.feedback = feedback
+        self.stops_at = math.inf
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether nothing may be sent any more."""
+        return self.clock.seconds() >= self.stops_at
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -33,6 +33,7 @@
 # goal.
 THROTTLE_WAIT_GOALS = 0.5
 MIN_THROTTLE_WAIT_SECONDS = 0.01
+MAX_THROTTLE_WAIT_SECONDS = 0.5
 SERVER_ERROR = 500
 NOT_RUN_OUTCOMES = (
     AttemptOutcome.NOT_RUN,
@@ -89,9 +90,12 @@
         wait_until = self.context.clock.seconds() + THROTTLE_WAIT_GOALS * request.route.latency_goal
         while entry is None and not request.exchange.disconnected:
             wait = placement.seconds_until_available(request, tried)
-            if wait is None or self.context.clock.seconds() + wait > wait_until:
+            until = min(wait_until, self.context.stops_at)
+            if wait is None or self.context.clock.seconds() + wait > until:
                 return None
-            await task.deferLater(self.context.clock, max(wait, MIN_THROTTLE_WAIT_SECONDS))
+            # A stop may begin meanwhile.
+            pause = min(max(wait, MIN_THROTTLE_WAIT_SECONDS), MAX_THROTTLE_WAIT_SECONDS)
+            await task.deferLater(self.context.clock, pause)
             entry = placement.choose_for_plain_request(request, tried)
         return entry
 
@@ -137,7 +141,12 @@
             self._log_attempt(request, entry, AttemptOutcome.UNREACHABLE, response, repr(exc))
             return AttemptOutcome.UNREACHABLE, response
         time_left = request.deadline - context.clock.seconds()
-        if time_left <= 0 or request.exchange.disconnected or quarantine_refusal(context, request):
+        if (
+            time_left <= 0
+            or context.is_stopped
+            or request.exchange.disconnected
+            or quarantine_refusal(context, request)
+        ):
             connection.abandon()
             return AttemptOutcome.UNREACHABLE, response
         attempt_timeout = time_left
--- a/src/guavacleat/ingress/dispatch.py
+++ b/src/guavacleat/ingress/dispatch.py
@@ -62,7 +62,7 @@
     def begin_stop(self, stops_at: float) -> None:
         """Begin to stop: the process ends at this clock time, whatever is in flight."""
         self._stopping_since = self.context.clock.seconds()
-        self._stops_at = stops_at
+        self._stops_at = self.context.stops_at = stops_at
 
     def end_stop(self) -> None:
         """Run nothing more: the process is about to end."""
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -8,7 +8,7 @@
 from guavacleat.forwarding.response import MAX_BUFFERED_BYTES
 from guavacleat.routes import RequestKind
 from guavacleat.settings import Bounds
-from tests.forwarding.harness import ForwardingHarness
+from tests.forwarding.harness import FakeEndpointConnection, ForwardingHarness
 
 NON_IDEMPOTENT_KIND = RequestKind.NON_IDEMPOTENT
 
@@ -211,3 +211,35 @@
     connection.send_body(b"x")
     clock.advance(ATTEMPT_TIMEOUT_GOALS * request.route.latency_goal + 0.01)
     assert len(harness.pool.connections) == 2
+
+
+def test_a_request_that_waits_when_a_stop_begins_is_refused_before_its_end(
+    harness, clock, monkeypatch
+):
+    """Guards against requests that wait for a throttled endpoint and end with the process."""
+    placement = harness.context.placement
+    monkeypatch.setattr(placement, "choose_for_plain_request", lambda *arguments: None)
+    monkeypatch.setattr(placement, "seconds_until_available", lambda *arguments: 10.0)
+    request, _ = harness.request(timeout=60.0)
+    request.route.latency_goal = 40.0
+    refusals = []
+    done = defer.Deferred.fromCoroutine(PlainForwarder(harness.context).forward(request))
+    done.addErrback(lambda failure: refusals.append(failure.value))
+    clock.advance(0.4)
+    assert not refusals
+    harness.context.stops_at = clock.seconds() + 7.5
+    clock.advance(0.5)
+    assert [refusal.reason.status for refusal in refusals] == [503]
+
+
+def test_nothing_is_sent_once_the_process_stops(harness, clock, monkeypatch):
+    """Guards against running a request whose connection ends with the process."""
+    connecting = defer.Deferred()
+    monkeypatch.setattr(harness.pool, "connect", lambda address: connecting)
+    _, _, refusals = start_request(harness, kind=NON_IDEMPOTENT_KIND, attempts=1)
+    harness.context.stops_at = clock.seconds() + 1.0
+    clock.advance(1.0)
+    connection = FakeEndpointConnection(("e1", 80))
+    connecting.callback(connection)
+    assert connection.listener is None and connection.abandoned
+    assert [refusal.reason.status for refusal in refusals] == [503]
--- a/tests/forwarding/test_session.py
+++ b/tests/forwarding/test_session.py
@@ -14,7 +14,12 @@
 from guavacleat.forwarding.refusals import RefusalReason
 from guavacleat.forwarding.session import StreamSession
 from guavacleat.routes import EngineTraits, RequestKind
-from tests.forwarding.harness import ForwardingHarness, encode_event, make_entry
+from tests.forwarding.harness import (
+    FakeEndpointConnection,
+    ForwardingHarness,
+    encode_event,
+    make_entry,
+)
 
 
 @pytest.fixture
@@ -145,6 +150,19 @@
     assert connection.abandoned and caller.aborted
 
 
+def test_a_stream_is_not_sent_once_the_process_stops(harness, monkeypatch):
+    """Guards against running a stream whose connection ends with the process."""
+    connecting = defer.Deferred()
+    monkeypatch.setattr(harness.pool, "connect", lambda address: connecting)
+    _, _, refusals = start_stream(harness)
+    harness.context.stops_at = harness.clock.seconds() + 1.0
+    harness.clock.advance(1.0)
+    connection = FakeEndpointConnection(("e1", 80))
+    connecting.callback(connection)
+    assert connection.listener is None and connection.abandoned
+    assert [refusal.reason.status for refusal in refusals] == [503]
+
+
 def test_stream_without_events_gets_504_at_its_deadline(harness):
     _, caller, _ = start_stream(harness)
     harness.clock.advance(39.0)
