--- a/tests/e2e/ingress_process.py
+++ b/tests/e2e/ingress_process.py
@@ -3,21 +3,16 @@
 import http.client
 import json
 import signal
-import socket
 import subprocess
 import sys
 import time
 
+from tests.e2e.processes import free_port
+
 START_TIMEOUT_SECONDS = 20.0
 STOP_TIMEOUT_SECONDS = 10.0
 
 
-def free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 class Ingress:
     """A started ingress; :meth:`stop` returns its log lines."""
 
--- a/tests/e2e/processes.py
+++ b/tests/e2e/processes.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -16,6 +17,12 @@
 LONG_OUTPUT_TOKENS = 200
 
 
+def free_port() -> int:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return listener.getsockname()[1]
+
+
 class Daemon:
     """A started process, with the address from its ready line."""
 
--- a/tests/e2e/test_routes_file.py
+++ b/tests/e2e/test_routes_file.py
@@ -2,7 +2,6 @@
 
 import http.client
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -11,18 +10,12 @@
 import pytest
 
 from guavacleat.standin.routed import CRASH_BODY
-from tests.e2e.processes import Daemon
+from tests.e2e.processes import Daemon, free_port
 
 START_TIMEOUT_SECONDS = 20.0
 STOP_TIMEOUT_SECONDS = 10.0
 
 
-def free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 def routes(addresses):
     def route(name, kind, attempts):
         return {
