--- a/src/guavacleat/forwarding/handover.py
+++ b/src/guavacleat/forwarding/handover.py
@@ -14,6 +14,7 @@
 
 from guavacleat.forwarding.messages import ResumePoint
 from guavacleat.forwarding.stream_attempt import StreamAttempt, StreamOutcome
+from guavacleat.retries import RetryPurpose
 
 __all__ = ["Handover"]
 
@@ -49,7 +50,9 @@
         session = self.session
         clock = session.context.clock
         copy = session.memory.copy
-        session.context.budget.record_retry(session.request.service)
+        session.context.budget.record_retry(
+            session.request.service, session.request.metadata.id, RetryPurpose.HANDOVER
+        )
         timer = clock.callLater(NEXT_EVENT_TIMEOUT_SECONDS, self.stop_waiting_for_event)
         await self._next_event
         if timer.active():
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -18,6 +18,7 @@
 from guavacleat.forwarding.response import AttemptOutcome, CheckedResponse, begin_response
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.placement import Run
+from guavacleat.retries import RetryPurpose
 from guavacleat.routes import RequestKind
 
 __all__ = ["PlainForwarder"]
@@ -64,7 +65,9 @@
                 break
             tried.add(entry.id)
             if sends:
-                self.context.budget.record_retry(request.service)
+                self.context.budget.record_retry(
+                    request.service, request.metadata.id, RetryPurpose.REPEAT
+                )
             last_attempt = self._is_last_attempt(request, runs, tried)
             outcome, response = await self._attempt(request, entry, last_attempt)
             if outcome in NOT_RUN_OUTCOMES:
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -21,6 +21,7 @@
 from guavacleat.forwarding.stream_attempt import StreamAttempt, StreamOutcome
 from guavacleat.forwarding.timings import StreamTimings
 from guavacleat.membership.entries import EndpointEntry
+from guavacleat.retries import RetryPurpose
 
 __all__ = ["StreamSession"]
 
@@ -129,7 +130,7 @@
                 break
             tried.add(entry.id)
             if sends:
-                self.context.budget.record_retry(request.service)
+                self._record_retry(RetryPurpose.REPEAT)
             if not await self._send(entry, None):
                 continue
             outcome = await self._attempt_outcome()
@@ -256,12 +257,15 @@
         if throttle_cause is not None:
             self._log("stream:copy-cold", endpoint=copy.entry.id, cause=throttle_cause.value)
             return False
-        self.context.budget.record_retry(self.request.service)
+        self._record_retry(RetryPurpose.RESUME)
         point = ResumePoint(copy.source.address, copy.handle, self.last_event)
         self.moves += 1
         self._log("stream:resumed", endpoint=copy.entry.id, source=copy.source.id)
         return await self._send(copy.entry, point)
 
+    def _record_retry(self, purpose: RetryPurpose) -> None:
+        self.context.budget.record_retry(self.request.service, self.request.metadata.id, purpose)
+
     def _record_refusal(self, entry: EndpointEntry, outcome: StreamOutcome) -> None:
         self._log("stream:refused", endpoint=entry.id, end=outcome.value)
         if outcome is StreamOutcome.WRONG_INCARNATION:
--- a/src/guavacleat/retries/__init__.py
+++ b/src/guavacleat/retries/__init__.py
@@ -1,5 +1,5 @@
 """Retry budget, shared by all gateways without communication."""
 
-from guavacleat.retries.budget import RetryBudget
+from guavacleat.retries.budget import RetryBudget, RetryPurpose
 
-__all__ = ["RetryBudget"]
+__all__ = ["RetryBudget", "RetryPurpose"]
--- a/src/guavacleat/retries/budget.py
+++ b/src/guavacleat/retries/budget.py
@@ -6,14 +6,25 @@
 """
 
 import collections
+import enum
 
-__all__ = ["RetryBudget"]
+from eliot import log_message
+
+__all__ = ["RetryBudget", "RetryPurpose"]
 
 # Share of the budget that is used: requests are counted when they arrive here, slightly before the
 # endpoint counts them, so the two windows differ.
 SAFETY_FACTOR = 0.8
 
 
+class RetryPurpose(enum.Enum):
+    """Why a request is sent once more; the value is logged."""
+
+    REPEAT = "repeat"
+    RESUME = "resume"
+    HANDOVER = "handover"
+
+
 class _Window:
     """Counts events in the last ``seconds``."""
 
@@ -49,17 +60,32 @@
         """Count a caller's request."""
         self._window(self.requests_by_service, service).add(self.clock.seconds())
 
-    def record_retry(self, service: str) -> None:
+    def record_retry(self, service: str, request_id: str, purpose: RetryPurpose) -> None:
         """Count a retry, whether or not it is within the budget."""
-        self._window(self.retries_by_service, service).add(self.clock.seconds())
+        now = self.clock.seconds()
+        retries = self._window(self.retries_by_service, service)
+        retries.add(now)
+        log_message(
+            message_type="retry:sent",
+            request=request_id,
+            service=service,
+            purpose=purpose.value,
+            used=retries.count(now),
+            allowed=round(self._allowed(service, now), 2),
+            gateways=self.gateway_count(),
+        )
 
     def may_retry(self, service: str) -> bool:
         """Whether the budget permits another retry."""
         now = self.clock.seconds()
-        requests = self._window(self.requests_by_service, service).count(now)
         retries = self._window(self.retries_by_service, service).count(now)
+        return retries + 1 <= self._allowed(service, now)
+
+    def _allowed(self, service: str, now: float) -> float:
+        """Retries that this gateway may send within the window that ends now."""
+        requests = self._window(self.requests_by_service, service).count(now)
         extra = self.bounds.retry_extra / max(1, self.gateway_count())
-        return retries + 1 <= SAFETY_FACTOR * (self.bounds.retry_ratio * requests + extra)
+        return SAFETY_FACTOR * (self.bounds.retry_ratio * requests + extra)
 
     def _window(self, windows: dict[str, _Window], service: str) -> _Window:
         if service not in windows:
--- a/tests/retries/test_budget.py
+++ b/tests/retries/test_budget.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
 
-from guavacleat.retries import RetryBudget
+from guavacleat.retries import RetryBudget, RetryPurpose
 from guavacleat.settings import Bounds
 
 BOUNDS = Bounds(retry_ratio=0.2, retry_extra=20.0, retry_window=10.0)
@@ -28,7 +28,7 @@
             budgets[gateway].record_request("svc")
             requests.append(now)
         elif budgets[gateway].may_retry("svc"):
-            budgets[gateway].record_retry("svc")
+            budgets[gateway].record_retry("svc", "r1", RetryPurpose.REPEAT)
             retries.append(now)
             recent_retries = [at for at in retries if at >= now - BOUNDS.retry_window]
             recent_requests = [at for at in requests if at >= now - BOUNDS.retry_window]
@@ -45,12 +45,12 @@
 
 def test_budget_is_available_again_after_the_window(budget, clock):
     while budget.may_retry("svc"):
-        budget.record_retry("svc")
+        budget.record_retry("svc", "r1", RetryPurpose.REPEAT)
     clock.advance(BOUNDS.retry_window + 0.1)
     assert budget.may_retry("svc")
 
 
 def test_services_have_separate_budgets(budget):
     while budget.may_retry("svc"):
-        budget.record_retry("svc")
+        budget.record_retry("svc", "r1", RetryPurpose.REPEAT)
     assert budget.may_retry("other")
