Tests of the shared retry budget that fail: restarts, gateways that know no others, moves, repeats that wait

Ten streams whose engines fail, leave, or that wait for an engine after a rejection: 10 sends, 5 allowed.

--- a/tests/forwarding/test_session.py
+++ b/tests/forwarding/test_session.py
@@ -9,11 +9,17 @@
 from twisted.internet.task import Clock
 
 from guavacleat.forwarding.events import EventSplitter
-from guavacleat.forwarding.handover import EVENT_DELAY_SECONDS, OVERLAP_SECONDS
+from guavacleat.forwarding.handover import (
+    EVENT_DELAY_SECONDS,
+    NEXT_EVENT_TIMEOUT_SECONDS,
+    OVERLAP_SECONDS,
+)
 from guavacleat.forwarding.memory import RunCopy
 from guavacleat.forwarding.refusals import RefusalReason
 from guavacleat.forwarding.session import StreamSession
+from guavacleat.placement import Run
 from guavacleat.routes import EngineTraits, RequestKind
+from guavacleat.settings import Bounds
 from tests.forwarding.harness import (
     FakeEndpointConnection,
     ForwardingHarness,
@@ -46,6 +52,18 @@
     return session, caller, connection
 
 
+def start_running_stream_with_copy(harness, names):
+    """Start a stream that has a copy on an engine other than its own; return its session."""
+    session, _, connection = start_running_stream(harness)
+    connection = harness.pool.connections[-1]
+    if connection is not harness.pool.connections[0]:
+        connection.begin()
+        connection.send_body(encode_event(1))
+    target = make_entry(next(name for name in names if name != connection.address[0]))
+    session.memory.set_copy(RunCopy(target, make_entry(connection.address[0]), "h1"))
+    return session
+
+
 def test_events_and_the_end_are_forwarded(harness):
     _, caller, connection = start_running_stream(harness)
     assert caller.data == encode_event(1) + encode_event(2) + encode_event(3)
@@ -358,3 +376,48 @@
     ids = [found.id for found in EventSplitter().feed(caller.data)]
     assert ids == list(range(1, len(ids) + 1))
     assert caller.complete == ended
+
+
+def test_moves_of_streams_stay_within_the_retry_budget(clock):
+    """Guards against engines that fail one after another and whose streams all go on elsewhere."""
+    names = [f"e{number}" for number in range(12)]
+    harness = ForwardingHarness(clock, names, bounds=Bounds(retry_ratio=0.0, retry_extra=5.0))
+    clock.advance(Bounds().retry_window)
+    for _ in range(10):
+        start_running_stream_with_copy(harness, names)
+    first_sends = len(harness.pool.connections)
+    for connection in list(harness.pool.connections):
+        connection.break_connection()
+    assert 0 < len(harness.pool.connections) - first_sends <= 5
+
+
+def test_handovers_of_streams_stay_within_the_retry_budget(clock):
+    """Guards against engines that leave one after another and whose streams all move."""
+    names = [f"e{number}" for number in range(12)]
+    harness = ForwardingHarness(clock, names, bounds=Bounds(retry_ratio=0.0, retry_extra=5.0))
+    clock.advance(Bounds().retry_window)
+    sessions = [start_running_stream_with_copy(harness, names) for _ in range(10)]
+    first_sends = len(harness.pool.connections)
+    for session in sessions:
+        defer.Deferred.fromCoroutine(session.hand_over())
+    clock.advance(NEXT_EVENT_TIMEOUT_SECONDS)
+    assert 0 < len(harness.pool.connections) - first_sends <= 5
+
+
+def test_repeats_that_wait_stay_within_the_retry_budget(clock):
+    """Guards against rejected streams that wait for an engine and are then all sent again."""
+    bounds = Bounds(retry_ratio=0.0, retry_extra=5.0)
+    harness = ForwardingHarness(clock, ["e1", "e2"], bounds=bounds)
+    clock.advance(Bounds().retry_window)
+    other_run = Run("other", 30000)
+    harness.load.begin("e2", other_run)
+    for _ in range(10):
+        start_stream(harness)
+    first_sends = list(harness.pool.connections)
+    for connection in first_sends:
+        connection.answer(503, signed=False, not_run=True, id=None)
+    assert len(harness.pool.connections) == len(first_sends)
+    harness.load.end("e2", other_run)
+    clock.advance(0.1)
+    clock.advance(0.1)
+    assert 0 < len(harness.pool.connections) - len(first_sends) <= 5
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -222,7 +222,7 @@
             source = FileSource(lambda: parse_routes(self.routes))
         else:
             source = StoreSource(self.network, settings, _Adapter())
-            source.store = self.store_links[instance] = StoreLink(self.store)
+            source.store = self.store_links[instance] = self.connect()
         gateway = IngressService(self.network, settings, NativeWire(), source, "/ready")
         # Fixed seeds, so that each run of a test is the same.
         for part in (gateway.dispatch, gateway.context.placement, gateway.context.queue):
@@ -231,6 +231,10 @@
         self.gateways[instance] = gateway
         return gateway
 
+    def connect(self):
+        """A new connection to the store."""
+        return StoreLink(self.store)
+
     def kill_gateway(self, instance):
         """Stop a gateway abruptly, like a lost instance."""
         gateway = self.gateways.pop(instance)
