Retry budget: every send of a request beyond its first asks for it, at the send

Callers saw nothing; engines got more arrivals beyond the first of their request than the operators allow (BUDGET). Cause: two of the four sources of such arrivals, resumptions and handovers of streams, were counted and never asked; repeats asked before they waited for an engine or a connection, so that all that waited found the same room.

A stream that isn't resumed frees its copy and says why.

The tests now count sends of the callers' requests; before, they counted connections, also those that are opened and not used.

--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -211,8 +211,10 @@
 def _why_not_resumed(timeline: RequestTimeline, engine: str) -> str:
     if timeline.last("stream:broken").get("last_event") is None:
         return "it had sent no event yet, so the request may have run and must not run elsewhere"
-    if timeline.last("stream:not-resumed") is not None:
-        return "its copy was not resumed because similar requests had crashed endpoints"
+    not_resumed = timeline.last("stream:not-resumed")
+    if not_resumed is not None:
+        cause = not_resumed.get("cause") or "similar requests had crashed endpoints"
+        return f"its copy was not resumed because {cause}"
     if timeline.last("stream:copy-cold") is not None:
         cause = timeline.last("stream:copy-cold").get("cause") or "was cold"
         return f"the engine with its copy {cause} and could take no more requests"
--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -10,6 +10,7 @@
 from guavacleat.forwarding.stream_attempt import StreamAttempt, StreamOutcome
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.quarantine import AnswerProgress
+from guavacleat.retries import RetryPurpose
 
 __all__ = ["AttemptOpener"]
 
@@ -29,13 +30,18 @@
         self.log = log
 
     async def open(
-        self, entry: EndpointEntry, resume: ResumePoint | None, with_backup: bool = True
+        self,
+        entry: EndpointEntry,
+        purpose: RetryPurpose,
+        resume: ResumePoint | None = None,
+        with_backup: bool = True,
     ) -> StreamAttempt | None:
         """Send the request to ``entry``, resuming at ``resume`` if given.
 
-        Returns None if the connection failed, or if the stream ended, was quarantined, or this
-        process stopped meanwhile.
+        Returns None if the connection failed or the retry budget is exhausted, or if the stream
+        ended, was quarantined, or this process stopped meanwhile.
 
+        :param purpose: why it is sent, unless this is the first time.
         :param with_backup: whether a backup may be requested.
         """
         run = self.memory.begin_run(entry, resumed=resume is not None)
@@ -50,6 +56,7 @@
             or self.session.time_left() <= 0
             or self.context.is_stopped
             or quarantine_refusal(self.context, self.request)
+            or not self.context.budget.take(self.request, purpose)
         ):
             self.context.load.end(entry.id, run)
             connection.abandon()
--- a/src/guavacleat/forwarding/handover.py
+++ b/src/guavacleat/forwarding/handover.py
@@ -50,9 +50,6 @@
         session = self.session
         clock = session.context.clock
         copy = session.memory.copy
-        session.context.budget.record_retry(
-            session.request.service, session.request.metadata.id, RetryPurpose.HANDOVER
-        )
         timer = clock.callLater(NEXT_EVENT_TIMEOUT_SECONDS, self.stop_waiting_for_event)
         await self._next_event
         if timer.active():
@@ -61,7 +58,9 @@
             self._opened.callback(None)
             return False
         point = ResumePoint(copy.source.address, copy.handle, session.last_event)
-        self.attempt = await session.opener.open(copy.entry, point, with_backup=False)
+        self.attempt = await session.opener.open(
+            copy.entry, RetryPurpose.HANDOVER, point, with_backup=False
+        )
         if self.attempt is not None:
             session.memory.drop_copy()
             self._overlap_timer = clock.callLater(OVERLAP_SECONDS, session.stop_current_attempt)
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -64,10 +64,6 @@
             if entry is None:
                 break
             tried.add(entry.id)
-            if sends:
-                self.context.budget.record_retry(
-                    request.service, request.metadata.id, RetryPurpose.REPEAT
-                )
             last_attempt = self._is_last_attempt(request, runs, tried)
             outcome, response = await self._attempt(request, entry, last_attempt)
             if outcome in NOT_RUN_OUTCOMES:
@@ -109,7 +105,7 @@
             runs < request.route.max_attempts
             and not request.exchange.disconnected
             and self.context.clock.seconds() < request.deadline
-            and self.context.budget.may_retry(request.service)
+            and self.context.budget.may_send(request, RetryPurpose.REPEAT)
         )
 
     def _is_last_attempt(self, request: ForwardedRequest, runs: int, tried: set[str]) -> bool:
@@ -117,7 +113,7 @@
         return (
             request.route.kind is not RequestKind.IDEMPOTENT
             or runs + 1 >= request.route.max_attempts
-            or not self.context.budget.may_retry(request.service)
+            or not self.context.budget.may_retry(request.service, RetryPurpose.REPEAT)
             or self.context.placement.choose_for_plain_request(request, tried) is None
         )
 
@@ -149,6 +145,7 @@
             or context.is_stopped
             or request.exchange.disconnected
             or quarantine_refusal(context, request)
+            or not context.budget.take(request, RetryPurpose.REPEAT)
         ):
             connection.abandon()
             return AttemptOutcome.UNREACHABLE, response
--- a/src/guavacleat/forwarding/request.py
+++ b/src/guavacleat/forwarding/request.py
@@ -19,6 +19,7 @@
     :param arrived_at: clock time of arrival.
     :param forecast: forecast of the route's output lengths; None if there is none yet.
     :ivar deadline: clock time at which the caller's or the route's timeout expires.
+    :ivar sends: how often it was sent to an endpoint.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         "deadline",
         "headers",
         "forecast",
+        "sends",
         "_content_key",
         "_part_keys",
     )
@@ -64,6 +66,7 @@
         self.forecast = forecast or LengthForecast(
             metadata.max_output_tokens or DEFAULT_MAX_OUTPUT_TOKENS
         )
+        self.sends = 0
         self._content_key: int | None = None
         self._part_keys: tuple[int, ...] | None = None
 
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -28,6 +28,8 @@
 # Maximum number of sends while no endpoint has started to run the request.
 MAX_SENDS = 4
 RETRY_AFTER_NO_ROOM_SECONDS = 1.0
+# Completes a sentence in the logs.
+BUDGET_EXHAUSTED = "the retry budget was exhausted"
 NOT_RUN_OUTCOMES = (StreamOutcome.NOT_RUN, StreamOutcome.WRONG_INCARNATION)
 
 
@@ -123,15 +125,13 @@
         """Send to endpoints until one runs the request; return that attempt's outcome."""
         request, tried = self.request, set()
         for sends in range(MAX_SENDS):
-            if sends and not self.context.budget.may_retry(request.service):
+            if sends and not self._may_send(RetryPurpose.REPEAT):
                 break
             entry = await self._choose_endpoint(tried)
             if entry is None:
                 break
             tried.add(entry.id)
-            if sends:
-                self._record_retry(RetryPurpose.REPEAT)
-            if not await self._send(entry, None):
+            if not await self._send(entry, RetryPurpose.REPEAT):
                 continue
             outcome = await self._attempt_outcome()
             if outcome not in NOT_RUN_OUTCOMES:
@@ -162,9 +162,14 @@
         check_quarantine(self.context, request)
         return entry
 
-    async def _send(self, entry: EndpointEntry, resume: ResumePoint | None) -> bool:
+    def _may_send(self, purpose: RetryPurpose) -> bool:
+        return self.context.budget.may_send(self.request, purpose)
+
+    async def _send(
+        self, entry: EndpointEntry, purpose: RetryPurpose, resume: ResumePoint | None = None
+    ) -> bool:
         """Send the request to ``entry``; return False if it was not sent."""
-        attempt = await self.opener.open(entry, resume)
+        attempt = await self.opener.open(entry, purpose, resume)
         if attempt is None:
             return False
         self._use_attempt(attempt)
@@ -185,6 +190,8 @@
             return False
         if not self.context.placement.throttle.may_send(self.memory.copy.entry):
             return False
+        if not self._may_send(RetryPurpose.HANDOVER):
+            return False
         self.handover = Handover(self)
         try:
             switched = await self.handover.run()
@@ -247,6 +254,10 @@
                 self._use_attempt(attempt)
                 return True
         copy = self.memory.copy
+        if copy is not None and not self._may_send(RetryPurpose.RESUME):
+            # The copy is freed when the stream ends.
+            self._log("stream:not-resumed", endpoint=copy.entry.id, cause=BUDGET_EXHAUSTED)
+            return False
         self.memory.drop_copy()
         if copy is None or self.last_event is None or self.finished:
             return False
@@ -257,14 +268,10 @@
         if throttle_cause is not None:
             self._log("stream:copy-cold", endpoint=copy.entry.id, cause=throttle_cause.value)
             return False
-        self._record_retry(RetryPurpose.RESUME)
         point = ResumePoint(copy.source.address, copy.handle, self.last_event)
         self.moves += 1
         self._log("stream:resumed", endpoint=copy.entry.id, source=copy.source.id)
-        return await self._send(copy.entry, point)
-
-    def _record_retry(self, purpose: RetryPurpose) -> None:
-        self.context.budget.record_retry(self.request.service, self.request.metadata.id, purpose)
+        return await self._send(copy.entry, RetryPurpose.RESUME, point)
 
     def _record_refusal(self, entry: EndpointEntry, outcome: StreamOutcome) -> None:
         self._log("stream:refused", endpoint=entry.id, end=outcome.value)
--- a/src/guavacleat/retries/budget.py
+++ b/src/guavacleat/retries/budget.py
@@ -46,6 +46,9 @@
 class RetryBudget:
     """Counts requests and retries by service.
 
+    Each send asks the budget right before the request is written: a request may wait for an
+    endpoint or a connection after it was found that it could be sent.
+
     :param gateway_count: returns the number of gateways that share the budget.
     """
 
@@ -60,33 +63,49 @@
         """Count a caller's request."""
         self._window(self.requests_by_service, service).add(self.clock.seconds())
 
-    def record_retry(self, service: str, request_id: str, purpose: RetryPurpose) -> None:
-        """Count a retry, whether or not it is within the budget."""
-        now = self.clock.seconds()
-        retries = self._window(self.retries_by_service, service)
-        retries.add(now)
-        log_message(
-            message_type="retry:sent",
-            request=request_id,
-            service=service,
-            purpose=purpose.value,
-            used=retries.count(now),
-            allowed=round(self._allowed(service, now), 2),
-            gateways=self.gateway_count(),
-        )
-
-    def may_retry(self, service: str) -> bool:
-        """Whether the budget permits another retry."""
+    def may_retry(self, service: str, purpose: RetryPurpose) -> bool:
+        """Whether the budget permits another retry now."""
         now = self.clock.seconds()
         retries = self._window(self.retries_by_service, service).count(now)
         return retries + 1 <= self._allowed(service, now)
 
+    def may_send(self, request, purpose: RetryPurpose) -> bool:
+        """Whether the budget permits to send a request now, as it does the first time.
+
+        :param request: a :class:`~guavacleat.forwarding.request.ForwardedRequest`.
+        """
+        return not request.sends or self.may_retry(request.service, purpose)
+
+    def take(self, request, purpose: RetryPurpose) -> bool:
+        """Count a request that is sent right after this call; return whether it may be."""
+        permitted = self.may_send(request, purpose)
+        if permitted and request.sends:
+            retries = self._window(self.retries_by_service, request.service)
+            retries.add(self.clock.seconds())
+        if request.sends:
+            self._log(request, purpose, permitted)
+        if permitted:
+            request.sends += 1
+        return permitted
+
     def _allowed(self, service: str, now: float) -> float:
         """Retries that this gateway may send within the window that ends now."""
         requests = self._window(self.requests_by_service, service).count(now)
         extra = self.bounds.retry_extra / max(1, self.gateway_count())
         return SAFETY_FACTOR * (self.bounds.retry_ratio * requests + extra)
 
+    def _log(self, request, purpose: RetryPurpose, permitted: bool) -> None:
+        now = self.clock.seconds()
+        log_message(
+            message_type="retry:sent" if permitted else "retry:denied",
+            request=request.metadata.id,
+            service=request.service,
+            purpose=purpose.value,
+            used=self._window(self.retries_by_service, request.service).count(now),
+            allowed=round(self._allowed(request.service, now), 2),
+            gateways=self.gateway_count(),
+        )
+
     def _window(self, windows: dict[str, _Window], service: str) -> _Window:
         if service not in windows:
             windows[service] = _Window(self.bounds.retry_window)
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -47,6 +47,21 @@
         "Engine e1 failed without notice, and its copy was not resumed because similar requests"
         " had crashed endpoints.",
     ),
+    "cut as the retry budget was exhausted": (
+        [
+            line(
+                4.5,
+                "stream:not-resumed",
+                request="r1",
+                endpoint="e2",
+                cause="the retry budget was exhausted",
+            ),
+            line(4.5, "stream:broken", request="r1", endpoint="e1", last_event=9),
+            ended(4.5, "CUT", status=200, seconds=3.0),
+        ],
+        "Engine e1 failed without notice, and its copy was not resumed because the retry budget"
+        " was exhausted.",
+    ),
     "cut as the engine with its copy was cold": (
         [
             line(4.5, "stream:copy-cold", request="r1", endpoint="e2"),
--- a/tests/forwarding/test_session.py
+++ b/tests/forwarding/test_session.py
@@ -52,6 +52,11 @@
     return session, caller, connection
 
 
+def count_sends(harness):
+    """How often the callers' requests were sent to endpoints."""
+    return sum(connection.target == b"/x" for connection in harness.pool.connections)
+
+
 def start_running_stream_with_copy(harness, names):
     """Start a stream that has a copy on an engine other than its own; return its session."""
     session, _, connection = start_running_stream(harness)
@@ -385,10 +390,10 @@
     clock.advance(Bounds().retry_window)
     for _ in range(10):
         start_running_stream_with_copy(harness, names)
-    first_sends = len(harness.pool.connections)
+    first_sends = count_sends(harness)
     for connection in list(harness.pool.connections):
         connection.break_connection()
-    assert 0 < len(harness.pool.connections) - first_sends <= 5
+    assert 0 < count_sends(harness) - first_sends <= 5
 
 
 def test_handovers_of_streams_stay_within_the_retry_budget(clock):
@@ -397,11 +402,11 @@
     harness = ForwardingHarness(clock, names, bounds=Bounds(retry_ratio=0.0, retry_extra=5.0))
     clock.advance(Bounds().retry_window)
     sessions = [start_running_stream_with_copy(harness, names) for _ in range(10)]
-    first_sends = len(harness.pool.connections)
+    first_sends = count_sends(harness)
     for session in sessions:
         defer.Deferred.fromCoroutine(session.hand_over())
     clock.advance(NEXT_EVENT_TIMEOUT_SECONDS)
-    assert 0 < len(harness.pool.connections) - first_sends <= 5
+    assert 0 < count_sends(harness) - first_sends <= 5
 
 
 def test_repeats_that_wait_stay_within_the_retry_budget(clock):
@@ -420,4 +425,4 @@
     harness.load.end("e2", other_run)
     clock.advance(0.1)
     clock.advance(0.1)
-    assert 0 < len(harness.pool.connections) - len(first_sends) <= 5
+    assert 0 < count_sends(harness) - len(first_sends) <= 5
--- a/tests/retries/test_budget.py
+++ b/tests/retries/test_budget.py
@@ -1,5 +1,7 @@
 """Tests of the retry budget."""
 
+import types
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,6 +17,18 @@
 )
 
 
+def make_request(sends=1, service="svc"):
+    """A request that was sent ``sends`` times, with what the budget reads of it."""
+    return types.SimpleNamespace(
+        sends=sends, service=service, metadata=types.SimpleNamespace(id="r1")
+    )
+
+
+def take(budget, service="svc", purpose=RetryPurpose.REPEAT):
+    """Send a request a second time; return whether the budget permitted it."""
+    return budget.take(make_request(service=service), purpose)
+
+
 @given(STEPS)
 def test_retries_of_all_gateways_stay_within_the_limit(steps):
     """In any window, the gateways' budgets together must not exceed the configured limit."""
@@ -27,8 +41,7 @@
         if step == "request":
             budgets[gateway].record_request("svc")
             requests.append(now)
-        elif budgets[gateway].may_retry("svc"):
-            budgets[gateway].record_retry("svc", "r1", RetryPurpose.REPEAT)
+        elif take(budgets[gateway]):
             retries.append(now)
             recent_retries = [at for at in retries if at >= now - BOUNDS.retry_window]
             recent_requests = [at for at in requests if at >= now - BOUNDS.retry_window]
@@ -40,17 +53,34 @@
 
 @pytest.fixture
 def budget(clock):
-    return RetryBudget(clock, BOUNDS, lambda: 1)
+    budget = RetryBudget(clock, BOUNDS, lambda: 1)
+    clock.advance(BOUNDS.retry_window)
+    return budget
+
+
+def exhaust(budget, **arguments):
+    """Send requests again until the budget permits no more; return how many it permitted."""
+    taken = 0
+    while take(budget, **arguments):
+        taken += 1
+    return taken
+
+
+def test_the_first_send_of_a_request_needs_no_budget(budget):
+    exhaust(budget)
+    request = make_request(sends=0)
+    assert budget.may_send(request, RetryPurpose.REPEAT)
+    assert budget.take(request, RetryPurpose.REPEAT)
+    assert not budget.may_send(request, RetryPurpose.REPEAT)
+    assert not budget.take(request, RetryPurpose.REPEAT)
 
 
 def test_budget_is_available_again_after_the_window(budget, clock):
-    while budget.may_retry("svc"):
-        budget.record_retry("svc", "r1", RetryPurpose.REPEAT)
+    assert exhaust(budget)
     clock.advance(BOUNDS.retry_window + 0.1)
-    assert budget.may_retry("svc")
+    assert budget.may_retry("svc", RetryPurpose.REPEAT)
 
 
 def test_services_have_separate_budgets(budget):
-    while budget.may_retry("svc"):
-        budget.record_retry("svc", "r1", RetryPurpose.REPEAT)
-    assert budget.may_retry("other")
+    assert exhaust(budget)
+    assert budget.may_retry("other", RetryPurpose.REPEAT)
