Retry budget: a process that has just started doesn't use the extra for a window

Cause: what a process counted ended with it, so that the next one had its whole share of the extra again in the same window. A gateway has no disk and its predecessor's use is nowhere: for a window after its start it assumes that the share is spent, and uses the ratio of its own requests. No sequence of restarts can then use a share twice.

--- a/src/guavacleat/retries/budget.py
+++ b/src/guavacleat/retries/budget.py
@@ -3,6 +3,10 @@
 In any window, all gateways together may retry ``retry_ratio`` of the requests plus ``retry_extra``.
 Each gateway may use the ratio of its own requests and an equal share of the extra, so the sum stays
 within the limit without coordination. Unlimited retries would amplify an overload.
+
+What a gateway doesn't know it assumes to its disadvantage: after its start, that the process before
+it has just used the share of the extra; while it can't tell how many gateways there are, that its
+share is nothing. The ratio of its own requests remains.
 """
 
 import collections
@@ -56,6 +60,7 @@
         self.clock = clock
         self.bounds = bounds
         self.gateway_count = gateway_count
+        self.started_at = clock.seconds()
         self.requests_by_service: dict[str, _Window] = {}
         self.retries_by_service: dict[str, _Window] = {}
 
@@ -91,8 +96,13 @@
     def _allowed(self, service: str, now: float) -> float:
         """Retries that this gateway may send within the window that ends now."""
         requests = self._window(self.requests_by_service, service).count(now)
-        extra = self.bounds.retry_extra / max(1, self.gateway_count())
-        return SAFETY_FACTOR * (self.bounds.retry_ratio * requests + extra)
+        return SAFETY_FACTOR * (self.bounds.retry_ratio * requests + self._extra(now))
+
+    def _extra(self, now: float) -> float:
+        """This gateway's share of the extra."""
+        if now - self.started_at < self.bounds.retry_window:
+            return 0.0
+        return self.bounds.retry_extra / max(1, self.gateway_count())
 
     def _log(self, request, purpose: RetryPurpose, permitted: bool) -> None:
         now = self.clock.seconds()
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -206,6 +206,7 @@
         )
         bounds = bounds or Bounds(retry_extra=100)
         budget = RetryBudget(clock, bounds, lambda: 1)
+        budget.started_at -= bounds.retry_window
         self.queue = GenerationQueue(clock, placement, seed=1)
         self.load.listeners.append(self.queue.schedule_dispatch)
         self.context = ForwardingContext(
--- a/tests/retries/test_budget.py
+++ b/tests/retries/test_budget.py
@@ -34,6 +34,7 @@
     """In any window, the gateways' budgets together must not exceed the configured limit."""
     clock = Clock()
     budgets = [RetryBudget(clock, BOUNDS, lambda: 3) for _ in range(3)]
+    clock.advance(BOUNDS.retry_window)
     requests, retries = [], []
     for gateway, step, seconds in steps:
         clock.advance(seconds)
@@ -75,6 +76,16 @@
     assert not budget.take(request, RetryPurpose.REPEAT)
 
 
+def test_a_process_that_has_just_started_has_the_ratio_alone(clock):
+    """Guards against restarts that use the extra more than once within a window."""
+    budget = RetryBudget(clock, BOUNDS, lambda: 1)
+    for _ in range(50):
+        budget.record_request("svc")
+    assert exhaust(budget) == 8
+    clock.advance(BOUNDS.retry_window)
+    assert exhaust(budget) == 16
+
+
 def test_budget_is_available_again_after_the_window(budget, clock):
     assert exhaust(budget)
     clock.advance(BOUNDS.retry_window + 0.1)
