Retry budget: a gateway that doesn't know how many gateways there are uses no extra

Cause: a count that is not known yet was taken for one. It is None now until the store has listed the gateways, and the share of the extra is then nothing. A count also fell when the summaries of another data centre, which knew gateways that joined later, were no longer heard; it doesn't fall any more.

--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -247,9 +247,12 @@
             self.exchange.shortened_reports,
         )
 
-    def gateway_count(self) -> int:
-        """Gateways that share limits such as the retry budget, this one included."""
-        return self.exchange.gateway_count() if self.exchange else 1
+    def gateway_count(self) -> int | None:
+        """Gateways that share limits such as the retry budget, this one included.
+
+        None while the store hasn't listed them: there may be any number.
+        """
+        return self.exchange.gateway_count() if self.exchange else None
 
     def data_centres(self) -> list[str]:
         """Data centres with gateways that share limits, this one included."""
@@ -265,7 +268,8 @@
         Each change completes the watches of all watching gateways. With random pauses fewer calls
         are made, as the gateway that receives a change reports it to its peers.
         """
-        if self.gateway_count() <= MAX_GATEWAYS_WITHOUT_PAUSE:
+        count = self.gateway_count()
+        if count is None or count <= MAX_GATEWAYS_WITHOUT_PAUSE:
             return 0.0
         return random.uniform(0.0, MAX_WATCH_PAUSE_SECONDS)
 
--- a/src/guavacleat/peers/directory.py
+++ b/src/guavacleat/peers/directory.py
@@ -22,6 +22,7 @@
     A gateway lists the others once, at its start. Gateways that start later list it and send to
     it, so that no watch is needed.
 
+    :ivar listed: whether the store has listed the gateways; until then, others may exist.
     :ivar local_addresses_by_instance: gateways in the same data centre, or in an unknown one.
     :ivar remote_addresses_by_data_centre: addresses by instance, for each remote data centre.
     """
@@ -35,6 +36,7 @@
         self.address = address
         self.data_centre = data_centre
         self.stopped = False
+        self.listed = False
         self.local_addresses_by_instance: dict[str, tuple[str, int]] = {}
         self.remote_addresses_by_data_centre: dict[str, dict[str, tuple[str, int]]] = {}
 
@@ -61,6 +63,7 @@
             for stored in listing.objects:
                 if stored.name != self.instance:
                     self._add_registered_or_skip(stored)
+            self.listed = True
             return
 
     @defer.inlineCallbacks
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -106,6 +106,7 @@
         )
         self.incarnation = random.getrandbits(62)
         self.sequence = 0
+        self._most_gateways = 1
         self.pending_report = None
         self.bad_reports = 0
         self.shortened_reports = 0
@@ -146,8 +147,15 @@
         self.stops_at = stops_at
         self._on_heartbeat()
 
-    def gateway_count(self) -> int:
-        """Number of known gateways in all data centres, including this one."""
+    def gateway_count(self) -> int | None:
+        """Number of gateways in all data centres, including this one; None while it isn't known.
+
+        It doesn't fall: gateways that aren't heard of any more may be cut off and still running.
+        """
+        self._most_gateways = max(self._most_gateways, self._known_gateways())
+        return self._most_gateways if self.directory.listed else None
+
+    def _known_gateways(self) -> int:
         reported_by_data_centre = {
             report.data_centre: report.gateway_count for report in self.peer_table.summaries()
         }
--- a/src/guavacleat/retries/budget.py
+++ b/src/guavacleat/retries/budget.py
@@ -53,7 +53,7 @@
     Each send asks the budget right before the request is written: a request may wait for an
     endpoint or a connection after it was found that it could be sent.
 
-    :param gateway_count: returns the number of gateways that share the budget.
+    :param gateway_count: returns the number of gateways that share the budget; None if unknown.
     """
 
     def __init__(self, clock, bounds, gateway_count):
@@ -100,9 +100,10 @@
 
     def _extra(self, now: float) -> float:
         """This gateway's share of the extra."""
-        if now - self.started_at < self.bounds.retry_window:
+        gateways = self.gateway_count()
+        if gateways is None or now - self.started_at < self.bounds.retry_window:
             return 0.0
-        return self.bounds.retry_extra / max(1, self.gateway_count())
+        return self.bounds.retry_extra / gateways
 
     def _log(self, request, purpose: RetryPurpose, permitted: bool) -> None:
         now = self.clock.seconds()
--- a/src/guavacleat/throttling/shares.py
+++ b/src/guavacleat/throttling/shares.py
@@ -77,7 +77,7 @@
         :param service: share the rate by the demand for this service; None for equal shares.
         """
         allowed, sustained = bound.requests(rate), rate * bound.window
-        count = max(1, self.gateways.gateway_count())
+        count = self.gateways.gateway_count() or 1
         if sustained + count <= allowed:
             return rate * self.demand.share(service, count)
         senders = max(1, int(allowed / 2 - SENDERS_RATE_SHARE * sustained))
--- a/tests/retries/test_budget.py
+++ b/tests/retries/test_budget.py
@@ -86,6 +86,15 @@
     assert exhaust(budget) == 16
 
 
+def test_a_gateway_that_does_not_know_how_many_there_are_has_the_ratio_alone(clock):
+    """Guards against gateways that each take the extra for theirs alone."""
+    budget = RetryBudget(clock, BOUNDS, lambda: None)
+    clock.advance(BOUNDS.retry_window)
+    for _ in range(50):
+        budget.record_request("svc")
+    assert exhaust(budget) == 8
+
+
 def test_budget_is_available_again_after_the_window(budget, clock):
     assert exhaust(budget)
     clock.advance(BOUNDS.retry_window + 0.1)
