Retry budget: repeats of rejected requests leave room for moves of running streams

With one budget for all sends beyond the first, repeats of requests that engines reject could use it up, and running streams, which stand for seconds of work, would then be cut. A repeat leaves room for one move of each stream that runs here and is worth moving, up to half of the budget; where none runs, repeats may use all of it. test_repeats_leave_room_for_moves_of_running_streams fails without this change.

--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -47,6 +47,8 @@
         self.attempt: StreamAttempt | None = None
         self.last_event: int | None = None
         self.moves = 0
+        # Whether the retry budget keeps room for a move of this stream.
+        self.movable = False
         self.timings = StreamTimings(request.arrived_at)
         self.memory = StreamMemory(request, context.load)
         self.handover: Handover | None = None
@@ -81,6 +83,8 @@
                 self.handover.abandon()
             self._free_copy()
             self.sessions.discard(self)
+            if self.movable:
+                self.context.budget.stream_ended(self.request.service)
             exchange.on_disconnect = None
             exchange.producer = None
             if timer.active():
@@ -214,6 +218,9 @@
         """Called when an endpoint has started a valid stream."""
         if not self.request.exchange.head_sent:
             begin_response(self.request.exchange, attempt.head)
+        if not self.movable and self.memory.worth_moving():
+            self.movable = True
+            self.context.budget.stream_started(self.request.service)
 
     def attempt_event(self, attempt: StreamAttempt, event) -> None:
         """Called with each complete event from an endpoint."""
--- a/src/guavacleat/retries/budget.py
+++ b/src/guavacleat/retries/budget.py
@@ -4,6 +4,9 @@
 Each gateway may use the ratio of its own requests and an equal share of the extra, so the sum stays
 within the limit without coordination. Unlimited retries would amplify an overload.
 
+Moves of running streams go before repeats: they save the work of seconds, while a caller whose
+request was rejected can come back. Repeats leave room for the moves of the streams that run here.
+
 What a gateway doesn't know it assumes to its disadvantage: after its start, that the process before
 it has just used the share of the extra; while it can't tell how many gateways there are, that its
 share is nothing. The ratio of its own requests remains.
@@ -21,6 +24,10 @@
 SAFETY_FACTOR = 0.8
 
 
+# Part of the budget that repeats leave for moves at most.
+MAX_MOVES_RESERVE = 0.5
+
+
 class RetryPurpose(enum.Enum):
     """Why a request is sent once more; the value is logged."""
 
@@ -61,6 +68,8 @@
         self.bounds = bounds
         self.gateway_count = gateway_count
         self.started_at = clock.seconds()
+        # Streams that run here and could go on elsewhere.
+        self.movable_by_service: collections.Counter[str] = collections.Counter()
         self.requests_by_service: dict[str, _Window] = {}
         self.retries_by_service: dict[str, _Window] = {}
 
@@ -68,11 +77,21 @@
         """Count a caller's request."""
         self._window(self.requests_by_service, service).add(self.clock.seconds())
 
+    def stream_started(self, service: str) -> None:
+        """Keep room for the move of a stream that has begun to run."""
+        self.movable_by_service[service] += 1
+
+    def stream_ended(self, service: str) -> None:
+        self.movable_by_service[service] -= 1
+
     def may_retry(self, service: str, purpose: RetryPurpose) -> bool:
         """Whether the budget permits another retry now."""
         now = self.clock.seconds()
         retries = self._window(self.retries_by_service, service).count(now)
-        return retries + 1 <= self._allowed(service, now)
+        allowed = self._allowed(service, now)
+        if purpose is RetryPurpose.REPEAT:
+            allowed -= min(self.movable_by_service[service], MAX_MOVES_RESERVE * allowed)
+        return retries + 1 <= allowed
 
     def may_send(self, request, purpose: RetryPurpose) -> bool:
         """Whether the budget permits to send a request now, as it does the first time.
--- a/tests/forwarding/test_session.py
+++ b/tests/forwarding/test_session.py
@@ -409,6 +409,14 @@
     assert 0 < count_sends(harness) - first_sends <= 5
 
 
+def test_budget_keeps_room_for_a_stream_while_it_runs(harness):
+    """Guards against room that is kept for streams that have ended."""
+    _, _, connection = start_running_stream(harness)
+    assert harness.context.budget.movable_by_service["svc"] == 1
+    connection.end()
+    assert harness.context.budget.movable_by_service["svc"] == 0
+
+
 def test_repeats_that_wait_stay_within_the_retry_budget(clock):
     """Guards against rejected streams that wait for an engine and are then all sent again."""
     bounds = Bounds(retry_ratio=0.0, retry_extra=5.0)
--- a/tests/retries/test_budget.py
+++ b/tests/retries/test_budget.py
@@ -95,6 +95,23 @@
     assert exhaust(budget) == 8
 
 
+@pytest.mark.parametrize("streams, left", [(0, 0), (3, 3), (100, 8)])
+def test_repeats_leave_room_for_moves_of_running_streams(budget, streams, left):
+    """Guards against streams that are cut since repeats of rejected requests used the budget."""
+    for _ in range(streams):
+        budget.stream_started("svc")
+    assert exhaust(budget) == 16 - left
+    assert exhaust(budget, purpose=RetryPurpose.HANDOVER) == left
+
+
+def test_repeats_use_the_whole_budget_after_the_streams_have_ended(budget):
+    for _ in range(100):
+        budget.stream_started("svc")
+    for _ in range(100):
+        budget.stream_ended("svc")
+    assert exhaust(budget) == 16
+
+
 def test_budget_is_available_again_after_the_window(budget, clock):
     assert exhaust(budget)
     clock.advance(BOUNDS.retry_window + 0.1)
