--- a/src/guavacleat/throttling/shares.py
+++ b/src/guavacleat/throttling/shares.py
@@ -12,7 +12,8 @@
   twice as many senders; therefore half of what the bound allows is shared. Of a rate that an
   endpoint names, the gateways that get far more requests than others are senders, too.
 
-The other gateways use other endpoints meanwhile.
+The other gateways use other endpoints meanwhile, and so does a gateway that doesn't know yet how
+many there are.
 """
 
 from guavacleat.rendezvous import select_members
@@ -77,7 +78,9 @@
         :param service: share the rate by the demand for this service; None for equal shares.
         """
         allowed, sustained = bound.requests(rate), rate * bound.window
-        count = self.gateways.gateway_count() or 1
+        count = self.gateways.gateway_count()
+        if count is None:
+            return 0.0
         if sustained + count <= allowed:
             return rate * self.demand.share(service, count)
         senders = max(1, int(allowed / 2 - SENDERS_RATE_SHARE * sustained))
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -121,6 +121,16 @@
         self.on_outcome("broken", {})
 
 
+class ReadOnlyLink(StoreLink):
+    """A connection to a store that takes no writes, so that a gateway can't register."""
+
+    def put(self, kind, name, value, expected_version):
+        state, self.state = self.state, "refused"
+        failure = self._failure()
+        self.state = state
+        return failure
+
+
 class CrashingFleet:
     """Endpoints that restart a second after a crash, gateways, and their callers.
 
@@ -247,6 +257,21 @@
             connection.transport.abortConnection()
         gateway.context.pool.close()
 
+    def restart(self, instances):
+        """Kill gateways and start them again."""
+        for instance in instances:
+            settings = self.gateways[instance].settings
+            self.kill_gateway(instance)
+            self.start_gateway(instance, settings.ip, settings.data_centre)
+
+    def restart_unregistered(self):
+        """Restart all gateways so that no one knows any other, as the store takes no writes."""
+        self.store.objects = {
+            key: stored for key, stored in self.store.objects.items() if key[0] != "gateways"
+        }
+        self.connect = lambda: ReadOnlyLink(self.store)
+        self.restart(sorted(self.gateways))
+
     @property
     def crashes(self):
         return sum(endpoint.listener.crashes for endpoint in self.endpoints)
--- a/tests/retries/test_budget_fleet.py
+++ b/tests/retries/test_budget_fleet.py
@@ -6,23 +6,12 @@
 
 from guavacleat.settings import Bounds
 from guavacleat.standin.routed import EndpointFault
-from tests.peers.fleet import StoreLink
 from tests.quarantine.crashing_fleet import CrashingFleet
 
 BOUNDS = Bounds(retry_ratio=0.2, retry_extra=60.0, retry_window=10.0)
 REQUESTS_PER_SECOND = 60.0
 
 
-class ReadOnlyLink(StoreLink):
-    """A connection to a store that takes no writes, so that a gateway can't register."""
-
-    def put(self, kind, name, value, expected_version):
-        state, self.state = self.state, "refused"
-        failure = self._failure()
-        self.state = state
-        return failure
-
-
 class RejectingFleet(CrashingFleet):
     """Gateways before endpoints that reject all requests as not run."""
 
@@ -36,13 +25,6 @@
         self._schedule_repeatedly(1 / REQUESTS_PER_SECOND, until, self.send_harmless)
         self.network.pass_time(seconds)
 
-    def restart(self, instances, **options):
-        """Kill gateways and start them again."""
-        for instance in instances:
-            settings = self.gateways[instance].settings
-            self.kill_gateway(instance)
-            self.start_gateway(instance, settings.ip, settings.data_centre, **options)
-
     def most_beyond_budget(self):
         """The most retries beyond the budget in any window; at most 0 if it is kept.
 
@@ -86,11 +68,7 @@
 def test_gateways_that_know_no_others_stay_within_the_budget():
     """Guards against gateways that each use the whole extra as long as they can't register."""
     fleet = RejectingFleet(gateways=6, data_centres=3)
-    fleet.connect = lambda: ReadOnlyLink(fleet.store)
-    fleet.store.objects = {
-        key: stored for key, stored in fleet.store.objects.items() if key[0] != "gateways"
-    }
-    fleet.restart(sorted(fleet.gateways))
+    fleet.restart_unregistered()
     fleet.send(25.0)
     assert fleet.most_beyond_budget() <= 0
 
--- a/tests/throttling/test_limits_fleet.py
+++ b/tests/throttling/test_limits_fleet.py
@@ -25,6 +25,18 @@
     assert fleet.harmless_outcomes[200] == sum(fleet.harmless_outcomes.values())
 
 
+def test_gateways_that_know_no_others_keep_to_a_limit_together():
+    """Guards against gateways that each use the whole limit as long as they can't register."""
+    fleet = StatementFleet(gateways=6)
+    fleet.restart_unregistered()
+    fleet.network.pass_time(2.0)
+    fleet.send(2.0)
+    fleet.logs[0].name_limit(1.0)
+    fleet.send(15.0)
+    assert not fleet.logs[0].exceeded_limits()
+    assert fleet.harmless_outcomes[200] == sum(fleet.harmless_outcomes.values())
+
+
 def test_limit_that_is_halved_counts_at_once():
     """Guards against gateways that keep to the first limit that an endpoint named."""
     fleet = StatementFleet()
--- a/tests/throttling/test_shares.py
+++ b/tests/throttling/test_shares.py
@@ -177,3 +177,10 @@
     rules = make_rules(28)
     counts = [sum(rule.rate(id, 36.0, COLD) > 0 for id in ENDPOINTS) for rule in rules]
     assert min(counts) >= 4
+
+
+@pytest.mark.parametrize("bound", [COLD, NAMED])
+def test_a_gateway_that_does_not_know_how_many_there_are_has_no_share(bound):
+    """Guards against gateways that each take an endpoint's rate for theirs alone."""
+    rule = ShareRule("g0", "dc0", DATA_CENTRES, Gateways(None, ["g0"]), DemandMeter(Clock()))
+    assert rule.rate("e0", 10.0, bound, SERVICE) == 0.0
