--- a/tests/retries/test_budget_machine.py
+++ b/tests/retries/test_budget_machine.py
@@ -35,6 +35,7 @@
         self.fleet = Fleet(DATA_CENTRES, GATEWAYS_PER_DATA_CENTRE, seed=seed)
         self.budgets = {name: self.make_budget(name) for name in self.fleet.gateways}
         self.requested_at, self.retried_at = [], []
+        self.demand = all_positions, 0, [RetryPurpose.HANDOVER]
         self.fleet.pass_time(BOUNDS.retry_window)
 
     def make_budget(self, name):
@@ -45,8 +46,13 @@
         return [known[position % len(known)] for position in sorted(positions)]
 
     @rule(positions=some_positions, requests=st.integers(0, 5), purposes=purposes)
-    def use(self, positions, requests, purposes):
+    def change_demand(self, positions, requests, purposes):
+        """Let some gateways receive requests and send them again; the others wait."""
+        self.demand = positions, requests, purposes
+
+    def use(self):
         """Receive requests, and send again as often as the budget permits."""
+        positions, requests, purposes = self.demand
         now = self.fleet.clock.seconds()
         for name in self.names(positions):
             budget = self.budgets[name]
@@ -71,6 +77,7 @@
             gateway.stop()
             self.start_gateway(name, gateway.data_centre, gateway.ip, state)
         self.fleet.pass_time(seconds)
+        self.use()
 
     @rule(data_centre=st.integers(0, DATA_CENTRES - 1), state=store_states)
     def join(self, data_centre, state):
@@ -115,6 +122,7 @@
     @rule(seconds=pauses)
     def pass_time(self, seconds):
         self.fleet.pass_time(seconds)
+        self.use()
 
     @invariant()
     def budget_is_kept(self):
@@ -133,4 +141,4 @@
 
 
 TestBudget = BudgetMachine.TestCase
-TestBudget.settings = settings(max_examples=examples(100), stateful_step_count=25)
+TestBudget.settings = settings(max_examples=examples(50), stateful_step_count=25)
