Rejections: acted on at the head, whatever follows it

Cause: the rejection, which the head tells, was applied at the end of its body. It is now applied at the head, and up to 16 KB in 0.25 s of the rest are skipped, so that the connection of an ordinary rejection is still reused.

--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -65,6 +65,7 @@
         self._log_placed(entry, backup, resume)
         self.context.quarantine.request_sent(self.request, entry.id)
         attempt = StreamAttempt(
+            self.context.clock,
             entry,
             self.request.metadata.id,
             self.context.wire,
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -132,7 +132,7 @@
         started_at = context.clock.seconds()
         on_statements = functools.partial(context.feedback.observe, entry, started_at)
         response = CheckedResponse(
-            request.exchange, request.metadata.id, context.wire, on_statements
+            context.clock, request.exchange, request.metadata.id, context.wire, on_statements
         )
         try:
             connection = await connect(context, entry)
--- a/src/guavacleat/forwarding/response.py
+++ b/src/guavacleat/forwarding/response.py
@@ -89,13 +89,17 @@
 class CheckedResponse(ResponseListener):
     """Fires ``done`` with an :class:`AttemptOutcome`; ``head`` and ``body`` hold the response.
 
+    A response that rejects the request ends it with its head; the rest is skipped.
+
     ``endpoint_disconnected`` tells whether the endpoint closed the connection before the response
     was complete. ``connection`` must be set before the request is sent, for backpressure.
 
+    :param clock: an ``IReactorTime``.
     :param on_statements: called with the :class:`~.statements.EndpointStatements` of the response.
     """
 
-    def __init__(self, caller: CallerExchange, request_id: str, wire, on_statements):
+    def __init__(self, clock, caller: CallerExchange, request_id: str, wire, on_statements):
+        self.clock = clock
         self.caller = caller
         self.request_id = request_id
         self.wire = wire
@@ -125,9 +129,12 @@
         if self.check is ResponseCheck.FOREIGN:
             self._finish(AttemptOutcome.BROKEN)
             self.connection.abandon()
+        elif self.check is not ResponseCheck.VALID:
+            self.connection.skip_rest(self.clock)
+            self._finish(OUTCOMES_BY_CHECK[self.check])
 
     def response_data_received(self, data):
-        if self.done.called or self.check is not ResponseCheck.VALID:
+        if self.done.called:
             return
         if self.streaming:
             self.caller.write(data)
@@ -156,15 +163,12 @@
             self.caller.end()
             self._finish(AttemptOutcome.STREAMED)
             return
-        self._finish(OUTCOMES_BY_CHECK.get(self.check, AttemptOutcome.ANSWERED))
+        self._finish(AttemptOutcome.ANSWERED)
 
     def response_failed(self, reason: ResponseFailure):
         self.endpoint_disconnected = reason.closed_by_endpoint
         if self.streaming:
             self.caller.abort()
-        if self.check in (ResponseCheck.NOT_RUN, ResponseCheck.WRONG_INCARNATION):
-            self._finish(OUTCOMES_BY_CHECK[self.check])
-            return
         self._finish(AttemptOutcome.STREAMED if self.streaming else AttemptOutcome.BROKEN)
 
     def _finish(self, outcome: AttemptOutcome) -> None:
--- a/src/guavacleat/forwarding/stream_attempt.py
+++ b/src/guavacleat/forwarding/stream_attempt.py
@@ -38,6 +38,9 @@
 class StreamAttempt(ResponseListener):
     """Receives the response on ``connection``; ``done`` fires with a :class:`StreamOutcome`.
 
+    A response that rejects the request ends the attempt with its head; the rest is skipped.
+
+    :param clock: an ``IReactorTime``.
     :param observer: ``attempt_started(attempt)`` is called when a valid stream starts, and
         ``attempt_event(attempt, event)`` with each complete :class:`StreamEvent`.
     :param feedback: the :class:`~.feedback.EndpointFeedback`.
@@ -46,6 +49,7 @@
 
     def __init__(
         self,
+        clock,
         entry: EndpointEntry,
         request_id: str,
         wire,
@@ -53,6 +57,7 @@
         feedback,
         progress: AnswerProgress,
     ):
+        self.clock = clock
         self.entry = entry
         self.request_id = request_id
         self.wire = wire
@@ -97,6 +102,9 @@
             self.feedback.observe(self.entry, self.sent_at, statements)
         if self.check is ResponseCheck.FOREIGN:
             self._reject()
+        elif self.check in REFUSAL_OUTCOMES:
+            self.connection.skip_rest(self.clock)
+            self._end(REFUSAL_OUTCOMES[self.check])
         elif self.streaming and not self.ended:
             self.observer.attempt_started(self)
 
@@ -118,9 +126,7 @@
                 self.observer.attempt_event(self, event)
 
     def response_completed(self):
-        if self.check in REFUSAL_OUTCOMES:
-            self._end(REFUSAL_OUTCOMES[self.check])
-        elif not self.streaming:
+        if not self.streaming:
             self._end(StreamOutcome.ENDPOINT_ERROR)
         else:
             # Remaining bytes are a truncated event, so the stream is incomplete.
@@ -130,7 +136,7 @@
 
     def response_failed(self, reason: ResponseFailure):
         self.endpoint_disconnected = reason.closed_by_endpoint and not self.ended
-        self._end(REFUSAL_OUTCOMES.get(self.check, StreamOutcome.BROKEN))
+        self._end(StreamOutcome.BROKEN)
 
     def _end(self, outcome: StreamOutcome) -> None:
         if not self.ended:
--- a/src/guavacleat/http1/client.py
+++ b/src/guavacleat/http1/client.py
@@ -17,6 +17,9 @@
 __all__ = ["ResponseListener", "ResponseFailure", "EndpointConnection"]
 
 MAX_RESPONSE_HEAD_BYTES = 32768
+# Bounds of what is read of a response that nobody needs, so that its connection can be reused.
+MAX_SKIPPED_BYTES = 16384
+MAX_SKIP_SECONDS = 0.25
 
 
 class ResponseFailure(enum.Enum):
@@ -45,6 +48,34 @@
     def response_failed(self, reason: ResponseFailure) -> None: ...
 
 
+class _SkippedResponse(ResponseListener):
+    """Takes the place of the listener of a response that nobody needs.
+
+    :param abandon: called once the rest of the response exceeds the bounds.
+    """
+
+    def __init__(self, reactor, abandon):
+        self.abandon = abandon
+        self.size = 0
+        self._timer = reactor.callLater(MAX_SKIP_SECONDS, abandon)
+
+    def response_data_received(self, data):
+        self.size += len(data)
+        if self.size > MAX_SKIPPED_BYTES:
+            self.abandon()
+
+    def response_completed(self):
+        self._end()
+
+    def response_failed(self, reason):
+        del reason
+        self._end()
+
+    def _end(self) -> None:
+        if self._timer.active():
+            self._timer.cancel()
+
+
 class EndpointConnection(protocol.Protocol):
     """A connection to one address; ``on_idle(connection)`` is called when it can be reused.
 
@@ -94,6 +125,13 @@
             self.transport.abortConnection()
         self._fail(ResponseFailure.ABANDONED)
 
+    def skip_rest(self, reactor) -> None:
+        """Detach the listener; read a short rest of the response, or close the connection."""
+        if self.listener is None:
+            return
+        self.resume()
+        self.listener = _SkippedResponse(reactor, self.abandon)
+
     def is_taking_request(self) -> bool:
         """Whether the endpoint has acknowledged a part of the request since the last call, but not
         yet all of it.
--- a/tests/e2e/ingress_process.py
+++ b/tests/e2e/ingress_process.py
@@ -14,16 +14,19 @@
 
 
 class Ingress:
-    """A started ingress; :meth:`stop` returns its log lines."""
+    """A started ingress; :meth:`stop` returns its log lines.
 
-    def __init__(self, tmp_path, store):
+    :param more_settings: further lines of its settings file.
+    """
+
+    def __init__(self, tmp_path, store, more_settings=""):
         self.port, self.ready_port = free_port(), free_port()
         peer_port = free_port()
         settings = tmp_path / "node.conf"
         settings.write_text(
             f"nodeName=g1\nip=127.0.0.1\nzone=dc\nlisten.front=127.0.0.1:{self.port}\n"
             f"listen.ready=127.0.0.1:{self.ready_port}\ninternalPorts={peer_port},{peer_port}\n"
-            f"platform.address={store.address}\nlimits.memoryMb=150\nbounds.graceS=8\n"
+            f"platform.address={store.address}\nlimits.memoryMb=150\nbounds.graceS=8\n{more_settings}"
         )
         command = ["-m", "guavacleat", "ingress", f"--settings={settings}", "--metrics_port=0"]
         self.process = subprocess.Popen([sys.executable, *command], stdout=subprocess.PIPE)
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -96,6 +96,9 @@
         self.open, self.abandoned = False, True
         self.break_connection(ResponseFailure.ABANDONED)
 
+    def skip_rest(self, clock):
+        self.listener = None
+
     def is_taking_request(self):
         return self.taking_request
 
