Streams: the body of an endpoint's own failure has a bound

A failure that an endpoint seals and never ends was kept in memory until the stream's timeout, at the rate at which it arrived. A failure of over 256 KB is now taken for a broken answer. The case failure of test_an_answer_that_never_ends_harms_no_other_request, over real sockets, fails without this change for streams (memory).

--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -288,7 +288,7 @@
     def _forward_failure(self) -> None:
         exchange = self.request.exchange
         begin_response(exchange, self.attempt.head)
-        exchange.write(b"".join(self.attempt.failure_body))
+        exchange.write(bytes(self.attempt.failure_body))
         exchange.end()
 
     def _fail(self, outcome: StreamOutcome) -> None:
--- a/src/guavacleat/forwarding/stream_attempt.py
+++ b/src/guavacleat/forwarding/stream_attempt.py
@@ -16,6 +16,8 @@
 __all__ = ["StreamAttempt", "StreamOutcome"]
 
 SUCCESS = range(200, 300)
+# Maximum size of the body of an endpoint's failure.
+MAX_FAILURE_BYTES = 1 << 18
 
 
 class StreamOutcome(enum.Enum):
@@ -73,7 +75,7 @@
         self.head: ResponseHead | None = None
         self.check: ResponseCheck | None = None
         self.splitter = EventSplitter()
-        self.failure_body: list[bytes] = []
+        self.failure_body = bytearray()
         self.ended = False
         # Whether the endpoint closed the connection before the response was complete.
         self.endpoint_disconnected = False
@@ -112,7 +114,9 @@
         if self.ended:
             return
         if not self.streaming:
-            self.failure_body.append(data)
+            self.failure_body += data
+            if len(self.failure_body) > MAX_FAILURE_BYTES:
+                self._reject()
             return
         try:
             events = self.splitter.feed(data)
