--- a/tests/e2e/test_endless_bytes.py
+++ b/tests/e2e/test_endless_bytes.py
@@ -34,6 +34,8 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 NOT_RUN = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nAttempt-Id: r1\r\n"
 CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
+COMMENTS = b":\n\n" * 1000
+EVENT_CHUNK = b"%x\r\n%s\r\n" % (len(COMMENTS), COMMENTS)
 # What an endpoint sends first, and then without end.
 REJECTIONS = {
     "rejected-no-length": (NOT_RUN + b"Connection: close\r\n\r\n", b"x" * 1024),
@@ -52,6 +54,8 @@
     "chunk-size": (b"HTTP/1.1 200 OK\r\n" + SEAL + CHUNKED, b"0" * 1024),
     "trailers": (b"HTTP/1.1 200 OK\r\n" + SEAL + CHUNKED + b"0\r\n", b"X: x\r\n"),
     "failure": (b"HTTP/1.1 500 Failed\r\n" + SEAL + CHUNKED, CHUNK),
+    "comments": (b"HTTP/1.1 200 OK\r\n" + SEAL + CHUNKED, EVENT_CHUNK),
+    "one-event": (b"HTTP/1.1 200 OK\r\n" + SEAL + CHUNKED, CHUNK),
     "unsealed": (b"HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\n" + CHUNKED, CHUNK),
 }
 
--- a/tests/forwarding/test_session.py
+++ b/tests/forwarding/test_session.py
@@ -1,6 +1,7 @@
 """Tests of streaming requests: resume, handover, and exactly-once delivery of events."""
 
 import itertools
+import re
 
 import pytest
 from hypothesis import given
@@ -357,6 +358,35 @@
     assert b"".join(found.data for found in out) == b"".join(map(encode_event, ids))
 
 
+@given(
+    st.lists(st.sampled_from([b"id: 7", b" id:8", b": c", b"data: id:9", b"", b"\r"])),
+    st.sampled_from([b"\n", b"\r\n"]),
+    st.data(),
+)
+def test_splitter_finds_the_ids_of_any_lines(lines, line_end, data):
+    """Events without an id may come together; those with one are told apart."""
+    stream = b"".join(line + line_end for line in lines) + b"data: x" + 2 * line_end
+    expected = [
+        id for event in re.split(rb"\n\n|\r\n\r\n", stream) if (id := find_id(event)) is not None
+    ]
+    splitter, out = EventSplitter(), []
+    rest = stream
+    while rest:
+        cut = data.draw(st.integers(1, len(rest)))
+        out += splitter.feed(rest[:cut])
+        rest = rest[cut:]
+    assert [event.id for event in out if event.id is not None] == expected
+    assert b"".join(event.data for event in out) == stream
+
+
+def find_id(event):
+    """The id of an event, from its first line that names one."""
+    lines = (line.strip() for line in event.splitlines())
+    ids = (line[3:].strip() for line in lines if line.startswith(b"id:"))
+    id = next(ids, b"")
+    return int(id) if id.isdigit() else None
+
+
 @given(st.lists(st.sampled_from(["event", "break", "end"]), max_size=25), st.data())
 def test_caller_receives_consecutive_events_and_the_real_end(steps, data):
     """Guards against gaps, duplicates or a false end for any mix of events, failures and ends."""
