Endpoints' connections: interim responses and tiny chunks have a bound

More than 16 interim responses, or over 2,048 chunks of fewer than 8 bytes on average, are now taken for a malformed answer, which counts against the endpoint like others. The same bound holds for callers' chunks (400), whose body was kept as one object a chunk, of which only the data counted towards the memory for bodies. The cases interim and chunks-of-one-byte of test_an_answer_that_never_ends_harms_no_other_request fail without this change.

--- a/src/guavacleat/http1/client.py
+++ b/src/guavacleat/http1/client.py
@@ -11,12 +11,15 @@
 from twisted.internet import protocol
 from twisted.internet.error import ConnectionDone
 
+from guavacleat.http1.chunks import ChunkMeter
 from guavacleat.http1.messages import ResponseHead
 from guavacleat.http1.sockets import UnreachablePeerDetector, configure_socket, read_send_state
 
 __all__ = ["ResponseListener", "ResponseFailure", "EndpointConnection"]
 
 MAX_RESPONSE_HEAD_BYTES = 32768
+# Interim responses (103) that may precede a response.
+MAX_INTERIM_RESPONSES = 16
 # Bounds of what is read of a response that nobody needs, so that its connection can be reused.
 MAX_SKIPPED_BYTES = 16384
 MAX_SKIP_SECONDS = 0.25
@@ -94,6 +97,8 @@
         self.keep_alive_seconds: float | None = None
         self._paused = False
         self._acknowledged_bytes = 0
+        self._interim_responses = 0
+        self._chunks = ChunkMeter()
 
     def connectionMade(self):  # noqa: N802 - Twisted's name
         self.open = True
@@ -103,6 +108,8 @@
         """Send a request; ``headers`` must not include framing or hop-by-hop headers."""
         self.listener = listener
         self.request_count += 1
+        self._interim_responses = 0
+        self._chunks = ChunkMeter()
         self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES)
         framed_headers = [(name, value) for name, value in headers if name != b"content-length"]
         if body or method not in (b"GET", b"HEAD", b"DELETE"):
@@ -193,8 +200,15 @@
             self._read_keep_alive(event)
             head = ResponseHead(event.status_code, event.reason, list(event.headers))
             self.listener.response_started(head)
+        elif isinstance(event, h11.InformationalResponse):
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                self._malformed()
         elif isinstance(event, h11.Data):
-            self.listener.response_data_received(bytes(event.data))
+            if self._chunks.is_mostly_framing(len(event.data)):
+                self._malformed()
+            else:
+                self.listener.response_data_received(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._response_ended()
             return False
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -9,6 +9,7 @@
 from twisted.internet import protocol
 
 from guavacleat.http1.body_memory import BodyMemory
+from guavacleat.http1.chunks import ChunkMeter
 from guavacleat.http1.closing import ConnectionCloser
 from guavacleat.http1.exchange import CallerExchange
 from guavacleat.http1.messages import RequestHead
@@ -38,8 +39,8 @@
         self.open = False
         self.exchange: CallerExchange | None = None
         self.head: RequestHead | None = None
-        self.chunks: list[bytes] = []
-        self.size = 0
+        self.body = bytearray()
+        self.meter = ChunkMeter()
         # Bytes of the current request's body for which memory is reserved.
         self.reserved = 0
         # Bytes written since the transport's send buffer was full.
@@ -130,7 +131,7 @@
         if lengths and not self._reserve_memory(int(lengths[0])):
             return
         self.head = RequestHead(event.method, event.target, list(event.headers))
-        self.chunks, self.size = [], 0
+        self.body, self.meter = bytearray(), ChunkMeter()
         if self.parser.they_are_waiting_for_100_continue:
             informational = h11.InformationalResponse(
                 status_code=100, headers=[], reason=b"Continue"
@@ -138,12 +139,14 @@
             self.transport.write(self.parser.send(informational))
 
     def _body_received(self, data: bytes) -> None:
-        self.chunks.append(data)
-        self.size += len(data)
-        if self.size > self.listener.limits().max_body_bytes:
+        self.body += data
+        size = len(self.body)
+        if size > self.listener.limits().max_body_bytes:
             self._reject(TOO_LARGE)
-        elif self.size > self.reserved:
-            self._reserve_memory(self.size - self.reserved)
+        elif self.meter.is_mostly_framing(len(data)):
+            self._reject(BAD_REQUEST)
+        elif size > self.reserved:
+            self._reserve_memory(size - self.reserved)
 
     def _reserve_memory(self, size: int) -> bool:
         """Reserve memory for a part of the body; without it, reject the request unread."""
@@ -161,15 +164,15 @@
     def _request_complete(self) -> None:
         self._set_timer(None, None)
         head, self.head = self.head, None
-        exchange = CallerExchange(self, head, b"".join(self.chunks))
-        self.chunks = []
+        exchange = CallerExchange(self, head, bytes(self.body))
+        self.body = bytearray()
         self.exchange = exchange
         self.listener.handle(exchange)
 
     def _reject(self, status: int, extra_headers=()) -> None:
         """Send an error response and close, since the start of the next request is unknown."""
         self.listener.on_rejected(status)
-        self.chunks = []
+        self.body = bytearray()
         self._release_memory()
         if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"content-length", b"0"), (b"connection", b"close"), *extra_headers]
--- a/tests/e2e/test_endless_bytes.py
+++ b/tests/e2e/test_endless_bytes.py
@@ -44,12 +44,14 @@
     "misdirected": (b"HTTP/1.1 421 Other\r\nAttempt-Id: r1\r\n" + CHUNKED, CHUNK),
 }
 HEADS = {
+    "interim": (b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
     "header-line": (b"HTTP/1.1 200 OK\r\nX: ", b"x" * 1024),
     "header-lines": (b"HTTP/1.1 200 OK\r\n", b"X: x\r\n"),
     "newlines": (b"", b"\r\n"),
     "binary": (b"", bytes(range(256))),
 }
 BODIES = {
+    "chunks-of-one-byte": (b"HTTP/1.1 200 OK\r\n" + SEAL + CHUNKED, b"1\r\nx\r\n"),
     "chunk-extension": (b"HTTP/1.1 200 OK\r\n" + SEAL + CHUNKED + b"1;", b"x" * 1024),
     "chunk-size": (b"HTTP/1.1 200 OK\r\n" + SEAL + CHUNKED, b"0" * 1024),
     "trailers": (b"HTTP/1.1 200 OK\r\n" + SEAL + CHUNKED + b"0\r\n", b"X: x\r\n"),
