Callers' connections: pipelined requests and unread responses have a bound

A caller that pipelines requests without end and reads no response took 47 MB of memory in 3 s (eight connections). Cause: after each response reading was resumed although more than the read-ahead was buffered, so that each small request let 64 KB more in; and requests were handled although their caller read no response. Reading goes on only while less than the read-ahead is buffered, or when the buffered part of a request was consumed, and requests wait while over 64 KB of responses are unsent.

--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -17,9 +17,12 @@
 
 __all__ = ["CallerConnection", "CallerListener"]
 
-# Limit on the pipelined data that is buffered while a request is processed. Reading continues
-# meanwhile in order to detect a disconnect.
+# Limit on the pipelined data that is buffered while a request is processed, or while the caller
+# doesn't read the responses. Reading continues meanwhile in order to detect a disconnect.
 READ_AHEAD_BYTES = 65536
+# Responses that a caller doesn't read, beyond the transport's send buffer, before its pipelined
+# requests wait.
+MAX_UNSENT_BYTES = 65536
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 TOO_LARGE = 413
@@ -64,9 +67,8 @@
             self.closer.data_discarded()
             return
         self.parser.receive_data(data)
-        if self.exchange is not None:
-            if len(self.parser.trailing_data[0]) > READ_AHEAD_BYTES:
-                self.transport.pauseProducing()
+        if self.exchange is not None or self._is_backed_up():
+            self._read_ahead()
             return
         self._read()
 
@@ -83,9 +85,20 @@
         if exchange is not None and not exchange.ended and exchange.on_disconnect is not None:
             exchange.on_disconnect()
 
+    def _read_ahead(self) -> None:
+        """Read on unless enough pipelined data is buffered."""
+        if len(self.parser.trailing_data[0]) > READ_AHEAD_BYTES:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
+
+    def _is_backed_up(self) -> bool:
+        """Whether the caller has to read before more requests are handled."""
+        return self.unsent > MAX_UNSENT_BYTES
+
     def _read(self) -> None:
         try:
-            while self.open and self.exchange is None:
+            while self.open and self.exchange is None and not self._is_backed_up():
                 event = self.parser.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     self._wait_for_data()
@@ -95,6 +108,7 @@
             self._reject(exc.error_status_hint or BAD_REQUEST)
 
     def _wait_for_data(self) -> None:
+        self.transport.resumeProducing()
         limits = self.listener.limits()
         if self.head is not None:
             self._set_timer(limits.idle_timeout, self._request_timed_out)
@@ -213,7 +227,7 @@
             self.close(linger=True)
             return
         self.parser.start_next_cycle()
-        self.transport.resumeProducing()
+        self._read_ahead()
         # Deferred, because the handler of this request may not have returned yet.
         self.listener.reactor.callLater(0, self._read)
 
@@ -270,6 +284,9 @@
         self._buffer_drained()
         if self.exchange is not None:
             self.listener.flow_changed(self.exchange, paused=False)
+        else:
+            self._read_ahead()
+            self._read()
 
     def stopProducing(self):  # noqa: N802 - Twisted's name
         """The connection is lost; ``connectionLost`` follows."""
--- a/tests/e2e/test_endless_bytes.py
+++ b/tests/e2e/test_endless_bytes.py
@@ -2,10 +2,14 @@
 
 import contextlib
 import http.client
+import json
 import os
 import socket
+import subprocess
+import sys
 import threading
 import time
+from pathlib import Path
 
 import pytest
 
@@ -18,10 +22,12 @@
     configuration,
 )
 
+MAKE_CALL = Path(__file__).parent / "make_call.py"
 TIMEOUT_MS = 4000
 REQUESTS = 8
 BYTES_PER_SECOND = 4_000_000
 PIECE_BYTES = 64_000
+SENDING_SECONDS = 3.0
 # What eight answers that never end may cost: as much for each byte as a long answer does.
 MAX_MEMORY_BYTES = 20_000_000
 MAX_PROCESSOR_SECONDS = 0.5
@@ -33,6 +39,7 @@
 SEAL = b"Attempt-Id: r1\r\nResponse-Seal: s\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 NOT_RUN = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nAttempt-Id: r1\r\n"
+REQUEST = b"POST /other/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: r1\r\nKey: k1\r\n"
 CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
 COMMENTS = b":\n\n" * 1000
 EVENT_CHUNK = b"%x\r\n%s\r\n" % (len(COMMENTS), COMMENTS)
@@ -62,6 +69,29 @@
 }
 
 
+# The same without end in what a caller sends.
+REQUESTS_WITHOUT_END = {
+    "request-line": (b"GET /", b"x" * 1024),
+    "header-line": (b"GET /other/x HTTP/1.1\r\nX: ", b"x" * 1024),
+    "header-lines": (b"GET /other/x HTTP/1.1\r\n", b"X: x\r\n"),
+    "newlines": (b"", b"\r\n"),
+    "chunks": (REQUEST + CHUNKED, CHUNK),
+    "chunks-of-one-byte": (REQUEST + CHUNKED, b"1\r\nx\r\n"),
+    "chunk-extension": (REQUEST + CHUNKED + b"1;", b"x" * 1024),
+    "trailers": (REQUEST + CHUNKED + b"0\r\n", b"X: x\r\n"),
+    "pipelined": (b"", REQUEST + b"Content-Length: 0\r\n\r\n"),
+}
+CALLS = {
+    "body-no-length": (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", b"x" * 1024),
+    "body-chunked": (b"HTTP/1.1 200 OK\r\n" + CHUNKED, CHUNK),
+    "header-line": HEADS["header-line"],
+    "header-lines": HEADS["header-lines"],
+    "interim": HEADS["interim"],
+    "chunks-of-one-byte": (b"HTTP/1.1 200 OK\r\n" + CHUNKED, b"1\r\nx\r\n"),
+}
+MAX_CALL_SECONDS = 6.0
+
+
 class EndlessEndpoint:
     """An endpoint that answers each request with ``start``, then ``piece`` without end."""
 
@@ -94,6 +124,22 @@
         self.listener.close()
 
 
+def send_without_end(port, start, piece):
+    """Send these bytes until the connection ends, or for a while; return how many were sent."""
+    sent_bytes = 0
+    piece *= PIECE_BYTES // len(piece) or 1
+    until = time.monotonic() + SENDING_SECONDS
+    with socket.create_connection(("127.0.0.1", port)) as connection:
+        connection.settimeout(SENDING_SECONDS)
+        with contextlib.suppress(OSError):
+            connection.sendall(start)
+            while time.monotonic() < until:
+                connection.sendall(piece)
+                sent_bytes += len(piece)
+                time.sleep(len(piece) / BYTES_PER_SECOND)
+    return sent_bytes
+
+
 class Usage:
     """Memory and processor time of a process."""
 
@@ -142,15 +188,25 @@
 
     def play(self, path):
         """Send requests at once, with others beside them; return what came of it."""
+        return self.run_beside(lambda result: self._send(path, result.answers))
+
+    def play_callers(self, start, piece):
+        """Send requests that never end; return what came of it."""
+
+        def send(result):
+            sent_bytes = send_without_end(self.ingress.port, start, piece)
+            result.endless_bytes += sent_bytes
+
+        return self.run_beside(send)
+
+    def run_beside(self, work):
+        """Call ``work(result)`` in several threads, with other requests beside them."""
         result = Result()
         before = Usage(self.ingress.process.pid)
         done = threading.Event()
         watching = threading.Thread(target=self._watch, args=(result, done))
         watching.start()
-        senders = [
-            threading.Thread(target=self._send, args=(path, result.answers))
-            for _ in range(REQUESTS)
-        ]
+        senders = [threading.Thread(target=work, args=(result,)) for _ in range(REQUESTS)]
         for sender in senders:
             sender.start()
         for sender in senders:
@@ -158,7 +214,7 @@
         done.set()
         watching.join()
         after = Usage(self.ingress.process.pid)
-        result.endless_bytes = self.endless.sent_bytes
+        result.endless_bytes += self.endless.sent_bytes
         result.seconds = after.seconds - before.seconds
         result.memory_bytes = result.most_memory_bytes - before.memory_bytes
         return result
@@ -244,3 +300,10 @@
     result.check()
     assert deployment.endless.requests
     assert max(seconds for _, seconds in result.answers) < TIMEOUT_MS / 1000 + MAX_OTHER_SECONDS
+
+
+@pytest.mark.parametrize("form", REQUESTS_WITHOUT_END)
+def test_a_request_that_never_ends_harms_no_other_request(deploy, form):
+    """Guards against callers' endless heads and bodies that take memory, or hold up all."""
+    deployment = deploy(b"", b"x")
+    deployment.play_callers(*REQUESTS_WITHOUT_END[form]).check()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from guavacleat.http1.body_memory import COPIES, SHORT_BODY_BYTES, BodyMemory
-from guavacleat.http1.server import CallerListener
+from guavacleat.http1.server import MAX_UNSENT_BYTES, READ_AHEAD_BYTES, CallerListener
 from guavacleat.http1.sockets import SendState
 from guavacleat.routes import CallerLimits
 
@@ -21,12 +21,12 @@
 class Caller:
     """A connection with its listener; ``exchanges`` are the requests passed to the handler."""
 
-    def __init__(self, clock, body_memory=None):
+    def __init__(self, clock, body_memory=None, limits=LIMITS):
         self.clock = clock
         self.exchanges = []
         self.rejected_statuses = []
         self.listener = CallerListener(
-            clock, self.exchanges.append, lambda: LIMITS, self.rejected_statuses.append, body_memory
+            clock, self.exchanges.append, lambda: limits, self.rejected_statuses.append, body_memory
         )
         self.connection = self.listener.buildProtocol(None)
         self.transport = StringTransport()
@@ -61,6 +61,46 @@
     assert caller.received.index(b"first") < caller.received.index(b"second")
 
 
+def test_pipelined_requests_beyond_the_read_ahead_are_not_read(caller, clock):
+    """Guards against a buffer that grows with each request while the caller sends more of them."""
+    caller.send(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n" * (2 * READ_AHEAD_BYTES // 30))
+    for number in range(100):
+        caller.send(b"")
+        assert caller.transport.producerState == "paused"
+        caller.exchanges[number].respond(200, [], b"")
+        clock.advance(0)
+
+
+def test_a_body_is_read_on_after_the_read_ahead(clock):
+    """Guards against a pipelined request that isn't read any more since its beginning was."""
+    limits = CallerLimits(max_body_bytes=4 * READ_AHEAD_BYTES)
+    caller = Caller(clock, limits=limits)
+    caller.send(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n")
+    size = 3 * READ_AHEAD_BYTES
+    caller.send(b"POST /b HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % size)
+    caller.send(b"x" * (2 * READ_AHEAD_BYTES))
+    assert caller.transport.producerState == "paused"
+    caller.exchanges[0].respond(200, [], b"")
+    clock.advance(0)
+    assert caller.transport.producerState == "producing"
+    caller.send(b"x" * READ_AHEAD_BYTES)
+    assert caller.exchanges[1].body == b"x" * size
+
+
+def test_pipelined_requests_wait_for_a_caller_that_does_not_read(caller, clock):
+    """Guards against responses that fill the memory since their caller doesn't read them."""
+    caller.send(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n" * 200)
+    caller.connection.pauseProducing()
+    handled = 0
+    while handled < len(caller.exchanges):
+        caller.exchanges[handled].respond(200, [], b"x" * 1024)
+        handled += 1
+        clock.advance(0)
+    assert MAX_UNSENT_BYTES < caller.connection.unsent < 2 * MAX_UNSENT_BYTES
+    caller.connection.resumeProducing()
+    assert len(caller.exchanges) == handled + 1
+
+
 def test_chunked_body_is_decoded(caller):
     caller.send(
         b"POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
