Calls of endpoints, engines and the store: bodies have a bound, in both forms of the product

Answers to status requests and to copies of memory had a limit of time alone: what arrived within it was kept. They are read up to 1 MB now, listings of the store up to 32 MB; a larger one counts as unavailable. The sidecar called its engine with treq, which bounds neither the number of header lines nor the memory of chunked bodies, and whose timeout ends with the head: one answer without end took all memory (212 MB in 3 s for chunks of one byte with a bound of 4 MB for the body). It uses the pooled client of the gateways now.

--- a/src/guavacleat/http1/calls.py
+++ b/src/guavacleat/http1/calls.py
@@ -9,7 +9,24 @@
 from guavacleat.http1.messages import ResponseHead
 from guavacleat.http1.pool import ConnectionPool
 
-__all__ = ["ResponseTooLargeError", "CallBrokenError", "PooledHttp", "Response", "call"]
+__all__ = [
+    "MAX_BODY_BYTES",
+    "MAX_LISTING_BYTES",
+    "CallBrokenError",
+    "NotConnectedError",
+    "PooledHttp",
+    "Response",
+    "ResponseTooLargeError",
+    "call",
+]
+
+
+# Maximum sizes of the body of a response: an endpoint's, and one of the store, which may list
+# all objects of a kind.
+MAX_BODY_BYTES = 1 << 20
+MAX_LISTING_BYTES = 32 << 20
+# Timeout of a call until its response begins.
+DEFAULT_TIMEOUT_SECONDS = 5.0
 
 
 class CallBrokenError(Exception):
@@ -24,6 +41,10 @@
         self.received = received
 
 
+class NotConnectedError(CallBrokenError):
+    """There is no connection: the server can't have read the call."""
+
+
 class ResponseTooLargeError(CallBrokenError):
     """The response body is larger than ``max_body_bytes``; the connection was closed."""
 
@@ -62,7 +83,7 @@
         self.abandon = abandon
         self.done = defer.Deferred()
         self.head = None
-        self.chunks: list[bytes] = []
+        self.body = bytearray()
         self.received = 0
         self.too_large = False
 
@@ -72,7 +93,7 @@
         self._check_size(head.content_length or 0)
 
     def response_data_received(self, data):
-        self.chunks.append(data)
+        self.body += data
         self.received += len(data)
         self.on_progress()
         self._check_size(self.received)
@@ -83,7 +104,7 @@
             self.abandon()
 
     def response_completed(self):
-        self.done.callback(Response(self.head, b"".join(self.chunks)))
+        self.done.callback(Response(self.head, bytes(self.body)))
 
     def response_failed(self, reason: ResponseFailure):
         kind = ResponseTooLargeError if self.too_large else CallBrokenError
@@ -100,18 +121,19 @@
     body,
     timeout,
     read_timeout: float | None = None,
-    max_body_bytes: int | None = None,
+    max_body_bytes: int | None = MAX_BODY_BYTES,
 ):
     """Return the :class:`Response`, or raise CallBrokenError.
 
     :param timeout: seconds for the complete response; with ``read_timeout``, until its head.
     :param read_timeout: seconds without received data after which a started response fails.
-    :param max_body_bytes: size of the body above which ResponseTooLargeError is raised.
+    :param max_body_bytes: size of the body above which ResponseTooLargeError is raised; None for
+        no limit.
     """
     try:
         connection = await pool.connect(address)
     except Exception as exc:  # noqa: BLE001 - refused, timed out, unreachable: no connection
-        raise CallBrokenError(repr(exc)) from exc
+        raise NotConnectedError(repr(exc)) from exc
     collector = _ResponseCollector(max_body_bytes, connection.abandon)
     all_headers = [(b"host", format_address(address).encode()), *headers]
     connection.send(method, target, all_headers, body, collector)
@@ -131,19 +153,27 @@
     :param read_timeout: seconds without received data after which a response fails. There is no
         limit on the total time, which would make a large response on a slow link fail on every
         retry.
+    :param max_body_bytes: size of the body above which a response fails, unless a call sets it.
     """
 
-    def __init__(self, reactor, pool: ConnectionPool, read_timeout: float):
+    def __init__(
+        self,
+        reactor,
+        pool: ConnectionPool,
+        read_timeout: float,
+        max_body_bytes: int = MAX_LISTING_BYTES,
+    ):
         self.reactor = reactor
         self.pool = pool
         self.read_timeout = read_timeout
+        self.max_body_bytes = max_body_bytes
 
     def request(
         self,
         method: str,
         url: str,
-        data: bytes | None,
-        timeout: float,
+        data: bytes | None = None,
+        timeout: float = DEFAULT_TIMEOUT_SECONDS,
         max_body_bytes: int | None = None,
     ):
         parts = urlsplit(url)
@@ -159,6 +189,6 @@
             data or b"",
             timeout,
             read_timeout=self.read_timeout,
-            max_body_bytes=max_body_bytes,
+            max_body_bytes=self.max_body_bytes if max_body_bytes is None else max_body_bytes,
         )
         return defer.Deferred.fromCoroutine(coroutine)
--- a/src/guavacleat/sidecar/engine_client.py
+++ b/src/guavacleat/sidecar/engine_client.py
@@ -4,11 +4,26 @@
 
 from twisted.internet import defer
 
-from guavacleat.treq_http import TreqHttp
+from guavacleat.http1.calls import PooledHttp
+from guavacleat.http1.pool import ConnectionPool
 
-__all__ = ["EngineClient", "EngineBatch"]
+__all__ = ["EngineBatch", "EngineClient", "bounded_http"]
 
 CALL_TIMEOUT_SECONDS = 5.0
+# Time without received data after which a response fails.
+READ_TIMEOUT_SECONDS = 5.0
+# Maximum size of an answer of an engine or a service.
+MAX_ANSWER_BYTES = 4 << 20
+
+
+def bounded_http(read_timeout: float) -> PooledHttp:
+    """An HTTP client for engines and services, whose answers may never end.
+
+    It isn't treq: that bounds neither the number of header lines nor the memory of chunked bodies.
+    """
+    from twisted.internet import reactor
+
+    return PooledHttp(reactor, ConnectionPool(reactor), read_timeout, MAX_ANSWER_BYTES)
 
 
 class EngineBatch:
@@ -30,7 +45,7 @@
 
     def __init__(self, base_url: str, http=None):
         self.base_url = base_url.rstrip("/")
-        self.http = http or TreqHttp()
+        self.http = http or bounded_http(READ_TIMEOUT_SECONDS)
 
     @defer.inlineCallbacks
     def generate(self, request_id: str, prompt: str, max_tokens: int, priority: int, resume=()):
--- a/src/guavacleat/sidecar/handler.py
+++ b/src/guavacleat/sidecar/handler.py
@@ -4,6 +4,7 @@
 from twisted.internet.error import ConnectionRefusedError
 from zope.interface import implementer
 
+from guavacleat.http1.calls import NotConnectedError
 from guavacleat.orders import current_fencing_number
 from guavacleat.protocol.gen.sidecar import Sidecar
 from guavacleat.protocol.gen.sidecar.ttypes import (
@@ -77,7 +78,7 @@
                 request.priority,
                 resume=request.resume_tokens or (),
             )
-        except ConnectionRefusedError as exc:
+        except (ConnectionRefusedError, NotConnectedError) as exc:
             # The engine cannot have read the request. After any other failure (timeout, reset)
             # it may have, so those are not reported as NotRun.
             raise NotRun(
--- a/src/guavacleat/sidecar/plain_client.py
+++ b/src/guavacleat/sidecar/plain_client.py
@@ -9,8 +9,7 @@
 
 from twisted.internet import defer
 
-from guavacleat.sidecar.engine_client import EngineBatch
-from guavacleat.treq_http import TreqHttp
+from guavacleat.sidecar.engine_client import EngineBatch, bounded_http
 
 __all__ = ["PlainClient"]
 
@@ -24,7 +23,7 @@
 
     def __init__(self, base_url: str, http=None):
         self.base_url = base_url.rstrip("/")
-        self.http = http or TreqHttp(read_timeout=CALL_TIMEOUT_SECONDS)
+        self.http = http or bounded_http(CALL_TIMEOUT_SECONDS)
         # (generation, answer) by stream id.
         self.answers_by_id: dict[str, tuple[str, str]] = {}
         self.call_numbers = itertools.count(1)
@@ -33,7 +32,7 @@
     def generate(self, request_id: str, prompt: str, max_tokens: int, priority: int, resume=()):
         """Make the call; fire with ``(stream_id, generation)`` once the response is received.
 
-        Raises ConnectionRefusedError if the service cannot have read the call. After any other
+        Raises NotConnectedError if the service cannot have read the call. After any other
         failure the call may have run.
         """
         body = json.dumps({"request_id": request_id, "body": prompt}).encode()
--- a/src/guavacleat/store/client.py
+++ b/src/guavacleat/store/client.py
@@ -191,8 +191,12 @@
             self._check_era(response)
             content = yield response.content()
             self.bytes += len(data or b"") + len(content)
-        except (ResponseTooLargeError, StoreUnavailableError):
+        except StoreUnavailableError:
             raise
+        except ResponseTooLargeError as exc:
+            if max_body_bytes is not None:
+                raise
+            raise StoreUnavailableError(f"{method} {path}: {exc}") from exc
         except Exception as exc:  # noqa: BLE001 - every transport failure means "no response"
             detail = f"{exc.__class__.__name__}: {exc}"
             raise StoreUnavailableError(f"{method} {path}: {detail}") from exc
--- a/tests/e2e/test_endless_bytes.py
+++ b/tests/e2e/test_endless_bytes.py
@@ -307,3 +307,18 @@
     """Guards against callers' endless heads and bodies that take memory, or hold up all."""
     deployment = deploy(b"", b"x")
     deployment.play_callers(*REQUESTS_WITHOUT_END[form]).check()
+
+
+@pytest.mark.parametrize("client", ["pooled", "engine"])
+@pytest.mark.parametrize("form", CALLS)
+def test_a_call_whose_answer_never_ends_fails_within_its_bounds(form, client):
+    """Guards against status reports and copies of memory whose answers take all memory."""
+    endpoint = EndlessEndpoint(*CALLS[form])
+    command = [sys.executable, MAKE_CALL, client, endpoint.address]
+    done = subprocess.run(command, capture_output=True, timeout=60)
+    endpoint.close()
+    result = json.loads(done.stdout)
+    assert result["bytes"] < MAX_MEMORY_BYTES
+    assert result["seconds"] < MAX_CALL_SECONDS
+    allowed = MAX_PROCESSOR_SECONDS + MAX_PROCESSOR_SECONDS_PER_BYTE * endpoint.sent_bytes
+    assert result["processor_seconds"] < allowed
