--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -19,6 +19,7 @@
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.response import begin_response
 from guavacleat.forwarding.stream_attempt import StreamAttempt, StreamOutcome
+from guavacleat.forwarding.stream_end import describe_end
 from guavacleat.forwarding.timings import StreamTimings
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.retries import RetryPurpose
@@ -68,7 +69,7 @@
         try:
             await self._run_until_deadline()
         finally:
-            self._log_end()
+            self._log(**describe_end(self))
 
     async def _run_until_deadline(self) -> None:
         exchange = self.request.exchange
@@ -331,23 +332,6 @@
         if self.attempt is not None and not self.attempt.ended:
             self.attempt.connection.resume()
 
-    def _log_end(self) -> None:
-        first, goal = self.timings.first_event_delay, self.request.route.gap_goal
-        late = first is None or first > self.request.route.latency_goal
-        paused = goal is not None and self.timings.longest_gap > goal
-        served = "stream:late" if late or paused else "stream:on-time"
-        self._log(
-            served if self.completed else "stream:unfinished",
-            endpoint=self.attempt.entry.id if self.attempt else None,
-            first=None if first is None else round(first, 3),
-            gap=round(self.timings.longest_gap, 3),
-            paused=paused,
-            gap_event=self.timings.gap_event,
-            moves=self.moves,
-            expected=self.request.expected_tokens(),
-            tokens=self.memory.tokens,
-        )
-
     def time_left(self) -> float:
         """Seconds until the deadline."""
         return self.request.deadline - self.context.clock.seconds()
--- a/src/guavacleat/http1/server.py
+++ b/src/guavacleat/http1/server.py
@@ -104,6 +104,9 @@
                     self._wait_for_data()
                     return
                 self._handle(event)
+            if self.open and self.exchange is None:
+                # The caller has to read first.
+                self._set_timer(self.listener.limits().idle_timeout, self._idle_timed_out)
         except h11.RemoteProtocolError as exc:
             self._reject(exc.error_status_hint or BAD_REQUEST)
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -101,6 +101,17 @@
     assert len(caller.exchanges) == handled + 1
 
 
+def test_a_caller_that_does_not_read_is_closed_after_the_idle_timeout(caller, clock):
+    """Guards against connections that stay open since nothing is read or written on them."""
+    caller.send(b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n" * 2)
+    caller.connection.pauseProducing()
+    caller.exchanges[0].respond(200, [], b"x" * (2 * MAX_UNSENT_BYTES))
+    clock.advance(0)
+    assert len(caller.exchanges) == 1
+    clock.advance(LIMITS.idle_timeout)
+    assert caller.connection.closer is not None
+
+
 def test_chunked_body_is_decoded(caller):
     caller.send(
         b"POST /a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
