--- a/src/guavacleat/admission/backlog.py
+++ b/src/guavacleat/admission/backlog.py
@@ -1,8 +1,76 @@
 """The generations that wait for an engine, at one gateway or at several."""
 
-from guavacleat.totals import Summable
+import itertools
 
-__all__ = ["Backlog"]
+from guavacleat.totals import Summable, sum_by_key
+
+__all__ = [
+    "MAX_HEADS",
+    "MAX_RANKS",
+    "MAX_SUMMARY_HEADS",
+    "Backlog",
+    "RankBacklog",
+    "WaitingGeneration",
+]
+
+# Priorities that are counted apart; of several gateways, the most urgent ones.
+MAX_RANKS = 8
+# First waiting generations that a gateway reports, and those of a summary.
+MAX_HEADS = 8
+MAX_SUMMARY_HEADS = 24
+
+
+class RankBacklog(Summable):
+    """The generations of one priority; tokens are engine memory expected at their ends.
+
+    :param waiting: generations that wait and can still meet their latency goal.
+    :param dispatched: generations sent to engines within the last ``RATE_WINDOW_SECONDS``.
+    """
+
+    __slots__ = ("waiting", "waiting_tokens", "dispatched", "dispatched_tokens")
+
+    def __init__(
+        self,
+        waiting: int = 0,
+        waiting_tokens: int = 0,
+        dispatched: int = 0,
+        dispatched_tokens: int = 0,
+    ):
+        self.waiting = waiting
+        self.waiting_tokens = waiting_tokens
+        self.dispatched = dispatched
+        self.dispatched_tokens = dispatched_tokens
+
+
+class WaitingGeneration:
+    """A generation that waits for an engine.
+
+    :param key: drawn at random when it is queued.
+    :param slack: seconds until its latest start that meets the goal; negative if it will be late.
+    """
+
+    __slots__ = ("key", "priority", "slack", "expected_tokens", "prompt_tokens", "deferrable")
+
+    def __init__(
+        self,
+        key: int,
+        priority: int,
+        slack: float,
+        expected_tokens: int,
+        prompt_tokens: int,
+        deferrable: bool,
+    ):
+        self.key = key
+        self.priority = priority
+        self.slack = slack
+        self.expected_tokens = expected_tokens
+        self.prompt_tokens = prompt_tokens
+        self.deferrable = deferrable
+
+    @property
+    def order(self) -> tuple[bool, int, float, int]:
+        """Sort key: on time before late, then by priority and by slack."""
+        return self.slack < 0, self.priority, self.slack, self.key
 
 
 class Backlog(Summable):
@@ -11,11 +79,32 @@
     :param gateways: number of gateways with queued generations.
     :param waiting: generations queued there that can still meet their latency goal.
     :param dispatched: generations sent to engines within the last ``RATE_WINDOW_SECONDS``.
+    :param ranks_by_priority: of a contended service, the same by priority.
+    :param heads: of a contended service, the first waiting generations in their order.
     """
 
-    __slots__ = ("gateways", "waiting", "dispatched")
+    __slots__ = ("gateways", "waiting", "dispatched", "ranks_by_priority", "heads")
 
-    def __init__(self, gateways: int = 0, waiting: int = 0, dispatched: int = 0):
+    def __init__(
+        self,
+        gateways: int = 0,
+        waiting: int = 0,
+        dispatched: int = 0,
+        ranks_by_priority: dict[int, RankBacklog] | None = None,
+        heads: tuple[WaitingGeneration, ...] = (),
+    ):
         self.gateways = gateways
         self.waiting = waiting
         self.dispatched = dispatched
+        self.ranks_by_priority = ranks_by_priority or {}
+        self.heads = heads
+
+    def add(self, other: "Backlog") -> "Backlog":
+        self.gateways += other.gateways
+        self.waiting += other.waiting
+        self.dispatched += other.dispatched
+        ranks = sum_by_key(RankBacklog, [self.ranks_by_priority, other.ranks_by_priority])
+        self.ranks_by_priority = dict(itertools.islice(sorted(ranks.items()), MAX_RANKS))
+        heads = sorted((*self.heads, *other.heads), key=lambda head: head.order)
+        self.heads = tuple(heads[:MAX_SUMMARY_HEADS])
+        return self
--- a/src/guavacleat/forwarding/memory.py
+++ b/src/guavacleat/forwarding/memory.py
@@ -96,10 +96,20 @@
     def begin_run(self, entry: EndpointEntry, resumed: bool) -> Run:
         """Record a run on ``entry``; a resumed run has no prompt to prefill."""
         pending_prefill = 0 if resumed else self.request.prompt_tokens
-        run = Run(self.request.metadata.id, self.expected_tokens(), pending_prefill)
+        run = Run(
+            self.request.metadata.id,
+            self.expected_tokens(),
+            pending_prefill,
+            self._held_tokens(),
+            self.request.urgent,
+        )
         self.load.begin(entry.id, run)
         return run
 
+    def _held_tokens(self) -> int:
+        """Tokens that the run holds now; 0 unless its service is contended."""
+        return 0 if self.request.traits.contention is None else self.tokens
+
     def use_run(self, run: Run) -> None:
         """Attribute the following events to ``run``."""
         self._run = run
@@ -109,6 +119,7 @@
         """Count an event of the current run."""
         self.events += 1
         run = self._run
+        run.held_tokens = self._held_tokens()
         if self.events % FORECAST_INTERVAL_EVENTS == 0:
             run.peak_tokens = self.expected_tokens()
             if self.copy is not None:
@@ -122,7 +133,11 @@
         self.drop_copy()
         self.copy = copy
         if copy is not None:
-            self._copy_run = Run(f"copy:{self.request.metadata.id}", self.expected_tokens())
+            self._copy_run = Run(
+                f"copy:{self.request.metadata.id}",
+                self.expected_tokens(),
+                held_tokens=self._held_tokens(),
+            )
             self.load.begin(copy.entry.id, self._copy_run)
 
     def drop_copy(self) -> None:
--- a/src/guavacleat/forwarding/request.py
+++ b/src/guavacleat/forwarding/request.py
@@ -103,6 +103,17 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def deferrable(self) -> bool:
+        """Whether it may wait for the more urgent requests that compete for its engines."""
+        contention = self.traits.contention
+        return contention is not None and contention.is_deferrable(self.route.name)
+
+    @property
+    def urgent(self) -> bool:
+        """Whether other requests that compete for its engines are deferrable."""
+        return self.traits.contention is not None and not self.deferrable
+
     @property
     def regions(self) -> frozenset[str] | None:
         """The regions that both the route and the account allow; None for all."""
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -9,10 +9,12 @@
 from eliot import log_message
 from twisted.internet import defer, protocol
 
+from guavacleat.admission.accounts import largest_accounts
 from guavacleat.admission.backlog import Backlog
 from guavacleat.evacuations import EvacuationRegister
 from guavacleat.membership.entries import ChangeOrigin, EndpointChange
 from guavacleat.membership.registry import CHANGE_RETENTION_SECONDS, EndpointRegistry
+from guavacleat.peers.backlogs import MAX_SUMMARY_ACCOUNTS
 from guavacleat.peers.crashes import CrashGossip
 from guavacleat.peers.directory import GatewayDirectory
 from guavacleat.peers.fitting import fit_report, latest_revision
@@ -60,6 +62,7 @@
         service.
     :param is_watcher: returns whether this gateway is one of the watchers of the store.
     :param link_bytes_per_second: bandwidth of this instance's link; None if unknown.
+    :param own_account_tokens: returns the tokens of the accounts with the largest use here.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         own_demands=dict,
         is_watcher=lambda: True,
         link_bytes_per_second: float | None = None,
+        own_account_tokens=dict,
     ):
         self.reactor = reactor
         self.directory = directory
@@ -93,6 +97,7 @@
         self.on_report = on_report
         self.own_backlogs = own_backlogs
         self.own_demands = own_demands
+        self.own_account_tokens = own_account_tokens
         self.is_watcher = is_watcher
         self.link_bytes_per_second = link_bytes_per_second
         self.summaries = SummaryExchange(
@@ -237,6 +242,7 @@
             store_silence=self.registry.store_silence(),
             backlogs_by_service=self.own_backlogs(),
             demands_by_service=self.own_demands(),
+            tokens_by_account=self.own_account_tokens(),
         )
         data = self._encode(report, self._schedule)
         if data is not None:
@@ -298,6 +304,10 @@
                 ServiceDemand,
                 [self.own_demands(), *(report.demands_by_service for report in neighbours)],
             ),
+            tokens_by_account=largest_accounts(
+                [self.own_account_tokens(), *(report.tokens_by_account for report in neighbours)],
+                MAX_SUMMARY_ACCOUNTS,
+            ),
         )
         return self._encode(summary, self._summary_schedule)
 
--- a/src/guavacleat/peers/fitting.py
+++ b/src/guavacleat/peers/fitting.py
@@ -41,6 +41,7 @@
 # Parts that may be left out, in this order, and their values without content. A report without
 # evacuations is no evidence of any.
 OPTIONAL_PARTS = {
+    "tokens_by_account": {},
     "demands_by_service": {},
     "limits": None,
     "crashes": None,
--- a/src/guavacleat/peers/report.py
+++ b/src/guavacleat/peers/report.py
@@ -11,6 +11,14 @@
 from guavacleat.admission.backlog import Backlog
 from guavacleat.evacuations import EvacuationChange
 from guavacleat.membership.entries import EndpointChange, EndpointEntry, EndpointState
+from guavacleat.peers.backlogs import (
+    decode_account_tokens,
+    decode_backlog,
+    decode_load,
+    encode_account_tokens,
+    encode_backlog,
+    encode_load,
+)
 from guavacleat.placement import EndpointLoad
 from guavacleat.protocol.gen.peers import ttypes
 from guavacleat.store import Revision
@@ -55,6 +63,7 @@
     :param backlogs_by_service: generations that wait for an engine; in a summary those of all
         gateways that it covers.
     :param demands_by_service: demand for services with endpoints that name a limit; likewise.
+    :param tokens_by_account: the accounts with the largest use of contended services; likewise.
     """
 
     __slots__ = (
@@ -78,6 +87,7 @@
         "backlogs_by_service",
         "limits",
         "demands_by_service",
+        "tokens_by_account",
     )
 
     def __init__(
@@ -102,6 +112,7 @@
         backlogs_by_service: dict[str, Backlog] | None = None,
         limits: list[ttypes.EndpointLimit] | None = None,
         demands_by_service: dict[str, ServiceDemand] | None = None,
+        tokens_by_account: dict[str, int] | None = None,
     ):
         self.instance = instance
         self.incarnation = incarnation
@@ -123,6 +134,7 @@
         self.backlogs_by_service = backlogs_by_service or {}
         self.limits = limits
         self.demands_by_service = demands_by_service or {}
+        self.tokens_by_account = tokens_by_account or {}
 
     @property
     def is_summary(self) -> bool:
@@ -136,7 +148,7 @@
         report.instance,
         report.incarnation,
         report.sequence,
-        [_encode_load(id, load) for id, load in report.loads_by_endpoint.items()],
+        [encode_load(id, load) for id, load in report.loads_by_endpoint.items()],
         [_encode_change(change, base_revision) for change in report.changes],
         report.stops_in,
         report.store_failing,
@@ -151,23 +163,21 @@
         report.crashes,
         int(base_revision) or None,
         _encode_evacuations(report.evacuations, base_revision),
-        [
-            ttypes.Backlog(name, backlog.gateways, backlog.waiting, backlog.dispatched)
-            for name, backlog in report.backlogs_by_service.items()
-        ],
+        [encode_backlog(name, backlog) for name, backlog in report.backlogs_by_service.items()],
         report.limits,
         [
             ttypes.ServiceDemand(name, demand.gateways, demand.rate, list(demand.largest))
             for name, demand in report.demands_by_service.items()
         ]
         or None,
+        encode_account_tokens(report.tokens_by_account),
     )
     return _to_bytes(message)
 
 
 def encoded_load_bytes(id: str, load: EndpointLoad) -> int:
     """Bytes that the load of one endpoint takes in a report."""
-    return len(_to_bytes(_encode_load(id, load)))
+    return len(_to_bytes(encode_load(id, load)))
 
 
 def encoded_change_bytes(change: EndpointChange, report: GatewayReport) -> int:
@@ -189,10 +199,6 @@
     return Revision.of(Revision(report.endpoints_revision or 0).era, 0)
 
 
-def _encode_load(id: str, load: EndpointLoad) -> ttypes.EndpointLoad:
-    return ttypes.EndpointLoad(id, load.runs, load.peak_tokens, load.pending_prefill_tokens)
-
-
 def _encodable_version(version: int | None) -> int | None:
     """The version, or None if it does not fit the message's 64-bit field.
 
@@ -207,10 +213,7 @@
     try:
         message.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
         message.validate()
-        loads_by_endpoint = {
-            load.endpoint: EndpointLoad(load.runs, load.expected_tokens, load.unread_tokens)
-            for load in message.loads
-        }
+        loads_by_endpoint = {load.endpoint: decode_load(load) for load in message.loads}
         base_revision = message.revisions_from or 0
         changes = [_decode_change(change, base_revision) for change in message.changes or ()]
         evacuations = _decode_evacuations(message.evacuations, base_revision)
@@ -234,10 +237,7 @@
         _from_offset(base_revision, message.changes_since),
         message.crashes,
         evacuations,
-        {
-            backlog.service_name: Backlog(backlog.gateways, backlog.waiting, backlog.dispatched)
-            for backlog in message.backlogs or ()
-        },
+        {backlog.service_name: decode_backlog(backlog) for backlog in message.backlogs or ()},
         message.limits,
         {
             demand.service_name: ServiceDemand(
@@ -247,6 +247,7 @@
             if demand.gateways >= 0
             and all(0 <= rate < math.inf for rate in (demand.rate, *(demand.largest or ())))
         },
+        decode_account_tokens(message.account_tokens),
     )
 
 
--- a/src/guavacleat/peers/table.py
+++ b/src/guavacleat/peers/table.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 from twisted.internet.interfaces import IReactorTime
 
+from guavacleat.admission.accounts import sum_accounts
 from guavacleat.admission.backlog import Backlog
 from guavacleat.peers.report import GatewayReport
 from guavacleat.placement import EndpointLoad
@@ -110,6 +111,11 @@
         demands = (report.demands_by_service.get(service) for report in reports)
         return sum_of(ServiceDemand, (demand for demand in demands if demand is not None))
 
+    def tokens_by_account(self) -> dict[str, int]:
+        """The use of accounts at the other gateways that report it."""
+        reports = [*self.alive(), *self.summaries()]
+        return sum_accounts(report.tokens_by_account for report in reports)
+
     def store_silence(self) -> float:
         """Seconds since the store last responded to a peer, according to their reports."""
         now = self.clock.seconds()
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -5,8 +5,14 @@
 from guavacleat.evacuations import EvacuationRegister
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.membership.registry import EndpointRegistry
+from guavacleat.placement.engine_choice import (
+    USABLE_MEMORY_SHARE,
+    EngineChooser,
+    GenerationDemand,
+    memory_share,
+)
 from guavacleat.placement.load import LoadTracker
-from guavacleat.placement.prefill import PREFILL_TOKENS_PER_SECOND, FirstEventEstimate
+from guavacleat.placement.prefill import FirstEventEstimate
 from guavacleat.routes import EngineTraits
 from guavacleat.throttling import EndpointThrottle
 
@@ -20,22 +26,6 @@
 # Load difference below which the local data centre is preferred, because traffic between data
 # centres is billed.
 LOCAL_BIAS = 0.1
-# Cost of full engine memory, rising linearly from 0 at ``USABLE_MEMORY_SHARE``: a further run
-# waits for another to end or is preempted.
-MEMORY_PRESSURE_SECONDS = 6.0
-# Cost of each batch slot in use, because every running generation slows the engine's steps by
-# some 2 %.
-SLOT_SECONDS = 0.02
-# Cost per share of memory in use, so that the memory of all engines fills evenly: the runs of a
-# reclaimed engine have to be moved within a second or two.
-MEMORY_SPREAD_SECONDS = 0.5
-# Memory share above which an engine counts as full, as outputs may exceed their expected length.
-USABLE_MEMORY_SHARE = 0.92
-# Memory share up to which generations are started. Beyond it the engine preempts the newest.
-MAX_MEMORY_SHARE = 1.0
-# Maximum prompt tokens awaiting prefill on an engine that gets another request: enough to keep the
-# engine busy, with few requests lost if it leaves.
-MAX_PENDING_PREFILL_TOKENS = 2000
 # Maximum memory share including backups. The rest is for new generations and for those moved off
 # reclaimed engines.
 BACKUP_MEMORY_SHARE = 0.6
@@ -79,6 +69,7 @@
         self.load = load
         self.data_centre = data_centre
         self.first_event_estimate = FirstEventEstimate()
+        self.engine_chooser = EngineChooser()
         self.random = random.Random(seed)
 
     def choose_for_plain_request(self, request, exclude: set[str]) -> EndpointEntry | None:
@@ -140,10 +131,10 @@
 
         :param request: a ``ForwardedRequest``.
         """
-        engine, available = request.traits.engine, self._available(request, exclude)
-        if engine is not None:
-            expected = request.expected_tokens()
-            available = [entry for entry in available if self._has_room(entry, expected, engine)]
+        available = self._available(request, exclude)
+        if request.traits.engine is not None:
+            demand = GenerationDemand.of(request)
+            available = [entry for entry in available if self._has_room(entry, demand)]
         return min(available, key=lambda entry: self.load.total(entry.id).runs, default=None)
 
     def is_lightly_loaded(self, entry: EndpointEntry) -> bool:
@@ -155,26 +146,19 @@
 
         :param request: a ``ForwardedRequest`` for a service with engines.
         """
-        engine, expected = request.traits.engine, request.expected_tokens()
+        demand = GenerationDemand.of(request)
         available = [
-            entry
-            for entry in self._available(request, exclude)
-            if self._has_room(entry, expected, engine)
+            entry for entry in self._available(request, exclude) if self._has_room(entry, demand)
         ]
-        return min(
-            available, key=lambda entry: self._run_cost(entry, expected, engine), default=None
-        )
+        return min(available, key=lambda entry: self._run_cost(entry, demand), default=None)
 
-    def _has_room(self, entry: EndpointEntry, expected: int, engine: EngineTraits) -> bool:
-        """Whether the engine may start a run; an idle one may, even if its memory is too small."""
-        load = self.load.total(entry.id)
-        if load.runs == 0:
-            return True
-        return (
-            load.pending_prefill_tokens <= MAX_PENDING_PREFILL_TOKENS
-            and load.runs < engine.slots
-            and self.memory_share(entry, expected, engine) <= MAX_MEMORY_SHARE
-        )
+    def _has_room(self, entry: EndpointEntry, demand: GenerationDemand) -> bool:
+        return self.engine_chooser.has_room(entry, demand, self.load.total(entry.id))
+
+    def _run_cost(self, entry: EndpointEntry, demand: GenerationDemand) -> tuple[float, float]:
+        """Cost of another run in seconds, with a random tie-breaker."""
+        cost = self.engine_chooser.cost(entry, demand, self.load.total(entry.id))
+        return cost + self._failure_penalty(entry), self.random.random()
 
     def latest_start(self, request) -> float:
         """Latest clock time at which the request can be dispatched and meet its goal."""
@@ -189,7 +173,7 @@
         A copy to a remote data centre takes longer, and the source is about to leave. A cold or
         limited engine might not accept the requests that resume the moved runs.
         """
-        engine = request.traits.engine
+        engine, demand = request.traits.engine, GenerationDemand.of(request, expected)
         ready = self.ready(source.service, exclude | {source.id}, request.regions)
         ready = [entry for entry in ready if not self.throttle.is_throttled(entry)] or ready
         local = [
@@ -200,7 +184,7 @@
         ]
         return min(
             local or ready,
-            key=lambda entry: self._run_cost(entry, expected, engine),
+            key=lambda entry: self._run_cost(entry, demand),
             default=None,
         )
 
@@ -227,7 +211,7 @@
 
     def memory_share(self, entry: EndpointEntry, expected: int, engine: EngineTraits) -> float:
         """Share of the engine's memory in use with ``expected`` additional tokens."""
-        return (self.load.total(entry.id).peak_tokens + expected) / max(1, engine.memory_tokens)
+        return memory_share(self.load.total(entry.id), expected, engine)
 
     def _plain_request_cost(self, entry: EndpointEntry) -> tuple[float, float]:
         load = self.load.total(entry.id)
@@ -237,21 +221,6 @@
             self.random.random(),
         )
 
-    def _run_cost(self, entry: EndpointEntry, expected: int, engine: EngineTraits):
-        """Cost of another run in seconds, with a random tie-breaker."""
-        load = self.load.total(entry.id)
-        share = (load.peak_tokens + expected) / max(1, engine.memory_tokens)
-        seconds = (
-            load.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND
-            + MEMORY_PRESSURE_SECONDS
-            * max(0.0, share - USABLE_MEMORY_SHARE)
-            / (1 - USABLE_MEMORY_SHARE)
-            + SLOT_SECONDS * load.runs
-            + MEMORY_SPREAD_SECONDS * share
-            + self._failure_penalty(entry)
-        )
-        return seconds, self.random.random()
-
     def _failure_penalty(self, entry: EndpointEntry) -> float:
         health = self.load.health(entry.id)
         recent = self.load.clock.seconds() - health.failed_at < FAILURE_WINDOW_SECONDS
--- /dev/null
+++ b/src/guavacleat/placement/engine_choice.py
@@ -0,0 +1,96 @@
+"""Where a generation may start, and what it costs there."""
+
+from guavacleat.membership.entries import EndpointEntry
+from guavacleat.placement.load import EndpointLoad
+from guavacleat.placement.prefill import PREFILL_TOKENS_PER_SECOND
+from guavacleat.routes import EngineTraits
+
+__all__ = ["USABLE_MEMORY_SHARE", "EngineChooser", "GenerationDemand", "memory_share"]
+
+# Cost of full engine memory, rising linearly from 0 at ``USABLE_MEMORY_SHARE``: a further run
+# waits for another to end or is preempted.
+MEMORY_PRESSURE_SECONDS = 6.0
+# Cost of each batch slot in use, because every running generation slows the engine's steps by
+# some 2 %.
+SLOT_SECONDS = 0.02
+# Cost per share of memory in use, so that the memory of all engines fills evenly: the runs of a
+# reclaimed engine have to be moved within a second or two.
+MEMORY_SPREAD_SECONDS = 0.5
+# Memory share above which an engine counts as full, as outputs may exceed their expected length.
+USABLE_MEMORY_SHARE = 0.92
+# Memory share up to which generations are started. Beyond it the engine preempts the newest.
+MAX_MEMORY_SHARE = 1.0
+# Maximum prompt tokens awaiting prefill on an engine that gets another request: enough to keep the
+# engine busy, with few requests lost if it leaves.
+MAX_PENDING_PREFILL_TOKENS = 2000
+
+
+class GenerationDemand:
+    """What a generation needs of an engine.
+
+    :param expected_tokens: engine memory that it is expected to hold at its end.
+    :param prompt_tokens: tokens to prefill before its first event.
+    :param contended: whether requests of different urgency compete for the engines.
+    :param deferrable: whether it may wait for the more urgent ones.
+    """
+
+    __slots__ = ("engine", "expected_tokens", "prompt_tokens", "contended", "deferrable")
+
+    def __init__(
+        self,
+        engine: EngineTraits,
+        expected_tokens: int,
+        prompt_tokens: int,
+        contended: bool = False,
+        deferrable: bool = False,
+    ):
+        self.engine = engine
+        self.expected_tokens = expected_tokens
+        self.prompt_tokens = prompt_tokens
+        self.contended = contended
+        self.deferrable = deferrable
+
+    @classmethod
+    def of(cls, request, expected_tokens: int | None = None) -> "GenerationDemand":
+        """The demand of a ``ForwardedRequest``; ``expected_tokens`` if it has output already."""
+        return cls(
+            request.traits.engine,
+            request.expected_tokens() if expected_tokens is None else expected_tokens,
+            request.prompt_tokens,
+            request.traits.contention is not None,
+            request.deferrable,
+        )
+
+
+class EngineChooser:
+    """Decides which engines may start a generation, and how they compare.
+
+    The load is passed by the caller, who may have added generations that are about to start.
+    """
+
+    def has_room(self, entry: EndpointEntry, demand: GenerationDemand, load: EndpointLoad) -> bool:
+        """Whether the engine may start a run; an idle one may, even if its memory is too small."""
+        if load.runs == 0:
+            return True
+        return (
+            load.pending_prefill_tokens <= MAX_PENDING_PREFILL_TOKENS
+            and load.runs < demand.engine.slots
+            and memory_share(load, demand.expected_tokens, demand.engine) <= MAX_MEMORY_SHARE
+        )
+
+    def cost(self, entry: EndpointEntry, demand: GenerationDemand, load: EndpointLoad) -> float:
+        """Cost of another run in seconds."""
+        share = memory_share(load, demand.expected_tokens, demand.engine)
+        return (
+            load.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND
+            + MEMORY_PRESSURE_SECONDS
+            * max(0.0, share - USABLE_MEMORY_SHARE)
+            / (1 - USABLE_MEMORY_SHARE)
+            + SLOT_SECONDS * load.runs
+            + MEMORY_SPREAD_SECONDS * share
+        )
+
+
+def memory_share(load: EndpointLoad, expected: int, engine: EngineTraits) -> float:
+    """Share of the engine's memory in use with ``expected`` additional tokens."""
+    return (load.peak_tokens + expected) / max(1, engine.memory_tokens)
--- a/src/guavacleat/placement/load.py
+++ b/src/guavacleat/placement/load.py
@@ -15,28 +15,70 @@
 
     :param peak_tokens: engine memory that it is expected to hold at its end; 0 for plain requests.
     :param pending_prefill_tokens: its prompt tokens awaiting prefill; 0 after its first event.
+    :param held_tokens: engine memory that it holds now; 0 unless its service is contended.
+    :param urgent: whether it runs in a contended service and is not deferrable.
     """
 
-    __slots__ = ("id", "peak_tokens", "pending_prefill_tokens")
+    __slots__ = ("id", "peak_tokens", "pending_prefill_tokens", "held_tokens", "urgent")
 
-    def __init__(self, id: str, peak_tokens: int = 0, pending_prefill_tokens: int = 0):
+    def __init__(
+        self,
+        id: str,
+        peak_tokens: int = 0,
+        pending_prefill_tokens: int = 0,
+        held_tokens: int = 0,
+        urgent: bool = False,
+    ):
         self.id = id
         self.peak_tokens = peak_tokens
         self.pending_prefill_tokens = pending_prefill_tokens
+        self.held_tokens = held_tokens
+        self.urgent = urgent
 
 
 class EndpointLoad(Summable):
-    """Number of runs on one endpoint, and the sums of their :class:`Run` fields."""
+    """Number of runs on one endpoint, and the sums of their :class:`Run` fields.
 
-    __slots__ = ("runs", "peak_tokens", "pending_prefill_tokens")
+    :param urgent_tokens: the part of ``peak_tokens`` of urgent runs.
+    :param timed_tokens: output tokens that arrived lately.
+    :param timed_micros: microseconds between the events with these tokens.
+    """
 
-    def __init__(self, runs: int = 0, peak_tokens: int = 0, pending_prefill_tokens: int = 0):
+    __slots__ = (
+        "runs",
+        "peak_tokens",
+        "pending_prefill_tokens",
+        "held_tokens",
+        "urgent_tokens",
+        "timed_tokens",
+        "timed_micros",
+    )
+
+    def __init__(
+        self,
+        runs: int = 0,
+        peak_tokens: int = 0,
+        pending_prefill_tokens: int = 0,
+        held_tokens: int = 0,
+        urgent_tokens: int = 0,
+        timed_tokens: int = 0,
+        timed_micros: int = 0,
+    ):
         self.runs = runs
         self.peak_tokens = peak_tokens
         self.pending_prefill_tokens = pending_prefill_tokens
+        self.held_tokens = held_tokens
+        self.urgent_tokens = urgent_tokens
+        self.timed_tokens = timed_tokens
+        self.timed_micros = timed_micros
 
     def same_as(self, other: "EndpointLoad") -> bool:
-        return all(getattr(self, slot) == getattr(other, slot) for slot in self.__slots__)
+        """Whether both count the same runs; what these hold changes with every event."""
+        return (self.runs, self.peak_tokens, self.pending_prefill_tokens) == (
+            other.runs,
+            other.peak_tokens,
+            other.pending_prefill_tokens,
+        )
 
 
 class EndpointHealth:
@@ -91,6 +133,8 @@
             len(runs),
             sum(run.peak_tokens for run in runs),
             sum(run.pending_prefill_tokens for run in runs),
+            sum(run.held_tokens for run in runs),
+            sum(run.peak_tokens for run in runs if run.urgent),
         )
 
     def total(self, endpoint_id: str) -> EndpointLoad:
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -23,6 +23,10 @@
      - runs
      - expected_tokens
      - unread_tokens
+     - held_tokens
+     - urgent_tokens
+     - timed_tokens
+     - timed_micros
 
     """
 
@@ -31,14 +35,22 @@
         'runs',
         'expected_tokens',
         'unread_tokens',
+        'held_tokens',
+        'urgent_tokens',
+        'timed_tokens',
+        'timed_micros',
     )
 
 
-    def __init__(self, endpoint=None, runs=None, expected_tokens=None, unread_tokens=None,):
+    def __init__(self, endpoint=None, runs=None, expected_tokens=None, unread_tokens=None, held_tokens=None, urgent_tokens=None, timed_tokens=None, timed_micros=None,):
         self.endpoint = endpoint
         self.runs = runs
         self.expected_tokens = expected_tokens
         self.unread_tokens = unread_tokens
+        self.held_tokens = held_tokens
+        self.urgent_tokens = urgent_tokens
+        self.timed_tokens = timed_tokens
+        self.timed_micros = timed_micros
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -69,6 +81,26 @@
                     self.unread_tokens = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.held_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.urgent_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.timed_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.timed_micros = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -95,6 +127,22 @@
             oprot.writeFieldBegin('unread_tokens', TType.I64, 4)
             oprot.writeI64(self.unread_tokens)
             oprot.writeFieldEnd()
+        if self.held_tokens is not None:
+            oprot.writeFieldBegin('held_tokens', TType.I64, 5)
+            oprot.writeI64(self.held_tokens)
+            oprot.writeFieldEnd()
+        if self.urgent_tokens is not None:
+            oprot.writeFieldBegin('urgent_tokens', TType.I64, 6)
+            oprot.writeI64(self.urgent_tokens)
+            oprot.writeFieldEnd()
+        if self.timed_tokens is not None:
+            oprot.writeFieldBegin('timed_tokens', TType.I64, 7)
+            oprot.writeI64(self.timed_tokens)
+            oprot.writeFieldEnd()
+        if self.timed_micros is not None:
+            oprot.writeFieldBegin('timed_micros', TType.I64, 8)
+            oprot.writeI64(self.timed_micros)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -869,6 +917,354 @@
         return not (self == other)
 
 
+class RankBacklog(object):
+    """
+    Attributes:
+     - priority
+     - waiting
+     - waiting_tokens
+     - dispatched
+     - dispatched_tokens
+
+    """
+
+    __slots__ = (
+        'priority',
+        'waiting',
+        'waiting_tokens',
+        'dispatched',
+        'dispatched_tokens',
+    )
+
+
+    def __init__(self, priority=None, waiting=None, waiting_tokens=None, dispatched=None, dispatched_tokens=None,):
+        self.priority = priority
+        self.waiting = waiting
+        self.waiting_tokens = waiting_tokens
+        self.dispatched = dispatched
+        self.dispatched_tokens = dispatched_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.waiting_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.dispatched = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.dispatched_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankBacklog')
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 1)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.I32, 2)
+            oprot.writeI32(self.waiting)
+            oprot.writeFieldEnd()
+        if self.waiting_tokens is not None:
+            oprot.writeFieldBegin('waiting_tokens', TType.I64, 3)
+            oprot.writeI64(self.waiting_tokens)
+            oprot.writeFieldEnd()
+        if self.dispatched is not None:
+            oprot.writeFieldBegin('dispatched', TType.I32, 4)
+            oprot.writeI32(self.dispatched)
+            oprot.writeFieldEnd()
+        if self.dispatched_tokens is not None:
+            oprot.writeFieldBegin('dispatched_tokens', TType.I64, 5)
+            oprot.writeI64(self.dispatched_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.priority is None:
+            raise TProtocolException(message='Required field priority is unset!')
+        if self.waiting is None:
+            raise TProtocolException(message='Required field waiting is unset!')
+        if self.waiting_tokens is None:
+            raise TProtocolException(message='Required field waiting_tokens is unset!')
+        if self.dispatched is None:
+            raise TProtocolException(message='Required field dispatched is unset!')
+        if self.dispatched_tokens is None:
+            raise TProtocolException(message='Required field dispatched_tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WaitingGeneration(object):
+    """
+    Attributes:
+     - key
+     - priority
+     - slack_ms
+     - expected_tokens
+     - prompt_tokens
+     - deferrable
+
+    """
+
+    __slots__ = (
+        'key',
+        'priority',
+        'slack_ms',
+        'expected_tokens',
+        'prompt_tokens',
+        'deferrable',
+    )
+
+
+    def __init__(self, key=None, priority=None, slack_ms=None, expected_tokens=None, prompt_tokens=None, deferrable=None,):
+        self.key = key
+        self.priority = priority
+        self.slack_ms = slack_ms
+        self.expected_tokens = expected_tokens
+        self.prompt_tokens = prompt_tokens
+        self.deferrable = deferrable
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.key = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.slack_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.expected_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.deferrable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WaitingGeneration')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.I64, 1)
+            oprot.writeI64(self.key)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 2)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.slack_ms is not None:
+            oprot.writeFieldBegin('slack_ms', TType.I32, 3)
+            oprot.writeI32(self.slack_ms)
+            oprot.writeFieldEnd()
+        if self.expected_tokens is not None:
+            oprot.writeFieldBegin('expected_tokens', TType.I32, 4)
+            oprot.writeI32(self.expected_tokens)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 5)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        if self.deferrable is not None:
+            oprot.writeFieldBegin('deferrable', TType.BOOL, 6)
+            oprot.writeBool(self.deferrable)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.priority is None:
+            raise TProtocolException(message='Required field priority is unset!')
+        if self.slack_ms is None:
+            raise TProtocolException(message='Required field slack_ms is unset!')
+        if self.expected_tokens is None:
+            raise TProtocolException(message='Required field expected_tokens is unset!')
+        if self.prompt_tokens is None:
+            raise TProtocolException(message='Required field prompt_tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AccountTokens(object):
+    """
+    Attributes:
+     - account
+     - tokens
+
+    """
+
+    __slots__ = (
+        'account',
+        'tokens',
+    )
+
+
+    def __init__(self, account=None, tokens=None,):
+        self.account = account
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountTokens')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I64, 2)
+            oprot.writeI64(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.account is None:
+            raise TProtocolException(message='Required field account is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Backlog(object):
     """
     Attributes:
@@ -876,6 +1272,8 @@
      - gateways
      - waiting
      - dispatched
+     - ranks
+     - heads
 
     """
 
@@ -884,14 +1282,18 @@
         'gateways',
         'waiting',
         'dispatched',
+        'ranks',
+        'heads',
     )
 
 
-    def __init__(self, service_name=None, gateways=None, waiting=None, dispatched=None,):
+    def __init__(self, service_name=None, gateways=None, waiting=None, dispatched=None, ranks=None, heads=None,):
         self.service_name = service_name
         self.gateways = gateways
         self.waiting = waiting
         self.dispatched = dispatched
+        self.ranks = ranks
+        self.heads = heads
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -922,6 +1324,28 @@
                     self.dispatched = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.ranks = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = RankBacklog()
+                        _elem40.read(iprot)
+                        self.ranks.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.heads = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = WaitingGeneration()
+                        _elem46.read(iprot)
+                        self.heads.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -948,6 +1372,20 @@
             oprot.writeFieldBegin('dispatched', TType.I32, 4)
             oprot.writeI32(self.dispatched)
             oprot.writeFieldEnd()
+        if self.ranks is not None:
+            oprot.writeFieldBegin('ranks', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.ranks))
+            for iter47 in self.ranks:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.heads is not None:
+            oprot.writeFieldBegin('heads', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.heads))
+            for iter48 in self.heads:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1032,10 +1470,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.largest = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readDouble()
-                        self.largest.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readDouble()
+                        self.largest.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1064,8 +1502,8 @@
         if self.largest is not None:
             oprot.writeFieldBegin('largest', TType.LIST, 4)
             oprot.writeListBegin(TType.DOUBLE, len(self.largest))
-            for iter41 in self.largest:
-                oprot.writeDouble(iter41)
+            for iter55 in self.largest:
+                oprot.writeDouble(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1219,6 +1657,7 @@
      - backlogs
      - limits
      - demands
+     - account_tokens
 
     """
 
@@ -1244,10 +1683,11 @@
         'backlogs',
         'limits',
         'demands',
+        'account_tokens',
     )
 
 
-    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None, crashes=None, revisions_from=None, evacuations=None, backlogs=None, limits=None, demands=None,):
+    def __init__(self, instance=None, incarnation=None, sequence=None, loads=None, changes=None, stops_in=None, store_away=None, store_silence=None, configuration=None, configuration_age=None, data_centre=None, gateways=None, endpoints_revision=None, endpoints_age=None, changes_since=None, crashes=None, revisions_from=None, evacuations=None, backlogs=None, limits=None, demands=None, account_tokens=None,):
         self.instance = instance
         self.incarnation = incarnation
         self.sequence = sequence
@@ -1269,6 +1709,7 @@
         self.backlogs = backlogs
         self.limits = limits
         self.demands = demands
+        self.account_tokens = account_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1297,22 +1738,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = EndpointLoad()
-                        _elem47.read(iprot)
-                        self.loads.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = EndpointLoad()
+                        _elem61.read(iprot)
+                        self.loads.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = EndpointChange()
-                        _elem53.read(iprot)
-                        self.changes.append(_elem53)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = EndpointChange()
+                        _elem67.read(iprot)
+                        self.changes.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1380,44 +1821,55 @@
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.evacuations = []
-                    (_etype57, _size54) = iprot.readListBegin()
-                    for _i58 in range(_size54):
-                        _elem59 = Evacuation()
-                        _elem59.read(iprot)
-                        self.evacuations.append(_elem59)
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = Evacuation()
+                        _elem73.read(iprot)
+                        self.evacuations.append(_elem73)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.backlogs = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = Backlog()
-                        _elem65.read(iprot)
-                        self.backlogs.append(_elem65)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = Backlog()
+                        _elem79.read(iprot)
+                        self.backlogs.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = EndpointLimit()
-                        _elem71.read(iprot)
-                        self.limits.append(_elem71)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = EndpointLimit()
+                        _elem85.read(iprot)
+                        self.limits.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 21:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = ServiceDemand()
-                        _elem77.read(iprot)
-                        self.demands.append(_elem77)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = ServiceDemand()
+                        _elem91.read(iprot)
+                        self.demands.append(_elem91)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.LIST:
+                    self.account_tokens = []
+                    (_etype95, _size92) = iprot.readListBegin()
+                    for _i96 in range(_size92):
+                        _elem97 = AccountTokens()
+                        _elem97.read(iprot)
+                        self.account_tokens.append(_elem97)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1446,15 +1898,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter78 in self.loads:
-                iter78.write(oprot)
+            for iter98 in self.loads:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter79 in self.changes:
-                iter79.write(oprot)
+            for iter99 in self.changes:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stops_in is not None:
@@ -1508,29 +1960,36 @@
         if self.evacuations is not None:
             oprot.writeFieldBegin('evacuations', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
-            for iter80 in self.evacuations:
-                iter80.write(oprot)
+            for iter100 in self.evacuations:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backlogs is not None:
             oprot.writeFieldBegin('backlogs', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.backlogs))
-            for iter81 in self.backlogs:
-                iter81.write(oprot)
+            for iter101 in self.backlogs:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter82 in self.limits:
-                iter82.write(oprot)
+            for iter102 in self.limits:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter83 in self.demands:
-                iter83.write(oprot)
+            for iter103 in self.demands:
+                iter103.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.account_tokens is not None:
+            oprot.writeFieldBegin('account_tokens', TType.LIST, 22)
+            oprot.writeListBegin(TType.STRUCT, len(self.account_tokens))
+            for iter104 in self.account_tokens:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1571,6 +2030,10 @@
     (2, TType.I32, 'runs', None, None, ),  # 2
     (3, TType.I64, 'expected_tokens', None, None, ),  # 3
     (4, TType.I64, 'unread_tokens', None, None, ),  # 4
+    (5, TType.I64, 'held_tokens', None, None, ),  # 5
+    (6, TType.I64, 'urgent_tokens', None, None, ),  # 6
+    (7, TType.I64, 'timed_tokens', None, None, ),  # 7
+    (8, TType.I64, 'timed_micros', None, None, ),  # 8
 )
 all_structs.append(EndpointChange)
 EndpointChange.thrift_spec = (
@@ -1624,6 +2087,31 @@
     (2, TType.LIST, 'trials', (TType.STRUCT, [Trial, None], False), None, ),  # 2
     (3, TType.LIST, 'clearances', (TType.STRUCT, [Clearance, None], False), None, ),  # 3
 )
+all_structs.append(RankBacklog)
+RankBacklog.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'priority', None, None, ),  # 1
+    (2, TType.I32, 'waiting', None, None, ),  # 2
+    (3, TType.I64, 'waiting_tokens', None, None, ),  # 3
+    (4, TType.I32, 'dispatched', None, None, ),  # 4
+    (5, TType.I64, 'dispatched_tokens', None, None, ),  # 5
+)
+all_structs.append(WaitingGeneration)
+WaitingGeneration.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'key', None, None, ),  # 1
+    (2, TType.I32, 'priority', None, None, ),  # 2
+    (3, TType.I32, 'slack_ms', None, None, ),  # 3
+    (4, TType.I32, 'expected_tokens', None, None, ),  # 4
+    (5, TType.I32, 'prompt_tokens', None, None, ),  # 5
+    (6, TType.BOOL, 'deferrable', None, None, ),  # 6
+)
+all_structs.append(AccountTokens)
+AccountTokens.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'tokens', None, None, ),  # 2
+)
 all_structs.append(Backlog)
 Backlog.thrift_spec = (
     None,  # 0
@@ -1631,6 +2119,8 @@
     (2, TType.I32, 'gateways', None, None, ),  # 2
     (3, TType.I32, 'waiting', None, None, ),  # 3
     (4, TType.I32, 'dispatched', None, None, ),  # 4
+    (5, TType.LIST, 'ranks', (TType.STRUCT, [RankBacklog, None], False), None, ),  # 5
+    (6, TType.LIST, 'heads', (TType.STRUCT, [WaitingGeneration, None], False), None, ),  # 6
 )
 all_structs.append(ServiceDemand)
 ServiceDemand.thrift_spec = (
@@ -1671,6 +2161,7 @@
     (19, TType.LIST, 'backlogs', (TType.STRUCT, [Backlog, None], False), None, ),  # 19
     (20, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 20
     (21, TType.LIST, 'demands', (TType.STRUCT, [ServiceDemand, None], False), None, ),  # 21
+    (22, TType.LIST, 'account_tokens', (TType.STRUCT, [AccountTokens, None], False), None, ),  # 22
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/guavacleat/routes/model.py
+++ b/src/guavacleat/routes/model.py
@@ -4,6 +4,8 @@
 import itertools
 import random
 
+from guavacleat.routes.contention import Contention, find_contention
+
 __all__ = [
     "Account",
     "Backend",
@@ -136,9 +138,11 @@
 
     :param cold_start: seconds for which an endpoint is cold after its start.
     :param cold_rate: maximum requests per second to a cold endpoint; 0 if it has no such limit.
+    :ivar contention: set by the :class:`RouteTable`; None unless requests of different urgency
+        compete for its engines.
     """
 
-    __slots__ = ("name", "max_connections", "engine", "cold_start", "cold_rate")
+    __slots__ = ("name", "max_connections", "engine", "cold_start", "cold_rate", "contention")
 
     def __init__(
         self,
@@ -153,6 +157,7 @@
         self.engine = engine
         self.cold_start = cold_start
         self.cold_rate = cold_rate
+        self.contention: Contention | None = None
 
 
 class Account:
@@ -223,6 +228,9 @@
         self.accounts_by_key = accounts_by_key
         self.limits = limits
         self.requires_key = requires_key
+        for service in services_by_name.values():
+            if service.engine is not None:
+                service.contention = find_contention(_stream_routes(routes, service.name))
 
     def match(self, host: str, path: str) -> Route | None:
         """The route of ``host`` with the longest prefix of ``path``."""
@@ -231,3 +239,13 @@
 
     def route_count(self) -> int:
         return sum(map(len, self.routes_by_host.values()))
+
+
+def _stream_routes(routes: list[Route], service: str) -> list[Route]:
+    """The stream routes of which a share of the requests goes to ``service``."""
+    return [
+        route
+        for route in routes
+        if route.kind is RequestKind.STREAM
+        and any(backend.service == service for backend in route.backends)
+    ]
--- a/tests/admission/test_generations.py
+++ b/tests/admission/test_generations.py
@@ -6,7 +6,7 @@
 from guavacleat.forwarding.refusals import RefusalError, RefusalReason
 from guavacleat.membership.entries import EndpointState
 from guavacleat.placement import Run
-from guavacleat.placement.choice import MAX_PENDING_PREFILL_TOKENS
+from guavacleat.placement.engine_choice import MAX_PENDING_PREFILL_TOKENS
 from guavacleat.routes import Account, RequestKind
 from tests.forwarding.harness import ENGINE, ForwardingHarness
 
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -12,6 +12,13 @@
   3: required i64 expected_tokens,
   // Prompts of runs that have produced nothing yet.
   4: required i64 unread_tokens,
+  // Memory that the runs hold now.
+  5: optional i64 held_tokens,
+  // The part of ``expected_tokens`` of runs that are not deferrable.
+  6: optional i64 urgent_tokens,
+  // Output tokens observed lately, and the microseconds between their events.
+  7: optional i64 timed_tokens,
+  8: optional i64 timed_micros,
 }
 
 // What the sender learnt from the store of one endpoint lately. Without a service_name the endpoint is
@@ -76,6 +83,34 @@
   3: optional list<Clearance> clearances,
 }
 
+// The generations of one priority that wait for an engine and can still be on time, and those sent to
+// engines in the last seconds; tokens of engine memory at their ends.
+struct RankBacklog {
+  1: required i32 priority,
+  2: required i32 waiting,
+  3: required i64 waiting_tokens,
+  4: required i32 dispatched,
+  5: required i64 dispatched_tokens,
+}
+
+// One of the generations that wait, among the first in their order.
+struct WaitingGeneration {
+  // Drawn at random when it is queued.
+  1: required i64 key,
+  2: required i32 priority,
+  // Milliseconds until its latest start that meets the goal; negative if it will be late.
+  3: required i32 slack_ms,
+  4: required i32 expected_tokens,
+  5: required i32 prompt_tokens,
+  6: optional bool deferrable,
+}
+
+// Tokens that the sender, or those that it covers, dispatched lately for an account.
+struct AccountTokens {
+  1: required string account,
+  2: required i64 tokens,
+}
+
 // The generations of a service that wait for an engine, at the sender or at those that it covers.
 struct Backlog {
   1: required string service_name,
@@ -85,6 +120,9 @@
   3: required i32 waiting,
   // Generations sent to engines in the last seconds.
   4: required i32 dispatched,
+  // Only of a contended service.
+  5: optional list<RankBacklog> ranks,
+  6: optional list<WaitingGeneration> heads,
 }
 
 // The requests for a service that the sender, or the gateways that it covers, got lately.
@@ -142,4 +180,6 @@
   20: optional list<EndpointLimit> limits,
   // Of services with endpoints that name a limit.
   21: optional list<ServiceDemand> demands,
+  // The accounts with the largest use of contended services.
+  22: optional list<AccountTokens> account_tokens,
 }
