Refusals of contended services: expected wait by priority, and return times that differ

Cause: the expected wait was one number for a service, so that urgent requests were refused for deferrable ones that wait behind them, and callers refused together returned together (docs/design/competing-demand.md, part 4).

Change: the expected wait is the waiting tokens of a priority and of more urgent ones, at the rate of tokens dispatched to it and to less urgent ones. RefusalPolicy decides on arrival, when a request becomes late and at the end of its wait; ReturnTimes adds what this gateway has refused and is still due, times the gateways with a queue, to the Retry-After. Nothing calls it yet: the queue over all gateways will.

--- /dev/null
+++ b/src/guavacleat/admission/refusal_policy.py
@@ -0,0 +1,96 @@
+"""Decides which generations of a contended service are refused, and when they may return.
+
+The decisions depend on the expected wait for the request's priority, so that an urgent request is
+never refused because of less urgent ones that wait.
+"""
+
+import random
+
+from guavacleat.admission.backlog import Backlog
+from guavacleat.admission.expected_wait import expected_wait
+from guavacleat.admission.return_times import ReturnTimes
+from guavacleat.forwarding.refusals import RefusalError, RefusalReason
+
+__all__ = ["Arrival", "RefusalPolicy"]
+
+# Expected wait in seconds from which on requests that can't meet their goal are refused, so that
+# others can meet theirs. Shorter waits are within the error of the estimate.
+OVERLOAD_WAIT_SECONDS = 0.3
+
+
+class Arrival:
+    """A request as the policy sees it; times are clock times in seconds.
+
+    :param expected_tokens: engine memory expected at its end.
+    :param latest_start: latest dispatch with which it meets its latency goal.
+    :param wait_deadline: end of its wait, a third of its timeout after its arrival.
+    :param deadline: when its caller gives up.
+    """
+
+    __slots__ = ("priority", "expected_tokens", "latest_start", "wait_deadline", "deadline")
+
+    def __init__(
+        self,
+        priority: int,
+        expected_tokens: int,
+        latest_start: float,
+        wait_deadline: float,
+        deadline: float,
+    ):
+        self.priority = priority
+        self.expected_tokens = expected_tokens
+        self.latest_start = latest_start
+        self.wait_deadline = wait_deadline
+        self.deadline = deadline
+
+
+class RefusalPolicy:
+    """The refusals of one contended service at one gateway.
+
+    All methods take the service's backlog, summed over this gateway and its peers, and the clock
+    time in seconds. They are called only while no engine has room for the request. The refusals
+    that they return are for the caller to raise; each counts as a return that is due.
+
+    :param clock: tells which returns are still due when :attr:`returns_due` is read.
+    :param seed: of the random spread of return times.
+    """
+
+    def __init__(self, clock, seed=None):
+        self.clock = clock
+        self.return_times = ReturnTimes(random.Random(seed))
+
+    @property
+    def returns_due(self) -> dict[int, int]:
+        """Number of refused requests whose return is still due, by priority."""
+        return self.return_times.count_by_priority(self.clock.seconds())
+
+    def on_arrival(self, arrival: Arrival, backlog: Backlog, now: float) -> RefusalError | None:
+        """The refusal of a request that would wait for too long; None if it may be queued."""
+        wait = expected_wait(backlog, arrival.priority)
+        misses_goal = now <= arrival.latest_start < now + wait
+        if now + wait > arrival.wait_deadline or (misses_goal and wait > OVERLOAD_WAIT_SECONDS):
+            return self._refuse(arrival, backlog, now, f"expected to wait {wait:.2f} s")
+        return None
+
+    def on_late(self, arrival: Arrival, backlog: Backlog, now: float) -> RefusalError | None:
+        """The refusal of a queued request that has become late; None if it may wait on."""
+        wait = expected_wait(backlog, arrival.priority)
+        if wait > OVERLOAD_WAIT_SECONDS:
+            return self._refuse(arrival, backlog, now, f"late, expected to wait {wait:.2f} s")
+        return None
+
+    def at_deadline(self, arrival: Arrival, backlog: Backlog, now: float) -> RefusalError:
+        """The refusal of a request that has waited for a third of its timeout."""
+        wait = expected_wait(backlog, arrival.priority)
+        waited = f"waited a third of its timeout, expected to wait {wait:.2f} s"
+        return self._refuse(arrival, backlog, now, waited)
+
+    def _refuse(self, arrival: Arrival, backlog: Backlog, now: float, waited: str) -> RefusalError:
+        priority = arrival.priority
+        counts = self.return_times.count_by_priority(now).items()
+        due = sum(count for other, count in counts if other <= priority)
+        retry_after = self.return_times.assign(
+            priority, arrival.expected_tokens, arrival.deadline - now, backlog, now
+        )
+        detail = f"{waited} for room at priority {priority}, {due} returns due"
+        return RefusalError(RefusalReason.NO_ROOM, retry_after, detail)
