--- a/src/guavacleat/commands/report.py
+++ b/src/guavacleat/commands/report.py
@@ -1,8 +1,8 @@
 """``guavacleat report [FILE...]``: a run's lost worth by cause.
 
 Reads logs of the gateways (as ``guavacleat explain`` does) and prints the requests by route and
-result, the lost worth by route and cause as shares of the total, where the streams' seconds go, and
-each engine's history.
+result, the lost worth by route and cause as shares of the total, where the streams' seconds go,
+each engine's history, and the waits and refusals of contended services by rank.
 --plot saves lost worth and engines' memory over time.
 """
 
@@ -14,7 +14,8 @@
 from guavacleat.explain.lines import UnreadableLogError, read_files
 from guavacleat.report import Worth, engine_histories, make_ledger
 from guavacleat.report.phases import phases_by_span, stream_phases
-from guavacleat.report.tables import engine_table, loss_table, phase_table, route_table
+from guavacleat.report.ranks import rank_stays
+from guavacleat.report.tables import engine_table, loss_table, phase_table, rank_table, route_table
 
 FLAGS = flags.FLAGS
 flags.DEFINE_multi_string(
@@ -36,12 +37,14 @@
     ledger = make_ledger(index, dict(map(_parse_worth, FLAGS.worth)))
     histories = engine_histories(index)
     phases = phases_by_span(stream_phases(index), FLAGS.span)
-    tables = (
+    tables = [
         route_table(ledger),
         loss_table(ledger),
         phase_table(phases),
         engine_table(histories),
-    )
+    ]
+    if ranks := rank_stays(index):
+        tables.append(rank_table(ranks))
     print(*tables, sep="\n\n")
     if FLAGS.plot:
         # Imported lazily: the plotting library is slow to load.
--- a/src/guavacleat/explain/__init__.py
+++ b/src/guavacleat/explain/__init__.py
@@ -1,7 +1,9 @@
 """Reconstructs one request's timeline, and the cause of its outcome, from many processes' logs."""
 
-from guavacleat.explain.causes import Cause, CauseKind, classify, find_cause
+from guavacleat.explain.causes import classify, find_cause
+from guavacleat.explain.kinds import Cause, CauseKind
 from guavacleat.explain.lines import LogLine, read_lines
+from guavacleat.explain.queueing import QueueStay
 from guavacleat.explain.timeline import LogIndex, RequestTimeline, build_timeline
 
 __all__ = [
@@ -9,6 +11,7 @@
     "CauseKind",
     "LogIndex",
     "LogLine",
+    "QueueStay",
     "RequestTimeline",
     "classify",
     "find_cause",
--- a/src/guavacleat/explain/causes.py
+++ b/src/guavacleat/explain/causes.py
@@ -4,50 +4,12 @@
 :func:`classify` tries :data:`FINDERS` in order; the first match wins.
 """
 
-import enum
-
+from guavacleat.explain.kinds import Cause, CauseKind
+from guavacleat.explain.queueing import QueueStay
+from guavacleat.explain.refused import find_refusal
 from guavacleat.explain.timeline import RequestTimeline
 
-__all__ = ["FINDERS", "Cause", "CauseKind", "classify", "find_cause"]
-
-
-class CauseKind(enum.Enum):
-    """What determined a request's outcome; the report prints the values."""
-
-    ON_TIME = "on time"
-    LATE_QUEUED = "waited for room"
-    LATE_FIRST_EVENT = "first event late"
-    LATE_MIGRATION = "pause of a move"
-    LATE_PAUSE = "other pause"
-    LATE_ANSWER = "late answer"
-    ENGINE_TERMINATED = "engine left"
-    ENGINE_CRASHED = "engine crashed"
-    BEFORE_FIRST_EVENT = "engine gone before first event"
-    GATEWAY_STOPPED = "gateway stopped"
-    GATEWAY_DIED = "gateway gone"
-    NOT_ALLOWED = "not allowed"
-    NO_ROOM = "refused: no room"
-    QUARANTINED = "refused: crashes endpoints"
-    EVACUATED = "refused: data centre evacuated"
-    COLD = "refused: endpoint cold"
-    LIMITED = "refused: endpoint limits its rate"
-    PAUSED = "refused: endpoint asked for a pause"
-    REFUSED = "refused: other"
-    EXPIRED = "time up"
-    INCOMPLETE_ANSWER = "no whole answer"
-    CALLER_DISCONNECTED = "caller left"
-    ENDPOINT_FAILED = "endpoint failed"
-    UNKNOWN = "unknown"
-
-
-class Cause:
-    """A :class:`CauseKind`, and one sentence that explains it."""
-
-    __slots__ = ("kind", "sentence")
-
-    def __init__(self, kind: CauseKind, sentence: str):
-        self.kind = kind
-        self.sentence = sentence
+__all__ = ["FINDERS", "classify", "find_cause"]
 
 
 # Meaning of a failed copy's HTTP status; 0: the gateway got no response.
@@ -129,52 +91,6 @@
     return bool(states) and "store:lost" in states
 
 
-def _refused(timeline: RequestTimeline) -> Cause | None:
-    end = timeline.end
-    if end.get("outcome") == "EVACUATED":
-        return Cause(
-            CauseKind.EVACUATED,
-            "The data centres of its service's endpoints were evacuated. It has not run and may be"
-            f" retried after {end.get('retry_after')} s.",
-        )
-    if end.get("outcome") == "COLD":
-        return Cause(
-            CauseKind.COLD,
-            "The endpoints of its service were cold, and its gateway's share of their request rate"
-            f" was used up for {end.get('retry_after')} s. It has not run.",
-        )
-    if end.get("outcome") == "LIMITED":
-        return Cause(
-            CauseKind.LIMITED,
-            "Its service's endpoints limit their request rate, and its gateway's share of it was"
-            f" used up for {end.get('retry_after')} s. It has not run.",
-        )
-    if end.get("outcome") == "PAUSED":
-        return Cause(
-            CauseKind.PAUSED,
-            "The endpoints of its service had turned its gateway away and asked for a pause; it may"
-            f" be retried after {end.get('retry_after')} s. It has not run.",
-        )
-    sentences = {
-        "NO_CONFIGURATION": "Its gateway had no configuration yet.",
-        "BEHIND": "Another gateway had a newer configuration, which may allow it.",
-        "NO_ENDPOINT": "No endpoint of its service accepted requests.",
-        "STOPPING": "Its gateway was shutting down and could not have completed it.",
-    }
-    if end.get("outcome") == "QUARANTINED":
-        return Cause(
-            CauseKind.QUARANTINED,
-            f"Similar requests had crashed their endpoints: {end.get('detail')}. It has not run and"
-            f" may be retried after {end.get('retry_after')} s.",
-        )
-    if end.get("outcome") == "NO_ROOM":
-        refusals = len(timeline.all_of("stream:refused")) + len(timeline.all_of("request:attempt"))
-        why = end.get("detail") or f"{refusals} endpoints refused it"
-        return Cause(CauseKind.NO_ROOM, f"No capacity: {why}. It has not run.")
-    sentence = sentences.get(end.get("outcome"))
-    return sentence and Cause(CauseKind.REFUSED, f"{sentence} It has not run.")
-
-
 def _cut_by_gateway_stop(timeline: RequestTimeline) -> Cause | None:
     """A stream that a stopping gateway could not finish within its grace period."""
     broken = timeline.last("stream:broken")
@@ -278,9 +194,11 @@
         )
     if timeline.last("stream:waits") is not None and placed is not None:
         seconds = placed.at - timeline.last("stream:waits").at
+        place = QueueStay(timeline).describe()
         return Cause(
             CauseKind.LATE_QUEUED,
-            f"Late: it was queued {seconds:.2f} s in its gateway until an engine had capacity.",
+            f"Late: it was queued {seconds:.2f} s in its gateway until an engine had capacity"
+            + (f" ({place})." if place else "."),
         )
     first, gap = late.get("first"), late.get("gap")
     return Cause(
@@ -301,7 +219,7 @@
 FINDERS = (
     _unfinished,
     _not_allowed,
-    _refused,
+    find_refusal,
     _cut_by_gateway_stop,
     _stream_broken,
     _expired,
--- a/src/guavacleat/explain/timeline.py
+++ b/src/guavacleat/explain/timeline.py
@@ -57,6 +57,11 @@
     def all_of(self, type: str) -> list[LogLine]:
         return [line for line in self.own_lines if line.type == type]
 
+    def fields_of(self, type: str) -> dict:
+        """The fields of the request's last line of a type; empty if it has none."""
+        line = self.last(type)
+        return {} if line is None else line.fields
+
     @property
     def end(self) -> LogLine | None:
         """The line with the request's outcome; None if its gateway logged none."""
--- a/src/guavacleat/report/tables.py
+++ b/src/guavacleat/report/tables.py
@@ -5,8 +5,9 @@
 from guavacleat.report.engines import EngineHistory
 from guavacleat.report.ledger import Ledger, Result
 from guavacleat.report.phases import SpanPhases
+from guavacleat.report.ranks import RankStays
 
-__all__ = ["engine_table", "loss_table", "phase_table", "route_table"]
+__all__ = ["engine_table", "loss_table", "phase_table", "rank_table", "route_table"]
 
 
 def route_table(ledger: Ledger) -> str:
@@ -89,3 +90,29 @@
         "longest pause s",
     ]
     return tabulate(rows, headers=headers, floatfmt=".2f", missingval="-")
+
+
+def rank_table(ranks: list[RankStays]) -> str:
+    """One row per rank of contended services; the seconds are medians."""
+    rows = [
+        [
+            ranked.rank,
+            len(ranked.stays),
+            ranked.refused,
+            ranked.median("expected"),
+            ranked.median("waited"),
+            ranked.median("retry_after"),
+            ranked.left_room,
+        ]
+        for ranked in ranks
+    ]
+    headers = [
+        "rank",
+        "queued or refused",
+        "refused",
+        "expected wait s",
+        "waited s",
+        "retry after s",
+        "left room",
+    ]
+    return tabulate(rows, headers=headers, floatfmt=".2f", missingval="-")
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -99,6 +99,26 @@
         [ended(5.0, "NO_ROOM", detail="expected to wait 4.74 s", status=503)],
         "No capacity: expected to wait 4.74 s. It has not run.",
     ),
+    "refused for its rank": (
+        [
+            line(4.0, "stream:waits", request="r1", rank=2, expected=0.2, ahead=5, penalty=0.5),
+            ended(5.0, "NO_ROOM", detail="late, expected to wait 1.50 s", retry_after=1.8427),
+        ],
+        "No capacity: late, expected to wait 1.50 s. It was queued for 1.00 s (rank 2, 5 ahead of"
+        " it, expected to wait 1.50 s, put back by 0.50 s for its account's use). It has not run"
+        " and may be retried after 1.84 s.",
+    ),
+    "late as peers went first": (
+        [
+            line(4.0, "stream:waits", request="r1", rank=2, expected=0.2, ahead=5, penalty=0.0),
+            line(5.5, "stream:dispatched", request="r1", waited=1.5, rank=2, left_room=3),
+            line(5.5, "stream:placed", request="r1", endpoint="e1"),
+            line(7.0, "stream:late", request="r1", first=2.1, gap=0.03, moves=0),
+            ended(7.0, "ANSWERED", status=200),
+        ],
+        "Late: it was queued 1.50 s in its gateway until an engine had capacity (rank 2, 5 ahead of"
+        " it, expected to wait 0.20 s, room left for 3 requests of peers).",
+    ),
     "refused by engines": (
         [
             line(4.5, "stream:refused", request="r1", endpoint="e1", end="not run"),
--- a/tests/report/test_report.py
+++ b/tests/report/test_report.py
@@ -7,7 +7,8 @@
 from guavacleat.explain import CauseKind, LogIndex, read_lines
 from guavacleat.report import Result, Worth, engine_histories, make_ledger
 from guavacleat.report.phases import phases_by_span, stream_phases
-from guavacleat.report.tables import engine_table, loss_table, phase_table, route_table
+from guavacleat.report.ranks import rank_stays
+from guavacleat.report.tables import engine_table, loss_table, phase_table, rank_table, route_table
 from tests.explain.test_explain import ended, line
 
 TERMINATED = [
@@ -176,6 +177,32 @@
     assert "first event s" in phase_table(spans)
 
 
+def test_ranks_show_who_waits_and_who_is_refused():
+    """Guards against refusals of urgent generations that a sum over all ranks would hide."""
+    lines = [
+        line(1.0, "stream:waits", request="r1", rank=0, expected=0.1, ahead=0, penalty=0.0),
+        line(1.2, "stream:dispatched", request="r1", waited=0.2, rank=0, left_room=2),
+        ended(2.0, "ANSWERED", "r1", status=200),
+        ended(
+            3.0,
+            "NO_ROOM",
+            "r2",
+            detail="expected to wait 2.00 s for room at priority 1",
+            retry_after=2.5,
+        ),
+    ]
+    urgent, deferrable = rank_stays(LogIndex(read_lines(lines, "file")))
+    assert (urgent.rank, urgent.refused, urgent.left_room, urgent.median("waited")) == (
+        0,
+        0,
+        2,
+        0.2,
+    )
+    assert (deferrable.rank, deferrable.refused, deferrable.median("expected")) == (1, 1, 2.0)
+    assert deferrable.median("retry_after") == 2.5
+    assert "2.50" in rank_table([urgent, deferrable])
+
+
 def test_requests_without_a_route_share_a_row():
     lines = [
         ended(1.0, "UNKNOWN_KEY", "r1", route="/a/b"),
