--- a/src/guavacleat/admission/return_times.py
+++ b/src/guavacleat/admission/return_times.py
@@ -70,8 +70,8 @@
             return UNKNOWN_RETURN_SECONDS
         gateways = max(1, backlog.gateways)
         due_tokens = gateways * sum(tokens for _, tokens in self._due(priority, now))
-        # Each gateway refuses one more now; a random order among them keeps these apart.
-        own_turn = self.random.random() * gateways * tokens
+        # The other gateways refuse one more each; a random order keeps these apart.
+        own_turn = self.random.random() * (gateways - 1) * tokens
         return (waiting_tokens(backlog, priority) + due_tokens + own_turn) / rate
 
     def _limited(self, seconds: float, seconds_left: float) -> float:
