Memory forecast, and memory kept for urgent generations, in contended services

Cause: the sum of the peaks counted memory that runs need only at their ends, and long deferrable generations filled the engines, so that urgent ones waited until one of them ended.

Change: for contended services, placement and moves use a forecast from what the runs hold and their expected growth until the first one ends. Deferrable generations leave free what urgent ones are expected to need; the reserve is sampled from the loads when generations are placed. Moves prefer an engine in another data centre with room to a full one. Loads without held_tokens count their peaks, also in sums with others. Reservations of moves and copies report what they hold. Other services are placed as before.

No load run was made.

--- a/src/guavacleat/forwarding/memory.py
+++ b/src/guavacleat/forwarding/memory.py
@@ -100,13 +100,13 @@
             self.request.metadata.id,
             self.expected_tokens(),
             pending_prefill,
-            self._held_tokens(),
+            self.held_tokens(),
             self.request.urgent,
         )
         self.load.begin(entry.id, run)
         return run
 
-    def _held_tokens(self) -> int:
+    def held_tokens(self) -> int:
         """Tokens that the run holds now; 0 unless its service is contended."""
         return 0 if self.request.traits.contention is None else self.tokens
 
@@ -119,7 +119,9 @@
         """Count an event of the current run."""
         self.events += 1
         run = self._run
-        run.held_tokens = self._held_tokens()
+        run.held_tokens = self.held_tokens()
+        if self.copy is not None:
+            self._copy_run.held_tokens = run.held_tokens
         if self.events % FORECAST_INTERVAL_EVENTS == 0:
             run.peak_tokens = self.expected_tokens()
             if self.copy is not None:
@@ -136,7 +138,7 @@
             self._copy_run = Run(
                 f"copy:{self.request.metadata.id}",
                 self.expected_tokens(),
-                held_tokens=self._held_tokens(),
+                held_tokens=self.held_tokens(),
             )
             self.load.begin(copy.entry.id, self._copy_run)
 
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -88,6 +88,10 @@
             "guavacleat_reports_shortened",
             "Reports so far that left out what did not fit into a datagram.",
         )
+        self.reserved_tokens = self._gauge(
+            "guavacleat_reserved_tokens",
+            "Tokens of each engine's memory that are kept for urgent generations, by service.",
+        )
 
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(name, text, registry=self.registry)
@@ -117,6 +121,11 @@
         self.paused_endpoints.set({}, throttle.pauses.count())
         self.leaving_endpoints.set({}, registry.said_leaving_count())
 
+    def update_reserves(self, tokens_by_service: dict[str, float]) -> None:
+        """Update the gauge of the memory kept on each engine for urgent generations."""
+        for service, tokens in tokens_by_service.items():
+            self.reserved_tokens.set({"service": service}, round(tokens))
+
     def update_control_traffic(self, traffic) -> None:
         """Update the gauges from a :class:`~guavacleat.ingress.sources.ControlTraffic`."""
         for type, calls in traffic.calls_by_type.items():
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -276,6 +276,8 @@
         self.metrics.update_configuration(self.holder, self.source.failures_by_kind())
         self.metrics.update_quarantine(self.crash_tracker)
         self.metrics.update_availability(self.evacuations, self.throttle, self.registry)
+        reserves = self.context.placement.engine_chooser.reserves
+        self.metrics.update_reserves(reserves.tokens_by_service())
         self.metrics.update_control_traffic(self.source.control_traffic())
         self.metrics.loop_lag.set({}, self.loop_lag.longest)
         return self.metrics.exposition()
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -176,7 +176,11 @@
             tried.add(target.id)
             started_at = self.context.clock.seconds()
             # Reserves the memory on the target before the copy is made.
-            reservation = Run(f"move:{session.request.metadata.id}", expected)
+            reservation = Run(
+                f"move:{session.request.metadata.id}",
+                expected,
+                held_tokens=session.memory.held_tokens(),
+            )
             self.context.load.begin(target.id, reservation)
             response = await self._copy(session, entry, target)
             self._log("move:copied", session, entry, target, response.status, started_at)
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -6,13 +6,13 @@
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.placement.engine_choice import (
-    USABLE_MEMORY_SHARE,
     EngineChooser,
     GenerationDemand,
     memory_share,
 )
 from guavacleat.placement.load import LoadTracker
 from guavacleat.placement.prefill import FirstEventEstimate
+from guavacleat.placement.reserve import UrgentReserves
 from guavacleat.routes import EngineTraits
 from guavacleat.throttling import EndpointThrottle
 
@@ -69,7 +69,7 @@
         self.load = load
         self.data_centre = data_centre
         self.first_event_estimate = FirstEventEstimate()
-        self.engine_chooser = EngineChooser()
+        self.engine_chooser = EngineChooser(UrgentReserves(registry, load))
         self.random = random.Random(seed)
 
     def choose_for_plain_request(self, request, exclude: set[str]) -> EndpointEntry | None:
@@ -171,19 +171,21 @@
         """The engine to move a run to, in the source's data centre if one has capacity.
 
         A copy to a remote data centre takes longer, and the source is about to leave. A cold or
-        limited engine might not accept the requests that resume the moved runs.
+        limited engine might not accept the requests that resume the moved runs. In a contended
+        service, a remote engine with capacity comes before full ones: there the run would wait for
+        memory or be preempted.
         """
-        engine, demand = request.traits.engine, GenerationDemand.of(request, expected)
+        demand = GenerationDemand.of(request, expected)
         ready = self.ready(source.service, exclude | {source.id}, request.regions)
         ready = [entry for entry in ready if not self.throttle.is_throttled(entry)] or ready
-        local = [
+        with_room = [
             entry
             for entry in ready
-            if entry.data_centre == source.data_centre
-            and self.memory_share(entry, expected, engine) <= USABLE_MEMORY_SHARE
+            if self.engine_chooser.has_room_for_move(demand, self.load.total(entry.id))
         ]
+        local = [entry for entry in with_room if entry.data_centre == source.data_centre]
         return min(
-            local or ready,
+            local or (demand.contended and with_room) or ready,
             key=lambda entry: self._run_cost(entry, demand),
             default=None,
         )
--- a/src/guavacleat/placement/engine_choice.py
+++ b/src/guavacleat/placement/engine_choice.py
@@ -2,7 +2,9 @@
 
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.placement.load import EndpointLoad
+from guavacleat.placement.memory_forecast import forecast_tokens
 from guavacleat.placement.prefill import PREFILL_TOKENS_PER_SECOND
+from guavacleat.placement.reserve import UrgentReserves
 from guavacleat.routes import EngineTraits
 
 __all__ = ["USABLE_MEMORY_SHARE", "EngineChooser", "GenerationDemand", "memory_share"]
@@ -66,8 +68,13 @@
     """Decides which engines may start a generation, and how they compare.
 
     The load is passed by the caller, who may have added generations that are about to start.
+
+    :param reserves: the memory kept for urgent generations, by service.
     """
 
+    def __init__(self, reserves: UrgentReserves):
+        self.reserves = reserves
+
     def has_room(self, entry: EndpointEntry, demand: GenerationDemand, load: EndpointLoad) -> bool:
         """Whether the engine may start a run; an idle one may, even if its memory is too small."""
         if load.runs == 0:
@@ -75,12 +82,30 @@
         return (
             load.pending_prefill_tokens <= MAX_PENDING_PREFILL_TOKENS
             and load.runs < demand.engine.slots
-            and memory_share(load, demand.expected_tokens, demand.engine) <= MAX_MEMORY_SHARE
+            and demand_share(demand, load) <= self._usable_share(entry, demand, load)
         )
 
+    def _usable_share(
+        self, entry: EndpointEntry, demand: GenerationDemand, load: EndpointLoad
+    ) -> float:
+        """Share of the engine's memory that the demand and the present runs may take."""
+        if not demand.contended:
+            return MAX_MEMORY_SHARE
+        reserved = self.reserves.unused_tokens(entry.service, demand, load)
+        return MAX_MEMORY_SHARE - reserved / max(1, demand.engine.memory_tokens)
+
+    def has_room_for_move(self, demand: GenerationDemand, load: EndpointLoad) -> bool:
+        """Whether a run can move to the engine and go on there at once.
+
+        The reserve does not apply: a run that has begun is lost if it finds no target.
+        """
+        if demand.contended and load.runs >= demand.engine.slots:
+            return False
+        return demand_share(demand, load) <= USABLE_MEMORY_SHARE
+
     def cost(self, entry: EndpointEntry, demand: GenerationDemand, load: EndpointLoad) -> float:
         """Cost of another run in seconds."""
-        share = memory_share(load, demand.expected_tokens, demand.engine)
+        share = demand_share(demand, load)
         return (
             load.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND
             + MEMORY_PRESSURE_SECONDS
@@ -91,6 +116,14 @@
         )
 
 
+def demand_share(demand: GenerationDemand, load: EndpointLoad) -> float:
+    """Share of the engine's memory needed with the demand; a forecast if it is contended."""
+    if not demand.contended:
+        return memory_share(load, demand.expected_tokens, demand.engine)
+    needed = forecast_tokens(load) + demand.expected_tokens
+    return needed / max(1, demand.engine.memory_tokens)
+
+
 def memory_share(load: EndpointLoad, expected: int, engine: EngineTraits) -> float:
     """Share of the engine's memory in use with ``expected`` additional tokens."""
     return (load.peak_tokens + expected) / max(1, engine.memory_tokens)
--- a/src/guavacleat/placement/load.py
+++ b/src/guavacleat/placement/load.py
@@ -72,6 +72,19 @@
         self.timed_tokens = timed_tokens
         self.timed_micros = timed_micros
 
+    def add(self, other: "EndpointLoad") -> "EndpointLoad":
+        """Add ``other`` to this load and return this load.
+
+        If just one of them lacks ``held_tokens``, as a report of an earlier release, its peak
+        counts as held: it would otherwise pass for memory that is still free.
+        """
+        if other.held_tokens and not self.held_tokens:
+            self.held_tokens = self.peak_tokens
+        missing = other.peak_tokens if self.held_tokens and not other.held_tokens else 0
+        super().add(other)
+        self.held_tokens += missing
+        return self
+
     def same_as(self, other: "EndpointLoad") -> bool:
         """Whether both count the same runs; what these hold changes with every event."""
         return (self.runs, self.peak_tokens, self.pending_prefill_tokens) == (
