Engine speeds: measured, reported and used in placement where they differ

Placement treated all engines of a service as equally fast. Where speeds differ (1 : 2.4 seen), long generations held memory on slow engines for longer than necessary.

Gateways now sum the output tokens of the last 4 s and the time between their events, by engine, and report the sums. Each gateway computes the speeds of a service at most every 0.25 s. While the slowest quarter of a service's engines takes 1.5 times as long as the fastest quarter (until the ratio falls below 1.25), pending prompts are bounded by time, and the expected residence costs up to 0.3 s. A random handicap on three quarters of the engines keeps gateways with the same loads from all choosing the fastest one. Timings of peers out of bounds are dropped; sums beyond what an engine's slots allow are replaced by the gateway's own. Other services get the same choices as before.

New tests cover engines at 1 : 2.4, gateways with the same loads, noisy measurements of equal engines, a restarted engine and absurd values of a peer. They pass, and so do the tests of placement, forwarding, peers, ingress and migration. Without the handicap, and without the bound by slots, the respective test fails. No trial with a fleet has been run.

--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -9,6 +9,7 @@
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.stream_attempt import StreamAttempt, StreamOutcome
 from guavacleat.membership.entries import EndpointEntry
+from guavacleat.placement.token_times import EventTimer
 from guavacleat.quarantine import AnswerProgress
 from guavacleat.retries import RetryPurpose
 
@@ -77,6 +78,10 @@
             ),
         )
         attempt.connection, attempt.run, attempt.backup = connection, run, backup
+        engine = self.request.traits.engine
+        if engine is not None:
+            times = self.context.load.token_times
+            attempt.event_timer = EventTimer(times, entry, engine.tokens_per_event)
         attempt.sent_at = self.context.clock.seconds()
         attempt.done.addBoth(self._attempt_finished, attempt)
         self._send(attempt, resume)
@@ -125,7 +130,12 @@
         return RunCopy(target, target, self.request.metadata.id, backup=True)
 
     def _log_placed(self, entry, backup: RunCopy | None, resume: ResumePoint | None) -> None:
-        """Log the chosen endpoint's load, including this run, as this gateway knows it."""
+        """Log the chosen endpoint's load, including this run, as this gateway knows it.
+
+        ``speed`` is that of the engine over the median of its service, 1 while that is even.
+        """
+        is_engine = self.request.traits.engine is not None
+        slowness = self.context.placement.engine_speeds.slowness(entry) if is_engine else 1.0
         load = self.context.load.total(entry.id)
         self.log(
             "stream:placed",
@@ -135,4 +145,5 @@
             runs=load.runs,
             expected=load.peak_tokens,
             unread=load.pending_prefill_tokens,
+            speed=round(1 / slowness, 2),
         )
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -247,9 +247,8 @@
             self.last_event = event.id
             self.memory.record_event()
         if self.timings.first_event_delay is None and self.request.traits.engine is not None:
-            self.context.placement.first_event_estimate.observe(
-                self.request.prompt_tokens, self.context.clock.seconds() - attempt.sent_at
-            )
+            seconds = self.context.clock.seconds() - attempt.sent_at
+            self.context.placement.observe_first_event(self.request, attempt.entry, seconds)
         self.timings.event_sent(self.context.clock.seconds(), event.id)
         self.request.exchange.write(event.data)
 
@@ -326,7 +325,7 @@
 
     def pause(self) -> None:
         if self.attempt is not None and not self.attempt.ended:
-            self.attempt.connection.pause()
+            self.attempt.pause()
 
     def resume(self) -> None:
         if self.attempt is not None and not self.attempt.ended:
--- a/src/guavacleat/forwarding/stream_attempt.py
+++ b/src/guavacleat/forwarding/stream_attempt.py
@@ -11,6 +11,7 @@
 from guavacleat.http1.messages import ResponseHead
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.placement import Run
+from guavacleat.placement.token_times import EventTimer
 from guavacleat.quarantine import AnswerProgress
 
 __all__ = ["StreamAttempt", "StreamOutcome"]
@@ -71,6 +72,8 @@
         # The run's entry in the load tracker, and the backup requested with it.
         self.run: Run | None = None
         self.backup: RunCopy | None = None
+        # Records the engine's speed; None if the endpoint is not an engine.
+        self.event_timer: EventTimer | None = None
         self.sent_at = float("-inf")
         self.head: ResponseHead | None = None
         self.check: ResponseCheck | None = None
@@ -90,6 +93,12 @@
         self._end(StreamOutcome.ABANDONED)
         self.connection.abandon()
 
+    def pause(self) -> None:
+        """Stop reading, because the caller is slow."""
+        if self.event_timer is not None:
+            self.event_timer.stop()
+        self.connection.pause()
+
     def _reject(self) -> None:
         """Close the connection after an invalid response."""
         self._end(StreamOutcome.BROKEN)
@@ -125,6 +134,8 @@
             return
         if events:
             self.progress.record_output()
+        if self.event_timer is not None:
+            self.event_timer.events_received(sum(event.id is not None for event in events))
         for event in events:
             if not self.ended:
                 self.observer.attempt_event(self, event)
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of an ingress gateway."""
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.metricdict import MetricDict
 from aioprometheus.renderer import render
 
 from guavacleat.quarantine import CrashTracker
@@ -68,6 +69,10 @@
             "guavacleat_leaving_endpoints",
             "Registered endpoints that said in their answers that they are leaving.",
         )
+        self.relative_speeds = self._gauge(
+            "guavacleat_engine_relative_speed",
+            "Tokens per second of an engine's streams, relative to the median of its service.",
+        )
         self.store_era = self._gauge(
             "guavacleat_store_era",
             "Latest era of the store that is known: how often it came back from a copy.",
@@ -117,6 +122,12 @@
         self.paused_endpoints.set({}, throttle.pauses.count())
         self.leaving_endpoints.set({}, registry.said_leaving_count())
 
+    def update_speeds(self, speeds_by_endpoint: dict[str, float]) -> None:
+        """Update the gauge of the relative speeds; engines without one are removed from it."""
+        self.relative_speeds.values = MetricDict()
+        for endpoint, speed in speeds_by_endpoint.items():
+            self.relative_speeds.set({"endpoint": endpoint}, speed)
+
     def update_control_traffic(self, traffic) -> None:
         """Update the gauges from a :class:`~guavacleat.ingress.sources.ControlTraffic`."""
         for type, calls in traffic.calls_by_type.items():
--- a/src/guavacleat/peers/backlogs.py
+++ b/src/guavacleat/peers/backlogs.py
@@ -14,6 +14,7 @@
     WaitingGeneration,
 )
 from guavacleat.placement import EndpointLoad
+from guavacleat.placement.token_times import is_plausible_timing
 from guavacleat.protocol.gen.peers import ttypes
 
 __all__ = [
@@ -53,15 +54,19 @@
 
 def decode_load(load: ttypes.EndpointLoad) -> EndpointLoad:
     """The load of one endpoint; optional values out of bounds count as missing."""
-    optional = [load.held_tokens, load.urgent_tokens, load.timed_tokens, load.timed_micros]
+    timed = [load.timed_tokens or 0, load.timed_micros or 0]
+    if any(timed) and not (timed[1] <= MAX_TOKENS and is_plausible_timing(*timed)):
+        _log_dropped("timings", 1)
+        timed = [0, 0]
+    optional = [load.held_tokens, load.urgent_tokens]
     if not all(_within(value, MAX_TOKENS) for value in optional if value is not None):
         _log_dropped("load", 1)
-        optional = []
+        optional = [0, 0]
     return EndpointLoad(
         load.runs,
         load.expected_tokens,
         load.unread_tokens,
-        *(value or 0 for value in optional),
+        *(value or 0 for value in [*optional, *timed]),
     )
 
 
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -13,6 +13,7 @@
 )
 from guavacleat.placement.load import LoadTracker
 from guavacleat.placement.prefill import FirstEventEstimate
+from guavacleat.placement.speeds import EngineSpeeds
 from guavacleat.routes import EngineTraits
 from guavacleat.throttling import EndpointThrottle
 
@@ -32,6 +33,9 @@
 # No backups are made for this time after an engine leaves: while engines are being reclaimed, the
 # links and the memory are needed to move their runs.
 BACKUP_HOLDOFF_SECONDS = 5.0
+# Share of the engines that get a handicap in one choice, so that of many gateways with the same
+# information about a quarter choose the fastest engine.
+HANDICAP_SHARE = 0.75
 # Maximum share of slots in use on a lightly loaded endpoint.
 LIGHT_LOAD_SHARE = 0.25
 
@@ -69,7 +73,8 @@
         self.load = load
         self.data_centre = data_centre
         self.first_event_estimate = FirstEventEstimate()
-        self.engine_chooser = EngineChooser()
+        self.engine_speeds = EngineSpeeds(load, registry.ready, self.throttle.is_cold)
+        self.engine_chooser = EngineChooser(self.engine_speeds)
         self.random = random.Random(seed)
 
     def choose_for_plain_request(self, request, exclude: set[str]) -> EndpointEntry | None:
@@ -158,13 +163,30 @@
     def _run_cost(self, entry: EndpointEntry, demand: GenerationDemand) -> tuple[float, float]:
         """Cost of another run in seconds, with a random tie-breaker."""
         cost = self.engine_chooser.cost(entry, demand, self.load.total(entry.id))
-        return cost + self._failure_penalty(entry), self.random.random()
+        return (
+            cost + self._handicap(entry, demand) + self._failure_penalty(entry),
+            self.random.random(),
+        )
+
+    def _handicap(self, entry: EndpointEntry, demand: GenerationDemand) -> float:
+        """Cost, in seconds, of an engine drawn at random; 0 if the service is even.
+
+        All gateways see the same loads, up to 0.5 s late. Without it, each would choose the same
+        fast engine in that time.
+        """
+        handicap = self.engine_speeds.handicap(entry, demand.output_tokens)
+        return handicap if handicap and self.random.random() < HANDICAP_SHARE else 0.0
 
     def latest_start(self, request) -> float:
         """Latest clock time at which the request can be dispatched and meet its goal."""
         first_event = self.first_event_estimate.seconds(request.prompt_tokens)
         return request.arrived_at + request.route.latency_goal - first_event
 
+    def observe_first_event(self, request, entry: EndpointEntry, seconds: float) -> None:
+        """Record the time from dispatch to first event, as an engine of median speed takes it."""
+        median_seconds = seconds / self.engine_speeds.slowness(entry)
+        self.first_event_estimate.observe(request.prompt_tokens, median_seconds)
+
     def choose_move_target(
         self, request, source: EndpointEntry, expected: int, exclude: set[str]
     ) -> EndpointEntry | None:
--- a/src/guavacleat/placement/engine_choice.py
+++ b/src/guavacleat/placement/engine_choice.py
@@ -3,6 +3,7 @@
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.placement.load import EndpointLoad
 from guavacleat.placement.prefill import PREFILL_TOKENS_PER_SECOND
+from guavacleat.placement.speeds import EngineSpeeds, EvenSpeeds
 from guavacleat.routes import EngineTraits
 
 __all__ = ["USABLE_MEMORY_SHARE", "EngineChooser", "GenerationDemand", "memory_share"]
@@ -21,7 +22,8 @@
 # Memory share up to which generations are started. Beyond it the engine preempts the newest.
 MAX_MEMORY_SHARE = 1.0
 # Maximum prompt tokens awaiting prefill on an engine that gets another request: enough to keep the
-# engine busy, with few requests lost if it leaves.
+# engine busy, with few requests lost if it leaves. It applies to an engine of median speed; others
+# get what they prefill in the same time.
 MAX_PENDING_PREFILL_TOKENS = 2000
 
 
@@ -50,6 +52,11 @@
         self.contended = contended
         self.deferrable = deferrable
 
+    @property
+    def output_tokens(self) -> int:
+        """Tokens that it is expected to generate."""
+        return max(0, self.expected_tokens - self.prompt_tokens)
+
     @classmethod
     def of(cls, request, expected_tokens: int | None = None) -> "GenerationDemand":
         """The demand of a ``ForwardedRequest``; ``expected_tokens`` if it has output already."""
@@ -66,14 +73,19 @@
     """Decides which engines may start a generation, and how they compare.
 
     The load is passed by the caller, who may have added generations that are about to start.
+
+    :param speeds: the speeds of the engines, which count only while their service is uneven.
     """
 
+    def __init__(self, speeds: EngineSpeeds | None = None):
+        self.speeds = speeds or EvenSpeeds()
+
     def has_room(self, entry: EndpointEntry, demand: GenerationDemand, load: EndpointLoad) -> bool:
         """Whether the engine may start a run; an idle one may, even if its memory is too small."""
         if load.runs == 0:
             return True
         return (
-            load.pending_prefill_tokens <= MAX_PENDING_PREFILL_TOKENS
+            load.pending_prefill_tokens * self.speeds.slowness(entry) <= MAX_PENDING_PREFILL_TOKENS
             and load.runs < demand.engine.slots
             and memory_share(load, demand.expected_tokens, demand.engine) <= MAX_MEMORY_SHARE
         )
@@ -82,12 +94,13 @@
         """Cost of another run in seconds."""
         share = memory_share(load, demand.expected_tokens, demand.engine)
         return (
-            load.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND
+            load.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND * self.speeds.slowness(entry)
             + MEMORY_PRESSURE_SECONDS
             * max(0.0, share - USABLE_MEMORY_SHARE)
             / (1 - USABLE_MEMORY_SHARE)
             + SLOT_SECONDS * load.runs
             + MEMORY_SPREAD_SECONDS * share
+            + self.speeds.residence_cost(entry, demand.output_tokens)
         )
 
 
--- a/src/guavacleat/placement/load.py
+++ b/src/guavacleat/placement/load.py
@@ -2,6 +2,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from guavacleat.placement.token_times import TokenTimes
 from guavacleat.totals import Summable
 
 __all__ = ["EndpointHealth", "EndpointLoad", "LoadTracker", "Run"]
@@ -103,6 +104,7 @@
         self.listeners: list = []
         self.runs_by_endpoint: dict[str, dict[str, Run]] = {}
         self.health_by_endpoint: dict[str, EndpointHealth] = {}
+        self.token_times = TokenTimes(clock)
         # Load reported by the peers: an object with ``total(endpoint_id)``.
         self.peers = None
 
@@ -135,6 +137,7 @@
             sum(run.pending_prefill_tokens for run in runs),
             sum(run.held_tokens for run in runs),
             sum(run.peak_tokens for run in runs if run.urgent),
+            *self.token_times.sums(endpoint_id),
         )
 
     def total(self, endpoint_id: str) -> EndpointLoad:
@@ -152,8 +155,9 @@
         return {id: self.local(id) for id in with_runs}
 
     def forget(self, endpoint_id: str) -> None:
-        """Discard the health of an endpoint that has left."""
+        """Discard the health and the speed of an endpoint that has left or restarted."""
         self.health_by_endpoint.pop(endpoint_id, None)
+        self.token_times.forget(endpoint_id)
 
     def health(self, endpoint_id: str) -> EndpointHealth:
         return self.health_by_endpoint.setdefault(endpoint_id, EndpointHealth())
--- a/src/guavacleat/throttling/throttle.py
+++ b/src/guavacleat/throttling/throttle.py
@@ -156,6 +156,10 @@
         self._promised_at_by_id[entry.id] = promised_at
         return promised_at - now
 
+    def is_cold(self, entry: EndpointEntry) -> bool:
+        """Whether the endpoint is considered cold."""
+        return self.cold.cold_until(entry) is not None
+
     def forget(self, endpoint_id: str) -> None:
         """Discard the state of an endpoint that has left or restarted."""
         self.cold.forget(endpoint_id)
