--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -278,6 +278,7 @@
         self.metrics.update_availability(self.evacuations, self.throttle, self.registry)
         reserves = self.context.placement.engine_chooser.reserves
         self.metrics.update_reserves(reserves.tokens_by_service())
+        self.metrics.update_speeds(self.context.placement.engine_speeds.relative_speeds())
         self.metrics.update_control_traffic(self.source.control_traffic())
         self.metrics.loop_lag.set({}, self.loop_lag.longest)
         return self.metrics.exposition()
--- a/src/guavacleat/placement/engine_choice.py
+++ b/src/guavacleat/placement/engine_choice.py
@@ -5,6 +5,7 @@
 from guavacleat.placement.memory_forecast import forecast_tokens
 from guavacleat.placement.prefill import PREFILL_TOKENS_PER_SECOND
 from guavacleat.placement.reserve import UrgentReserves
+from guavacleat.placement.speeds import EngineSpeeds
 from guavacleat.routes import EngineTraits
 
 __all__ = ["USABLE_MEMORY_SHARE", "EngineChooser", "GenerationDemand", "memory_share"]
@@ -23,7 +24,8 @@
 # Memory share up to which generations are started. Beyond it the engine preempts the newest.
 MAX_MEMORY_SHARE = 1.0
 # Maximum prompt tokens awaiting prefill on an engine that gets another request: enough to keep the
-# engine busy, with few requests lost if it leaves.
+# engine busy, with few requests lost if it leaves. It applies to an engine of median speed; others
+# get what they prefill in the same time.
 MAX_PENDING_PREFILL_TOKENS = 2000
 
 
@@ -52,6 +54,11 @@
         self.contended = contended
         self.deferrable = deferrable
 
+    @property
+    def output_tokens(self) -> int:
+        """Tokens that it is expected to generate."""
+        return max(0, self.expected_tokens - self.prompt_tokens)
+
     @classmethod
     def of(cls, request, expected_tokens: int | None = None) -> "GenerationDemand":
         """The demand of a ``ForwardedRequest``; ``expected_tokens`` if it has output already."""
@@ -70,17 +77,19 @@
     The load is passed by the caller, who may have added generations that are about to start.
 
     :param reserves: the memory kept for urgent generations, by service.
+    :param speeds: the speeds of the engines, which count only while their service is uneven.
     """
 
-    def __init__(self, reserves: UrgentReserves):
+    def __init__(self, reserves: UrgentReserves, speeds: EngineSpeeds):
         self.reserves = reserves
+        self.speeds = speeds
 
     def has_room(self, entry: EndpointEntry, demand: GenerationDemand, load: EndpointLoad) -> bool:
         """Whether the engine may start a run; an idle one may, even if its memory is too small."""
         if load.runs == 0:
             return True
         return (
-            load.pending_prefill_tokens <= MAX_PENDING_PREFILL_TOKENS
+            load.pending_prefill_tokens * self.speeds.slowness(entry) <= MAX_PENDING_PREFILL_TOKENS
             and load.runs < demand.engine.slots
             and demand_share(demand, load) <= self._usable_share(entry, demand, load)
         )
@@ -107,12 +116,13 @@
         """Cost of another run in seconds."""
         share = demand_share(demand, load)
         return (
-            load.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND
+            load.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND * self.speeds.slowness(entry)
             + MEMORY_PRESSURE_SECONDS
             * max(0.0, share - USABLE_MEMORY_SHARE)
             / (1 - USABLE_MEMORY_SHARE)
             + SLOT_SECONDS * load.runs
             + MEMORY_SPREAD_SECONDS * share
+            + self.speeds.residence_cost(entry, demand.output_tokens)
         )
 
 
