Use of client accounts over all gateways, with a penalty for accounts far above their fair share

Part 5 of docs/design/competing-demand.md. Each gateway saw only its own requests, so that an account whose callers reach many gateways could get a share at each of them. AccountUsage sums the tokens of contended services by account, with a half-life of 10 s, reports the 8 largest to the peers and adds what these report. A gauge shows the largest share. The queue of generations doesn't use the penalty yet.

A peer's use of an account is dropped above 10**9 tokens, and for accounts that the configuration doesn't name.

--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -97,6 +97,10 @@
             "guavacleat_reserved_tokens",
             "Tokens of each engine's memory that are kept for urgent generations, by service.",
         )
+        self.largest_account_share = self._gauge(
+            "guavacleat_largest_account_share",
+            "Largest part of one account in the recent use of contended services, from 0 to 1.",
+        )
 
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(name, text, registry=self.registry)
@@ -137,6 +141,10 @@
         for endpoint, speed in speeds_by_endpoint.items():
             self.relative_speeds.set({"endpoint": endpoint}, speed)
 
+    def update_accounts(self, usage) -> None:
+        """Update the gauge from an :class:`~guavacleat.admission.account_usage.AccountUsage`."""
+        self.largest_account_share.set({}, usage.largest_share())
+
     def update_control_traffic(self, traffic) -> None:
         """Update the gauges from a :class:`~guavacleat.ingress.sources.ControlTraffic`."""
         for type, calls in traffic.calls_by_type.items():
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -5,6 +5,7 @@
 from eliot import log_message
 from twisted.internet import defer, task
 
+from guavacleat.admission.account_usage import AccountUsage
 from guavacleat.admission.generations import GenerationQueue
 from guavacleat.errors import SettingsError
 from guavacleat.evacuations import EvacuationRegister
@@ -98,6 +99,7 @@
         self.load = LoadTracker(reactor)
         self.peers = PeerTable(reactor)
         self.load.peers = self.peers
+        self.account_usage = AccountUsage(reactor, self.peers, self._is_known_account)
         self.metrics = IngressMetrics()
         self.loop_lag = LoopLag(reactor)
         self.crash_tracker = CrashTracker(reactor)
@@ -186,6 +188,11 @@
             return None
         return table.services_by_name.get(name) or ServiceTraits(name, 0)
 
+    def _is_known_account(self, name: str) -> bool:
+        """Whether the configuration names the account; False without a configuration."""
+        table = self.holder.table
+        return table is not None and name in table.account_names
+
     def _refuse_quarantined(self) -> None:
         """Refuse queued requests that have been quarantined while they waited."""
         self.context.queue.refuse_where(functools.partial(quarantine_refusal, self.context))
@@ -279,6 +286,7 @@
         reserves = self.context.placement.engine_chooser.reserves
         self.metrics.update_reserves(reserves.tokens_by_service())
         self.metrics.update_speeds(self.context.placement.engine_speeds.relative_speeds())
+        self.metrics.update_accounts(self.account_usage)
         self.metrics.update_control_traffic(self.source.control_traffic())
         self.metrics.loop_lag.set({}, self.loop_lag.longest)
         return self.metrics.exposition()
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -147,6 +147,7 @@
             ingress.demands_by_service,
             self.should_watch.is_selected,
             self.link_bytes_per_second,
+            ingress.account_usage.largest,
         )
         self.quarantine_record = QuarantineRecord(
             self.reactor, self.store, ingress.crash_tracker, self._should_read_quarantine
--- a/src/guavacleat/peers/backlogs.py
+++ b/src/guavacleat/peers/backlogs.py
@@ -32,6 +32,9 @@
 # Largest plausible counts and tokens of one service at all gateways.
 MAX_COUNT = 10**7
 MAX_TOKENS = 10**12
+# Largest plausible tokens of one account. 3,000 engines with 10,000 tokens a second and a half-life
+# of 10 s amount to less than half of it.
+MAX_ACCOUNT_TOKENS = 10**9
 # Largest plausible number of tokens of one generation.
 MAX_GENERATION_TOKENS = 10**8
 MILLIS_PER_SECOND = 1000
@@ -135,7 +138,8 @@
 
 def decode_account_tokens(messages: list | None) -> dict[str, int]:
     messages = messages or []
-    valid = [item for item in messages if _within(item.tokens, MAX_TOKENS)][:MAX_SUMMARY_ACCOUNTS]
+    valid = [item for item in messages if _within(item.tokens, MAX_ACCOUNT_TOKENS)]
+    valid = valid[:MAX_SUMMARY_ACCOUNTS]
     _log_dropped("account_tokens", len(messages) - len(valid))
     return {item.account: item.tokens for item in valid}
 
--- a/src/guavacleat/routes/model.py
+++ b/src/guavacleat/routes/model.py
@@ -205,6 +205,7 @@
         "routes_by_host",
         "services_by_name",
         "accounts_by_key",
+        "account_names",
         "limits",
         "requires_key",
     )
@@ -226,6 +227,7 @@
         }
         self.services_by_name = services_by_name
         self.accounts_by_key = accounts_by_key
+        self.account_names = frozenset(account.name for account in accounts_by_key.values())
         self.limits = limits
         self.requires_key = requires_key
         for service in services_by_name.values():
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -10,6 +10,7 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
+from guavacleat.admission.account_usage import AccountUsage
 from guavacleat.admission.generations import GenerationQueue
 from guavacleat.evacuations import EvacuationRegister
 from guavacleat.ingress.sources import StoreSource
@@ -174,6 +175,7 @@
         self.crash_tracker = CrashTracker(self.clock)
         self.limits = LimitRegister(self.clock)
         self.demands_by_service = dict
+        self.account_usage = AccountUsage(self.clock, self.peers)
         self.load.peers = self.peers
         self.context = types.SimpleNamespace(queue=GenerationQueue(self.clock, None))
         self.evacuations = EvacuationRegister(self.clock)
