Generations of contended services wait in one order over all gateways

Freed engine memory went to whichever gateway polled first after a random delay, so that urgent requests waited behind less urgent ones of other gateways.

Each gateway now assigns engines to its own requests and to those that its peers report, in the same order, and dispatches its own in one turn. Reports are repeated while something waits; their heads and the use of accounts are left out first if they don't fit. Services without contention keep their queue, whose classes are moved to service_queue.py.

--- a/src/guavacleat/admission/backlog.py
+++ b/src/guavacleat/admission/backlog.py
@@ -8,6 +8,8 @@
     "MAX_HEADS",
     "MAX_RANKS",
     "MAX_SUMMARY_HEADS",
+    "MAX_WAIT_SHARE",
+    "RATE_WINDOW_SECONDS",
     "Backlog",
     "RankBacklog",
     "WaitingGeneration",
@@ -18,6 +20,10 @@
 # First waiting generations that a gateway reports, and those of a summary.
 MAX_HEADS = 8
 MAX_SUMMARY_HEADS = 24
+# Window over which the dispatch rate is measured.
+RATE_WINDOW_SECONDS = 3.0
+# Maximum share of a request's timeout spent in the queue, so that its caller can still retry.
+MAX_WAIT_SHARE = 1 / 3
 
 
 class RankBacklog(Summable):
@@ -72,6 +78,17 @@
         """Sort key: on time before late, then by priority and by slack."""
         return self.slack < 0, self.priority, self.slack, self.key
 
+    def aged(self, seconds: float) -> "WaitingGeneration":
+        """A copy with its slack reduced by ``seconds``."""
+        return WaitingGeneration(
+            self.key,
+            self.priority,
+            self.slack - seconds,
+            self.expected_tokens,
+            self.prompt_tokens,
+            self.deferrable,
+        )
+
 
 class Backlog(Summable):
     """A service's queued generations.
@@ -108,3 +125,7 @@
         heads = sorted((*self.heads, *other.heads), key=lambda head: head.order)
         self.heads = tuple(heads[:MAX_SUMMARY_HEADS])
         return self
+
+    def with_heads(self, heads: tuple[WaitingGeneration, ...]) -> "Backlog":
+        """A copy with other heads."""
+        return Backlog(self.gateways, self.waiting, self.dispatched, self.ranks_by_priority, heads)
--- a/src/guavacleat/admission/generations.py
+++ b/src/guavacleat/admission/generations.py
@@ -11,23 +11,25 @@
 The gateways report to each other how many generations wait and how many were dispatched. From that
 follows how long another one would wait. While it is so long that not all can be on time, those that
 would be late are refused at once, the most expensive first, rather than making all late.
+
+Requests of contended services are queued by :mod:`~.fleet_queue` instead.
 """
 
-import collections
 import random
 
 from eliot import log_message
 from twisted.internet import defer
 
-from guavacleat.admission.backlog import Backlog
+from guavacleat.admission.backlog import MAX_WAIT_SHARE, RATE_WINDOW_SECONDS, Backlog
 from guavacleat.admission.cost import RelativeCost
-from guavacleat.admission.queues import PROMPT_TOKEN_COST, SHORT_OUTPUT, FairQueue
+from guavacleat.admission.fleet_queues import FleetQueues
+from guavacleat.admission.queues import PROMPT_TOKEN_COST, SHORT_OUTPUT
+from guavacleat.admission.service_queue import ServiceQueue, WaitingRequest
 from guavacleat.forwarding.refusals import RefusalError, RefusalReason, throttled
+from guavacleat.totals import sum_by_key
 
 __all__ = ["GenerationQueue"]
 
-# Maximum share of a request's timeout spent in the queue, so that its caller can still retry.
-MAX_WAIT_SHARE = 1 / 3
 # Maximum random delay before a dispatch, for each gateway with queued generations. All of them see
 # freed capacity at the same time; with delays of several times a peer report's latency, they seldom
 # choose the same engine.
@@ -38,91 +40,38 @@
 # Expected wait from which on the cost of a request counts in full, and from which on requests that
 # can't meet their goal any more are refused.
 OVERLOAD_WAIT_SECONDS = 0.3
-# Window over which the dispatch rate is measured, and the minimum number of dispatches in it.
-RATE_WINDOW_SECONDS = 3.0
+# Minimum number of dispatches in the window over which their rate is measured.
 MIN_RATE_DISPATCHES = 4
 RETRY_AFTER_SECONDS = 1.0
 
 
-class _FairQueueRequest:
-    """The attributes of a queued request that :class:`FairQueue` reads."""
-
-    __slots__ = ("account", "weight", "priority")
-
-    def __init__(self, account: str | None, priority: int):
-        self.account = account
-        self.weight = 1.0
-        self.priority = priority
-
-
-class _WaitingRequest:
-    """A queued request.
-
-    ``request`` is what :class:`FairQueue` reads of ``forwarded``; ``result`` fires with the engine,
-    or with None if the caller cancelled.
-
-    :param rank: whether the request will be late, then its priority; the lowest is served first.
-    :param queued_at: clock time at which it was queued.
-    """
-
-    __slots__ = ("forwarded", "request", "tried", "rank", "result", "timers", "queued_at")
-
-    def __init__(self, forwarded, tried: set[str], rank: tuple[bool, int], queued_at: float):
-        self.forwarded = forwarded
-        self.request = _FairQueueRequest(forwarded.account_name, forwarded.priority)
-        self.tried = frozenset(tried)
-        self.rank = rank
-        self.queued_at = queued_at
-        self.result: defer.Deferred | None = None
-        self.timers = []
-
-
-class _ServiceQueue:
-    """The queued requests of one service, by rank."""
-
-    __slots__ = ("queues_by_rank", "dispatched_at")
-
-    def __init__(self):
-        self.queues_by_rank: dict[tuple[bool, int], FairQueue] = {}
-        # Clock times of the most recent dispatches, oldest first.
-        self.dispatched_at: collections.deque[float] = collections.deque()
-
-    def __len__(self) -> int:
-        return sum(map(len, self.queues_by_rank.values()))
-
-    def queue_for(self, rank: tuple[bool, int]) -> FairQueue:
-        return self.queues_by_rank.setdefault(rank, FairQueue())
-
-    def backlog(self, oldest: float) -> Backlog:
-        """The backlog, with the dispatches since clock time ``oldest``."""
-        while self.dispatched_at and self.dispatched_at[0] < oldest:
-            self.dispatched_at.popleft()
-        waiting = sum(len(queue) for (late, _), queue in self.queues_by_rank.items() if not late)
-        return Backlog(int(len(self) > 0), waiting, len(self.dispatched_at))
-
-    def entries(self) -> list[_WaitingRequest]:
-        queues = self.queues_by_rank.values()
-        return [entry for queue in queues for entry in queue.waiting_entries()]
-
-    def queues_in_order(self) -> list[FairQueue]:
-        return [self.queues_by_rank[rank] for rank in sorted(self.queues_by_rank)]
-
-
 class GenerationQueue:
     """Assigns engines chosen by ``placement`` to requests for generations.
 
     :param peers: the :class:`~guavacleat.peers.PeerTable`; None for a single gateway.
+    :param refusal_policy: see :class:`~.refusal_policy.RefusalPolicy`.
+    :param account_usage: see :class:`~.account_usage.AccountUsage`.
     """
 
-    def __init__(self, clock, placement, seed=None, peers=None):
+    def __init__(
+        self, clock, placement, seed=None, peers=None, refusal_policy=None, account_usage=None
+    ):
         self.clock = clock
         self.placement = placement
         self.peers = peers
         self.relative_cost = RelativeCost()
         self.random = random.Random(seed)
-        self.queues_by_service: dict[str, _ServiceQueue] = {}
+        self.queues_by_service: dict[str, ServiceQueue] = {}
+        self.fleet_queues = FleetQueues(
+            clock, placement, seed, peers, refusal_policy, account_usage
+        )
         self._dispatch_call = None
 
+    @property
+    def listeners(self) -> list:
+        """Functions called when the queue of a contended service should be reported."""
+        return self.fleet_queues.listeners
+
     def acquire(self, request, tried: set[str]) -> defer.Deferred:
         """Fire with an engine that has capacity for ``request``; None if there is no engine.
 
@@ -131,10 +80,12 @@
         """
         if not self.placement.ready_for(request, tried):
             return defer.succeed(None)
-        queue = self.queues_by_service.setdefault(request.service, _ServiceQueue())
+        if request.traits.contention is not None:
+            return self.fleet_queues.acquire(request, tried)
+        queue = self.queues_by_service.setdefault(request.service, ServiceQueue())
         now = self.clock.seconds()
         on_time_deadline = self.placement.latest_start(request)
-        entry = _WaitingRequest(request, tried, (now > on_time_deadline, request.priority), now)
+        entry = WaitingRequest(request, tried, (now > on_time_deadline, request.priority), now)
         cost = self.relative_cost.observe(request)
         if not len(queue) and (engine := self._find_engine(entry)) is not None:
             self._record_dispatch(queue, entry)
@@ -168,6 +119,7 @@
 
     def refuse_where(self, refusal_of) -> None:
         """Refuse the queued requests for which ``refusal_of`` returns a :class:`RefusalError`."""
+        self.fleet_queues.refuse_where(refusal_of)
         for queue in self.queues_by_service.values():
             for entry in queue.entries():
                 refusal = refusal_of(entry.forwarded)
@@ -178,10 +130,11 @@
     def waiting(self, service: str) -> int:
         """Number of queued requests of the service."""
         queue = self.queues_by_service.get(service)
-        return 0 if queue is None else len(queue)
+        return self.fleet_queues.waiting(service) + (0 if queue is None else len(queue))
 
     def schedule_dispatch(self) -> None:
         """Schedule a dispatch, after the load of an engine has changed."""
+        self.fleet_queues.schedule_turns()
         spread = self._spread()
         if spread is not None:
             self._schedule_dispatch_within(self.random.uniform(0.0, spread))
@@ -204,7 +157,9 @@
     def backlogs_by_service(self) -> dict[str, Backlog]:
         """This gateway's own :class:`~.backlog.Backlog` of each service."""
         oldest = self.clock.seconds() - RATE_WINDOW_SECONDS
-        return {name: queue.backlog(oldest) for name, queue in self.queues_by_service.items()}
+        backlogs = {name: queue.backlog(oldest) for name, queue in self.queues_by_service.items()}
+        # A service is in both while a configuration has just made it contended.
+        return sum_by_key(Backlog, [backlogs, self.fleet_queues.backlogs_by_service()])
 
     def _schedule_dispatch_within(self, seconds: float) -> None:
         call = self._dispatch_call
@@ -223,7 +178,7 @@
             delay = self.random.uniform(0.5, 1.0) * spread
             self._schedule_dispatch_within(max(POLL_SECONDS, delay))
 
-    def _dispatch_next(self, queue: _ServiceQueue) -> bool:
+    def _dispatch_next(self, queue: ServiceQueue) -> bool:
         """Dispatch the first request that an engine has capacity for; False if there is none.
 
         Behind a request that no engine has capacity for, only short outputs are dispatched: they
@@ -243,10 +198,10 @@
                 only_short = True
         return False
 
-    def _find_engine(self, entry: _WaitingRequest):
+    def _find_engine(self, entry: WaitingRequest):
         return self.placement.choose_for_generation(entry.forwarded, entry.tried)
 
-    def _record_dispatch(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
+    def _record_dispatch(self, queue: ServiceQueue, entry: WaitingRequest) -> None:
         request = entry.forwarded
         queue.dispatched_at.append(self.clock.seconds())
         output = request.expected_tokens() - request.prompt_tokens
@@ -261,7 +216,7 @@
             return 0.0
         return backlog.waiting * RATE_WINDOW_SECONDS / backlog.dispatched
 
-    def _mark_late(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
+    def _mark_late(self, queue: ServiceQueue, entry: WaitingRequest) -> None:
         if self._expected_wait(entry.forwarded.service) > OVERLOAD_WAIT_SECONDS:
             self._refuse(queue, entry)
             return
@@ -269,16 +224,16 @@
         entry.rank = (True, entry.rank[1])
         queue.queue_for(entry.rank).push(entry)
 
-    def _refuse(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
+    def _refuse(self, queue: ServiceQueue, entry: WaitingRequest) -> None:
         self._stop_waiting(queue, entry)
         waited = self.clock.seconds() - entry.queued_at
         entry.result.errback(self._refusal(entry, RETRY_AFTER_SECONDS, "waited", waited))
 
-    def _cancel(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
+    def _cancel(self, queue: ServiceQueue, entry: WaitingRequest) -> None:
         self._stop_waiting(queue, entry)
         entry.result.callback(None)
 
-    def _stop_waiting(self, queue: _ServiceQueue, entry: _WaitingRequest) -> None:
+    def _stop_waiting(self, queue: ServiceQueue, entry: WaitingRequest) -> None:
         queue.queue_for(entry.rank).remove(entry)
         for timer in entry.timers:
             if timer.active():
@@ -288,6 +243,6 @@
         return RefusalError(RefusalReason.NO_ROOM, retry_after, f"{verb} {seconds:.2f} s")
 
 
-def _is_short(entry: _WaitingRequest) -> bool:
+def _is_short(entry: WaitingRequest) -> bool:
     request = entry.forwarded
     return request.expected_tokens() - request.prompt_tokens <= SHORT_OUTPUT
--- a/src/guavacleat/ingress/metrics.py
+++ b/src/guavacleat/ingress/metrics.py
@@ -88,6 +88,14 @@
             "guavacleat_reports_shortened",
             "Reports so far that left out what did not fit into a datagram.",
         )
+        self.generations_dispatched = self._gauge(
+            "guavacleat_generations_dispatched",
+            "Generations of contended services sent to engines so far, by rank of priority.",
+        )
+        self.heads_skipped = self._gauge(
+            "guavacleat_heads_skipped",
+            "Peers' waiting generations so far that were passed, as their peers left room unused.",
+        )
 
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(name, text, registry=self.registry)
@@ -117,6 +125,12 @@
         self.paused_endpoints.set({}, throttle.pauses.count())
         self.leaving_endpoints.set({}, registry.said_leaving_count())
 
+    def update_queue(self, queues) -> None:
+        """Update the gauges from a :class:`~guavacleat.admission.fleet_queues.FleetQueues`."""
+        for rank, count in queues.dispatched_by_rank().items():
+            self.generations_dispatched.set({"rank": str(rank)}, count)
+        self.heads_skipped.set({}, queues.skipped_heads())
+
     def update_control_traffic(self, traffic) -> None:
         """Update the gauges from a :class:`~guavacleat.ingress.sources.ControlTraffic`."""
         for type, calls in traffic.calls_by_type.items():
--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -276,6 +276,7 @@
         self.metrics.update_configuration(self.holder, self.source.failures_by_kind())
         self.metrics.update_quarantine(self.crash_tracker)
         self.metrics.update_availability(self.evacuations, self.throttle, self.registry)
+        self.metrics.update_queue(self.context.queue.fleet_queues)
         self.metrics.update_control_traffic(self.source.control_traffic())
         self.metrics.loop_lag.set({}, self.loop_lag.longest)
         return self.metrics.exposition()
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -148,6 +148,7 @@
             self.should_watch.is_selected,
             self.link_bytes_per_second,
         )
+        ingress.context.queue.listeners.append(self.exchange.on_queue_change)
         self.quarantine_record = QuarantineRecord(
             self.reactor, self.store, ingress.crash_tracker, self._should_read_quarantine
         )
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -200,6 +200,10 @@
         self._schedule_report()
         self.summaries.load_changed()
 
+    def on_queue_change(self) -> None:
+        """Schedule a report of what waits, in the same batches as changes of the load."""
+        self.on_load_change()
+
     def _state_changed(self) -> None:
         self._schedule_report()
         self.summaries.endpoint_changed()
@@ -298,7 +302,7 @@
             gateway_count=self._local_count(),
             backlogs_by_service=sum_by_key(
                 Backlog,
-                [self.own_backlogs(), *(report.backlogs_by_service for report in neighbours)],
+                [self.own_backlogs(), *self.peer_table.neighbour_backlogs()],
             ),
             demands_by_service=sum_by_key(
                 ServiceDemand,
@@ -408,7 +412,12 @@
             # A gateway that has just started knows neither the load nor the evacuations.
             self._schedule_report()
         self._apply_report(report)
-        if previous is None or not _same_loads(previous.report, report):
+        if (
+            previous is None
+            or not _same_loads(previous.report, report)
+            or _has_heads(previous.report)
+            or _has_heads(report)
+        ):
             self.summaries.load_changed()
 
     def _receive_summary(self, report: GatewayReport, data: bytes, address) -> None:
@@ -446,3 +455,11 @@
     return loads.keys() == other_loads.keys() and all(
         load.same_as(other_loads[id]) for id, load in loads.items()
     )
+
+
+def _has_heads(report: GatewayReport) -> bool:
+    """Whether generations of contended services wait at the gateway.
+
+    Their slack runs out, so that they are summarised again although the loads are the same.
+    """
+    return any(backlog.heads for backlog in report.backlogs_by_service.values())
--- a/src/guavacleat/peers/fitting.py
+++ b/src/guavacleat/peers/fitting.py
@@ -3,6 +3,8 @@
 A report that is longer than a datagram can't be sent at all. What is left out of it is chosen so
 that the rest stays true:
 
+- The use of accounts and the waiting generations are left out first: the gateways do without them
+  for a while, but would overload engines whose loads they don't know.
 - Of the endpoint changes, those of endpoints that get no new requests are kept first, then the
   latest ones. ``changes_since`` is raised to the latest revision that is left out: a peer that
   lacks one of these changes notices the gap and queries the store.
@@ -41,7 +43,6 @@
 # Parts that may be left out, in this order, and their values without content. A report without
 # evacuations is no evidence of any.
 OPTIONAL_PARTS = {
-    "tokens_by_account": {},
     "demands_by_service": {},
     "limits": None,
     "crashes": None,
@@ -66,21 +67,57 @@
 
 def fit_report(report: GatewayReport) -> FittedReport:
     """Encode ``report``, without what does not fit into a datagram."""
+    left_out = {}
+    for leave_out in (_keep_all, _without_accounts, _without_heads):
+        report, counts = leave_out(report)
+        left_out.update(counts)
+        data = _encode_if_short(report)
+        if data is not None:
+            return FittedReport(data, left_out)
+    return _Shortener(report, left_out).fit()
+
+
+def _encode_if_short(report: GatewayReport) -> bytes | None:
+    """The encoded report; None if it is too long."""
     elements = len(report.changes) + len(report.loads_by_endpoint)
-    if elements * MIN_ELEMENT_BYTES <= MAX_REPORT_BYTES:
-        data = encode_report(report)
-        if len(data) <= MAX_REPORT_BYTES:
-            return FittedReport(data, {})
-    return _Shortener(report).fit()
+    if elements * MIN_ELEMENT_BYTES > MAX_REPORT_BYTES:
+        return None
+    data = encode_report(report)
+    return data if len(data) <= MAX_REPORT_BYTES else None
+
+
+def _keep_all(report: GatewayReport) -> tuple[GatewayReport, dict[str, int]]:
+    return report, {}
+
+
+def _without_accounts(report: GatewayReport) -> tuple[GatewayReport, dict[str, int]]:
+    """A copy without the use of accounts, and the number of elements left out by part."""
+    if not report.tokens_by_account:
+        return report, {}
+    shorter = copy.copy(report)
+    shorter.tokens_by_account = {}
+    return shorter, {"tokens_by_account": len(report.tokens_by_account)}
+
+
+def _without_heads(report: GatewayReport) -> tuple[GatewayReport, dict[str, int]]:
+    """A copy without the waiting generations, and the number of elements left out by part."""
+    count = sum(len(backlog.heads) for backlog in report.backlogs_by_service.values())
+    if not count:
+        return report, {}
+    shorter = copy.copy(report)
+    shorter.backlogs_by_service = {
+        name: backlog.with_heads(()) for name, backlog in report.backlogs_by_service.items()
+    }
+    return shorter, {"heads": count}
 
 
 class _Shortener:
     """Leaves out of one report what does not fit."""
 
-    def __init__(self, report: GatewayReport):
+    def __init__(self, report: GatewayReport, left_out: dict[str, int]):
         self.report = report
         self.fitted = copy.copy(report)
-        self.left_out: dict[str, int] = {}
+        self.left_out = left_out
 
     def fit(self) -> FittedReport:
         self.fitted.loads_by_endpoint, self.fitted.changes = {}, ()
--- a/src/guavacleat/peers/table.py
+++ b/src/guavacleat/peers/table.py
@@ -3,13 +3,19 @@
 Gateways in the same data centre report individually; remote data centres send summaries.
 """
 
+import heapq
 import itertools
 
 from eliot import log_message
 from twisted.internet.interfaces import IReactorTime
 
 from guavacleat.admission.accounts import sum_accounts
-from guavacleat.admission.backlog import Backlog
+from guavacleat.admission.backlog import (
+    MAX_HEADS,
+    MAX_SUMMARY_HEADS,
+    Backlog,
+    WaitingGeneration,
+)
 from guavacleat.peers.report import GatewayReport
 from guavacleat.placement import EndpointLoad
 from guavacleat.throttling import ServiceDemand
@@ -22,6 +28,11 @@
 # From the end of a gateway's process until the restarted one takes requests: process start,
 # loading the configuration, and the load balancer's next health check.
 GATEWAY_RESTART_SECONDS = 1.0
+# Maximum age of a report whose waiting generations count: a gateway repeats its report within
+# 0.25 s while something waits.
+HEAD_SECONDS = 0.3
+# The same for a summary: it contains reports of that age, and is limited to a rate in bytes.
+SUMMARY_HEAD_SECONDS = 0.7
 
 
 class _Peer:
@@ -77,11 +88,7 @@
         newer one.
         """
         recent = map(self._recent, self.summaries_by_data_centre.values())
-        return [
-            max(peers, key=lambda peer: (peer.report.gateway_count, peer.received_at)).report
-            for peers in recent
-            if peers
-        ]
+        return [max(peers, key=_coverage).report for peers in recent if peers]
 
     def _recent(self, peers: dict[str, _Peer]) -> list[_Peer]:
         oldest = self.clock.seconds() - PEER_TIMEOUT_SECONDS
@@ -105,6 +112,42 @@
         backlogs = (report.backlogs_by_service.get(service) for report in reports)
         return sum_of(Backlog, (backlog for backlog in backlogs if backlog is not None))
 
+    def fresh_heads(self, service: str) -> list[tuple[WaitingGeneration, float]]:
+        """The first waiting generations at the other gateways, each with its report's age (s).
+
+        Their slack is reduced by the age. There are at most ``MAX_SUMMARY_HEADS`` of a data centre.
+        """
+        now = self.clock.seconds()
+        local = _aged_heads(self._fresh_neighbours(), service, MAX_HEADS, now)
+        local = heapq.nsmallest(MAX_SUMMARY_HEADS, local, key=lambda aged: aged[0].order)
+        remote = _aged_heads(self._fresh_summaries(), service, MAX_SUMMARY_HEADS, now)
+        return [*local, *remote]
+
+    def neighbour_backlogs(self) -> list[dict[str, Backlog]]:
+        """The backlogs by service of each peer in the same data centre, with fresh heads only."""
+        now = self.clock.seconds()
+        fresh = {id(peer) for peer in self._fresh_neighbours()}
+        return [
+            {
+                name: _with_heads(backlog, peer, now if id(peer) in fresh else None)
+                for name, backlog in peer.report.backlogs_by_service.items()
+            }
+            for peer in self._recent(self.peers_by_instance)
+        ]
+
+    def _fresh_neighbours(self) -> list[_Peer]:
+        oldest = self.clock.seconds() - HEAD_SECONDS
+        return [peer for peer in self.peers_by_instance.values() if peer.received_at >= oldest]
+
+    def _fresh_summaries(self) -> list[_Peer]:
+        """One summary of each remote data centre among those whose heads count."""
+        oldest = self.clock.seconds() - SUMMARY_HEAD_SECONDS
+        fresh = (
+            [peer for peer in peers.values() if peer.received_at >= oldest]
+            for peers in self.summaries_by_data_centre.values()
+        )
+        return [max(peers, key=_coverage) for peers in fresh if peers]
+
     def demand(self, service: str) -> ServiceDemand:
         """The demand for the service at the other gateways that report theirs."""
         reports = [*self.alive(), *self.summaries()]
@@ -150,3 +193,26 @@
         reports = itertools.chain(self.alive(), self.summaries())
         loads = (report.loads_by_endpoint.get(endpoint_id) for report in reports)
         return sum_of(EndpointLoad, (load for load in loads if load is not None))
+
+
+def _coverage(peer: _Peer) -> tuple[int, float]:
+    return peer.report.gateway_count, peer.received_at
+
+
+def _aged_heads(
+    peers: list[_Peer], service: str, most: int, now: float
+) -> list[tuple[WaitingGeneration, float]]:
+    """The first ``most`` heads of each peer, each with its age."""
+    backlogs = ((peer, peer.report.backlogs_by_service.get(service)) for peer in peers)
+    return [
+        (head.aged(now - peer.received_at), now - peer.received_at)
+        for peer, backlog in backlogs
+        if backlog is not None
+        for head in backlog.heads[:most]
+    ]
+
+
+def _with_heads(backlog: Backlog, peer: _Peer, now: float | None) -> Backlog:
+    """The backlog with its heads as of clock time ``now``, or with none."""
+    heads = [] if now is None else [head.aged(now - peer.received_at) for head in backlog.heads]
+    return backlog.with_heads(tuple(heads[:MAX_HEADS]))
--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -13,6 +13,7 @@
 )
 from guavacleat.placement.load import LoadTracker
 from guavacleat.placement.prefill import FirstEventEstimate
+from guavacleat.placement.turn_loads import TurnLoads
 from guavacleat.routes import EngineTraits
 from guavacleat.throttling import EndpointThrottle
 
@@ -141,23 +142,65 @@
         """Whether a crash of the endpoint would affect few callers."""
         return self.load.total(entry.id).runs <= LIGHT_LOAD_SHARE * entry.slots
 
-    def choose_for_generation(self, request, exclude: set[str]) -> EndpointEntry | None:
+    def choose_for_generation(
+        self, request, exclude: set[str], loads: TurnLoads | None = None
+    ) -> EndpointEntry | None:
         """The engine for a generation; None if it should wait for capacity.
 
         :param request: a ``ForwardedRequest`` for a service with engines.
+        :param loads: loads with other generations that are about to start; None: the known loads.
         """
         demand = GenerationDemand.of(request)
         available = [
-            entry for entry in self._available(request, exclude) if self._has_room(entry, demand)
+            entry
+            for entry in self._available(request, exclude)
+            if self._has_room(entry, demand, loads)
         ]
-        return min(available, key=lambda entry: self._run_cost(entry, demand), default=None)
+        return min(available, key=lambda entry: self._run_cost(entry, demand, loads), default=None)
 
-    def _has_room(self, entry: EndpointEntry, demand: GenerationDemand) -> bool:
-        return self.engine_chooser.has_room(entry, demand, self.load.total(entry.id))
+    def choose_for_waiting(
+        self,
+        entries: list[EndpointEntry],
+        demand: GenerationDemand,
+        loads: TurnLoads,
+        spread: float = 0.0,
+    ) -> EndpointEntry | None:
+        """The engine among ``entries`` for a waiting generation, also one of a peer; None if full.
 
-    def _run_cost(self, entry: EndpointEntry, demand: GenerationDemand) -> tuple[float, float]:
+        :param loads: loads with the generations that are assigned before it.
+        :param spread: difference in cost (s) up to which the choice is random. Without it, gateways
+            that know the same loads choose the same engine.
+        """
+        costs = [
+            (self._run_cost(entry, demand, loads)[0], entry)
+            for entry in entries
+            if self._has_room(entry, demand, loads)
+        ]
+        if not costs:
+            return None
+        lowest, cheapest = min(costs, key=lambda item: (item[0], item[1].id))
+        if not spread:
+            return cheapest
+        return self.random.choice([entry for cost, entry in costs if cost <= lowest + spread])
+
+    def ready_for_peers(self, service: str) -> list[EndpointEntry]:
+        """Engines that the other gateways may use: the limits of this gateway don't apply."""
+        return self.registry.ready(service)
+
+    def available_for(self, request, exclude: set[str]) -> list[EndpointEntry]:
+        """Engines that this gateway may send ``request`` to now, whether or not they have room."""
+        return self._available(request, exclude)
+
+    def _has_room(
+        self, entry: EndpointEntry, demand: GenerationDemand, loads: TurnLoads | None = None
+    ) -> bool:
+        return self.engine_chooser.has_room(entry, demand, (loads or self.load).total(entry.id))
+
+    def _run_cost(
+        self, entry: EndpointEntry, demand: GenerationDemand, loads: TurnLoads | None = None
+    ) -> tuple[float, float]:
         """Cost of another run in seconds, with a random tie-breaker."""
-        cost = self.engine_chooser.cost(entry, demand, self.load.total(entry.id))
+        cost = self.engine_chooser.cost(entry, demand, (loads or self.load).total(entry.id))
         return cost + self._failure_penalty(entry), self.random.random()
 
     def latest_start(self, request) -> float:
--- a/tests/ingress/test_metrics.py
+++ b/tests/ingress/test_metrics.py
@@ -1,5 +1,8 @@
 """Metrics of control traffic."""
 
+import types
+
+from guavacleat.admission.fleet_queues import FleetQueues
 from guavacleat.ingress.metrics import IngressMetrics
 from guavacleat.ingress.sources import ControlTraffic
 
@@ -19,3 +22,18 @@
     metrics = IngressMetrics()
     metrics.update_control_traffic(ControlTraffic({}, {}))
     assert b"guavacleat_store_calls{" not in metrics.exposition()
+
+
+def test_dispatches_by_rank_and_skipped_heads_are_exposed(clock):
+    metrics, queues = IngressMetrics(), FleetQueues(clock, None)
+    history = queues._new_queue("svc").history
+    queues.queues_by_service["svc"] = types.SimpleNamespace(
+        history=history, head_watch=types.SimpleNamespace(skipped_count=2)
+    )
+    for priority in (0, 2, 2, 99):
+        history.record(0.0, priority, 100)
+    metrics.update_queue(queues)
+    lines = metrics.exposition().decode().splitlines()
+    assert 'guavacleat_generations_dispatched{rank="2"} 2' in lines
+    assert 'guavacleat_generations_dispatched{rank="7"} 1' in lines
+    assert "guavacleat_heads_skipped 2" in lines
--- a/tests/peers/test_fitting.py
+++ b/tests/peers/test_fitting.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from guavacleat.admission.backlog import Backlog, WaitingGeneration
 from guavacleat.evacuations import EvacuationChange
 from guavacleat.membership.entries import EndpointChange, EndpointState
 from guavacleat.peers.fitting import MAX_REPORT_BYTES, fit_report
@@ -135,3 +136,19 @@
         (bool(report.crashes), bool(report.limits)) for report, _ in peer_exchange.transport.sent
     ]
     assert parts[-2:] == [(True, False), (False, True)]
+
+
+def test_accounts_and_waiting_generations_are_left_out_before_loads():
+    """Guards against gateways that don't know the loads of engines because something waits."""
+    heads = tuple(WaitingGeneration(2**61 + n, 2, 1.0, 3800, 3000, True) for n in range(24))
+    fields = dict(
+        backlogs_by_service={"s": Backlog(9, 24, 5, {}, heads)},
+        tokens_by_account={f"account-{n}": 10**6 + n for n in range(16)},
+    )
+    bare = len(encode_report(make_report()))
+    per_load = (len(encode_report(make_report(make_loads(100)))) - bare) / 100
+    full = make_loads(int((MAX_REPORT_BYTES - bare) / per_load) - 10)
+    sent = decode_report(fit_report(make_report(full, **fields)).data)
+    assert len(sent.loads_by_endpoint) == len(full)
+    assert not sent.tokens_by_account and not sent.backlogs_by_service["s"].heads
+    assert sent.backlogs_by_service["s"].waiting == 24
