--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -128,7 +128,9 @@
             throttle=self.throttle,
             regions_by_data_centre=settings.regions_by_data_centre,
         )
-        queue = GenerationQueue(reactor, placement, peers=self.peers)
+        queue = GenerationQueue(
+            reactor, placement, peers=self.peers, account_usage=self.account_usage
+        )
         self.load.listeners.append(queue.schedule_dispatch)
         self.peers.on_report = queue.schedule_dispatch
         context = ForwardingContext(
@@ -287,6 +289,7 @@
         self.metrics.update_reserves(reserves.tokens_by_service())
         self.metrics.update_speeds(self.context.placement.engine_speeds.relative_speeds())
         self.metrics.update_accounts(self.account_usage)
+        self.metrics.update_queue(self.context.queue.fleet_queues)
         self.metrics.update_control_traffic(self.source.control_traffic())
         self.metrics.loop_lag.set({}, self.loop_lag.longest)
         return self.metrics.exposition()
