Queues of several gateways are tested under faults; peers' heads count for a bounded time

A peer with a fault could hold room by a generation that fits nowhere, and one that reported a key of this gateway's own requests stopped the turns with an exception (found by the state machine).

A head counts no longer than the slack with which it was first seen, and heads with own keys are ignored. Turns read the peers' loads once, and compare a bounded number of engines for peers.

--- a/src/guavacleat/admission/fleet_queue.py
+++ b/src/guavacleat/admission/fleet_queue.py
@@ -24,6 +24,9 @@
 
 # Changes of loads and reports within this time lead to one turn.
 TURN_BATCH_SECONDS = 0.005
+# The same for each engine, where this is longer: reading the loads of 3,000 engines takes some
+# milliseconds.
+TURN_BATCH_SECONDS_PER_ENGINE = 2e-5
 # Interval of turns without a notification, for what no report announces: a new engine, or a peer
 # whose reports have stopped.
 POLL_SECONDS = 0.1
@@ -56,6 +59,7 @@
         self.accounts = accounts
         self.on_change = on_change
         self.engine_traits = None
+        self._engine_count = 0
         self.head_watch = HeadWatch()
         self.entries_by_key: dict[int, FleetEntry] = {}
         self.history = DispatchHistory()
@@ -113,7 +117,8 @@
     def schedule_turn(self) -> None:
         """Consider the queued requests soon, after a change of a load or a peer's report."""
         if self.entries_by_key:
-            self._schedule_turn_within(TURN_BATCH_SECONDS)
+            per_engine = TURN_BATCH_SECONDS_PER_ENGINE * self._engine_count
+            self._schedule_turn_within(max(TURN_BATCH_SECONDS, per_engine))
 
     def _schedule_turn_within(self, seconds: float) -> None:
         call = self._turn_call
@@ -147,9 +152,13 @@
     ) -> Assignment:
         """Assign engines to ``entries``; the queued ``others`` count like the peers' requests."""
         engines = TurnEngines(self.placement, self.service, arriving)
+        self._engine_count = engines.engine_count
         for entry, engine in self._assigned.values():
             engines.loads.add(engine.id, entry.demand)
         heads = self.head_watch.counting(self._fresh_heads(), now)
+        # A peer with a fault may report a request of this gateway.
+        own_keys = self.entries_by_key.keys() | {entry.key for entry in entries}
+        heads = [head for head in heads if head.key not in own_keys]
         peers = [
             Contender(head.key, head.priority, head.slack, self._demand(head)) for head in heads
         ]
--- a/src/guavacleat/admission/head_watch.py
+++ b/src/guavacleat/admission/head_watch.py
@@ -4,14 +4,16 @@
 the engine may be closed to it. Each generation therefore counts for a limited time.
 """
 
-__all__ = ["HEAD_MAX_SECONDS", "SEEN_ROOM_SECONDS", "HeadWatch"]
+__all__ = ["HEAD_MAX_SECONDS", "SEEN_ROOM_SECONDS", "SLACK_TOLERANCE_SECONDS", "HeadWatch"]
 
 # Time for which room is left free for a peer's generation: longer than a report of another data
 # centre takes, and short compared to the goals.
 SEEN_ROOM_SECONDS = 0.3
-# Time for which a peer's generation counts without room: longer than the goals, so that it is late
-# by then. A peer with a fault must not block others by a generation that fits nowhere.
+# Longest time for which a peer's generation counts without room, and by how much it may exceed its
+# slack at first sight: a report of another data centre may be that old. A peer with a fault must
+# not block others by a generation that fits nowhere.
 HEAD_MAX_SECONDS = 5.0
+SLACK_TOLERANCE_SECONDS = 0.7
 # Longest time between two turns that counts as seen room: the interval of turns while generations
 # wait here. Between turns further apart, the room wasn't observed.
 MAX_TURN_SECONDS = 0.1
@@ -24,10 +26,12 @@
 class _SeenHead:
     """How long a peer's generation has counted; clock times and seconds."""
 
-    __slots__ = ("first_seen_at", "seen_at", "had_room", "room_seconds", "skipped")
+    __slots__ = ("late", "counts_until", "seen_at", "had_room", "room_seconds", "skipped")
 
-    def __init__(self, now: float):
-        self.first_seen_at = now
+    def __init__(self, head, now: float):
+        self.late = head.slack < 0
+        slack = HEAD_MAX_SECONDS if self.late else head.slack + SLACK_TOLERANCE_SECONDS
+        self.counts_until = now + min(slack, HEAD_MAX_SECONDS)
         self.seen_at = now
         self.had_room = False
         self.room_seconds = 0.0
@@ -50,7 +54,7 @@
 
         Call :meth:`record_room` afterwards.
         """
-        counting = [head for head in heads if self._counts(head.key, now)]
+        counting = [head for head in heads if self._counts(head, now)]
         self._forget(now)
         return counting
 
@@ -59,18 +63,19 @@
         for key in keys:
             self.seen_by_key[key].had_room = True
 
-    def _counts(self, key: int, now: float) -> bool:
-        seen = self.seen_by_key.pop(key, None) or _SeenHead(now)
-        self.seen_by_key[key] = seen
+    def _counts(self, head, now: float) -> bool:
+        seen = self.seen_by_key.pop(head.key, None) or _SeenHead(head, now)
+        self.seen_by_key[head.key] = seen
+        if head.slack < 0 and not seen.late:
+            # It counts on behind all that are on time.
+            seen.late, seen.counts_until = True, now + HEAD_MAX_SECONDS
         if seen.had_room:
             seen.room_seconds += min(now - seen.seen_at, MAX_TURN_SECONDS)
         seen.seen_at, seen.had_room = now, False
-        if seen.skipped:
-            return False
-        took_no_room = seen.room_seconds >= SEEN_ROOM_SECONDS
-        seen.skipped = took_no_room or now - seen.first_seen_at >= HEAD_MAX_SECONDS
-        self.skipped_count += took_no_room
-        return not seen.skipped
+        if not seen.skipped and seen.room_seconds >= SEEN_ROOM_SECONDS:
+            seen.skipped = True
+            self.skipped_count += 1
+        return not seen.skipped and now <= seen.counts_until
 
     def _forget(self, now: float) -> None:
         while self.seen_by_key:
--- a/src/guavacleat/admission/turn_engines.py
+++ b/src/guavacleat/admission/turn_engines.py
@@ -8,6 +8,9 @@
 # Difference in cost up to which the engine of a request that arrives is drawn at random: other
 # gateways may choose before they hear of it.
 ARRIVAL_SPREAD_SECONDS = 0.1
+# Engines that are compared for peers' contenders in one turn, summed over the contenders: some
+# tens of milliseconds of work. With more engines or contenders, those that come later don't count.
+MAX_PEER_COMPARISONS = 10_000
 
 
 class TurnEngines:
@@ -31,12 +34,19 @@
         self._available_by_limits: dict[tuple, list] = {}
         # Sizes of peers' contenders without room.
         self._without_room: set[tuple[bool, int, int]] = set()
+        self._comparisons_left = MAX_PEER_COMPARISONS
+
+    @property
+    def engine_count(self) -> int:
+        return len(self._ready)
 
     def place(self, contender: Contender, closed: set[str]):
         """The engine for the contender, whose load then contains it; None without room."""
         if self._is_surely_without_room(contender):
             return None
         entries = [entry for entry in self._usable(contender) if entry.id not in closed]
+        if contender.entry is None:
+            self._comparisons_left -= len(entries)
         spread = 0.0
         if self.arriving is not None and contender.entry is self.arriving:
             spread = ARRIVAL_SPREAD_SECONDS
@@ -56,7 +66,7 @@
 
     def _usable(self, contender: Contender) -> list:
         if contender.entry is None:
-            return self._ready
+            return self._ready if self._comparisons_left > 0 else []
         request, tried = contender.entry.request, contender.entry.tried
         limits = (request.regions, tried)
         if limits not in self._available_by_limits:
--- a/src/guavacleat/peers/table.py
+++ b/src/guavacleat/peers/table.py
@@ -194,6 +194,14 @@
         loads = (report.loads_by_endpoint.get(endpoint_id) for report in reports)
         return sum_of(EndpointLoad, (load for load in loads if load is not None))
 
+    def totals_by_endpoint(self) -> dict[str, EndpointLoad]:
+        """The sums of :meth:`total` of all endpoints with load, read from each report once."""
+        totals: dict[str, EndpointLoad] = {}
+        for report in itertools.chain(self.alive(), self.summaries()):
+            for id, load in report.loads_by_endpoint.items():
+                totals.setdefault(id, EndpointLoad()).add(load)
+        return totals
+
 
 def _coverage(peer: _Peer) -> tuple[int, float]:
     return peer.report.gateway_count, peer.received_at
--- a/src/guavacleat/placement/load.py
+++ b/src/guavacleat/placement/load.py
@@ -103,7 +103,7 @@
         self.listeners: list = []
         self.runs_by_endpoint: dict[str, dict[str, Run]] = {}
         self.health_by_endpoint: dict[str, EndpointHealth] = {}
-        # Load reported by the peers: an object with ``total(endpoint_id)``.
+        # Load reported by the peers: a ``PeerTable``.
         self.peers = None
 
     def begin(self, endpoint_id: str, run: Run) -> None:
@@ -142,6 +142,10 @@
         load = self.local(endpoint_id)
         return load if self.peers is None else load.add(self.peers.total(endpoint_id))
 
+    def peer_totals(self) -> dict[str, EndpointLoad]:
+        """The peers' load by endpoint id."""
+        return {} if self.peers is None else self.peers.totals_by_endpoint()
+
     def generation_loads(self) -> dict[str, EndpointLoad]:
         """The local load by endpoint id, for endpoints that run generations of this gateway."""
         with_runs = (
--- a/src/guavacleat/placement/turn_loads.py
+++ b/src/guavacleat/placement/turn_loads.py
@@ -8,22 +8,25 @@
 class TurnLoads:
     """Loads of engines, with generations that have been assigned but aren't in the tracker yet.
 
-    A load is read from the tracker once: an object of this class is used for one turn only.
+    Loads are read from the tracker once: an object of this class is used for one turn only.
 
     :param load: the :class:`~.load.LoadTracker`.
     """
 
-    __slots__ = ("load", "loads_by_endpoint")
+    __slots__ = ("load", "peer_loads", "loads_by_endpoint")
 
     def __init__(self, load):
         self.load = load
+        self.peer_loads = load.peer_totals()
         self.loads_by_endpoint: dict[str, EndpointLoad] = {}
 
     def total(self, endpoint_id: str) -> EndpointLoad:
         """The load of all known runs and of the assigned generations."""
         total = self.loads_by_endpoint.get(endpoint_id)
         if total is None:
-            total = self.loads_by_endpoint[endpoint_id] = self.load.total(endpoint_id)
+            total = self.loads_by_endpoint[endpoint_id] = self.load.local(endpoint_id)
+            if endpoint_id in self.peer_loads:
+                total.add(self.peer_loads[endpoint_id])
         return total
 
     def add(self, endpoint_id: str, demand) -> None:
--- a/tests/admission/test_fleet_queue.py
+++ b/tests/admission/test_fleet_queue.py
@@ -237,3 +237,14 @@
     harness.load.end("e1", run)
     harness.turn()
     assert harness.asked["own"] == []
+
+
+def test_peer_that_reports_a_request_of_this_gateway_is_ignored(harness):
+    """Guards against a turn that takes a peer's request for one of its own."""
+    run = harness.occupy()
+    harness.ask("own")
+    [own] = harness.queue.backlogs_by_service()["svc"].heads
+    harness.report(head(key=own.key))
+    harness.load.end("e1", run)
+    harness.turn()
+    assert harness.asked["own"] == ["e1"]
--- a/tests/peers/test_backlogs.py
+++ b/tests/peers/test_backlogs.py
@@ -3,6 +3,7 @@
 import pytest
 
 from guavacleat.admission.backlog import Backlog, RankBacklog, WaitingGeneration
+from guavacleat.peers import PeerTable
 from guavacleat.peers.backlogs import MAX_TOKENS
 from guavacleat.peers.report import GatewayReport, decode_report, encode_report
 from guavacleat.placement import EndpointLoad
@@ -52,3 +53,16 @@
     report = exchange(loads, tokens_by_account={"a": MAX_TOKENS + 1, "b": -5, "c": 1})
     assert report.loads_by_endpoint["e1"].held_tokens == 0
     assert report.tokens_by_account == {"c": 1}
+
+
+def test_summary_contains_only_fresh_heads_with_their_present_slack(clock):
+    """A summary must not present as fresh what a silent neighbour reported a second ago."""
+    table = PeerTable(clock)
+    backlogs = {"s": Backlog(1, 1, 0, {}, (head(slack=1.0),))}
+    table.observe(GatewayReport("g1", 1, 1, {}, backlogs_by_service=backlogs))
+    clock.advance(0.2)
+    [found] = table.neighbour_backlogs()
+    assert [item.slack for item in found["s"].heads] == [pytest.approx(0.8)]
+    clock.advance(0.2)
+    [found] = table.neighbour_backlogs()
+    assert (found["s"].waiting, found["s"].heads) == (1, ())
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -11,6 +11,8 @@
     BACKUP_MEMORY_SHARE,
     FAILURE_WINDOW_SECONDS,
 )
+from guavacleat.placement.engine_choice import GenerationDemand
+from guavacleat.placement.turn_loads import TurnLoads
 from guavacleat.routes import RequestKind
 from tests.forwarding.harness import ENGINE, ForwardingHarness
 
@@ -92,3 +94,19 @@
     assert harness.context.placement.choose_move_target(request, source, 1000, set()).id == "e2"
     harness.load.begin("e2", Run("c", peak_tokens=ENGINE.memory_tokens // 2))
     assert harness.context.placement.choose_move_target(request, source, 1000, set()).id == "far"
+
+
+def test_assigned_generations_count_before_they_are_in_the_tracker(harness):
+    """Guards against several waiting generations that are assigned the same room in one turn."""
+    placement, loads = harness.context.placement, TurnLoads(harness.load)
+    demand = GenerationDemand(ENGINE, ENGINE.memory_tokens - 1000, 500, True, False)
+    ready = placement.ready_for_peers("svc")
+    found = []
+    while (engine := placement.choose_for_waiting(ready, demand, loads)) is not None:
+        loads.add(engine.id, demand)
+        found.append(engine.id)
+    assert found == ["e1", "e2"]
+    assert harness.load.total("e1").runs == 0
+    request, _ = harness.request(kind=RequestKind.STREAM, prompt_tokens=2000)
+    assert placement.choose_for_generation(request, set(), loads) is None
+    assert placement.choose_for_generation(request, set()) is not None
