--- a/src/guavacleat/placement/choice.py
+++ b/src/guavacleat/placement/choice.py
@@ -189,8 +189,8 @@
         return self.random.choice([entry for cost, entry in costs if cost <= lowest + spread])
 
     def ready_for_peers(self, service: str) -> list[EndpointEntry]:
-        """Engines that the other gateways may use: the limits of this gateway don't apply."""
-        return self.registry.ready(service)
+        """Engines that the other gateways may use: this gateway's own shares don't apply."""
+        return [entry for entry in self.registry.ready(service) if self.is_allowed(entry)]
 
     def available_for(self, request, exclude: set[str]) -> list[EndpointEntry]:
         """Engines that this gateway may send ``request`` to now, whether or not they have room."""
