--- a/src/guavacleat/admission/backlog.py
+++ b/src/guavacleat/admission/backlog.py
@@ -13,9 +13,10 @@
     "Backlog",
     "RankBacklog",
     "WaitingGeneration",
+    "rank_of",
 ]
 
-# Priorities that are counted apart; of several gateways, the most urgent ones.
+# Ranks of generations in the order of a contended service.
 MAX_RANKS = 8
 # First waiting generations that a gateway reports, and those of a summary.
 MAX_HEADS = 8
@@ -25,9 +26,22 @@
 # Maximum share of a request's timeout spent in the queue, so that its caller can still retry.
 MAX_WAIT_SHARE = 1 / 3
 
+# Priorities that are told apart among urgent generations, and among deferrable ones.
+PRIORITIES_PER_CLASS = MAX_RANKS // 2
+
+
+def rank_of(priority: int, deferrable: bool) -> int:
+    """The rank of a generation, from 0 (first) to ``MAX_RANKS - 1``.
+
+    Urgent ones come first: an account's priority replaces that of the route, so it doesn't say
+    which requests can wait. Within both classes, the priority decides.
+    """
+    rank = max(0, min(priority, PRIORITIES_PER_CLASS - 1))
+    return rank + PRIORITIES_PER_CLASS if deferrable else rank
+
 
 class RankBacklog(Summable):
-    """The generations of one priority; tokens are engine memory expected at their ends.
+    """The generations of one rank; tokens are engine memory expected at their ends.
 
     :param waiting: generations that wait and can still meet their latency goal.
     :param dispatched: generations sent to engines within the last ``RATE_WINDOW_SECONDS``.
@@ -52,6 +66,7 @@
     """A generation that waits for an engine.
 
     :param key: drawn at random when it is queued.
+    :param priority: its rank, see :func:`rank_of`.
     :param slack: seconds until its latest start that meets the goal; negative if it will be late.
     """
 
@@ -75,7 +90,7 @@
 
     @property
     def order(self) -> tuple[bool, int, float, int]:
-        """Sort key: on time before late, then by priority and by slack."""
+        """Sort key: on time before late, then by rank and by slack."""
         return self.slack < 0, self.priority, self.slack, self.key
 
     def aged(self, seconds: float) -> "WaitingGeneration":
@@ -96,7 +111,7 @@
     :param gateways: number of gateways with queued generations.
     :param waiting: generations queued there that can still meet their latency goal.
     :param dispatched: generations sent to engines within the last ``RATE_WINDOW_SECONDS``.
-    :param ranks_by_priority: of a contended service, the same by priority.
+    :param ranks_by_priority: of a contended service, the same by rank.
     :param heads: of a contended service, the first waiting generations in their order.
     """
 
--- a/src/guavacleat/admission/fleet_entry.py
+++ b/src/guavacleat/admission/fleet_entry.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import defer
 
-from guavacleat.admission.backlog import MAX_WAIT_SHARE, WaitingGeneration
+from guavacleat.admission.backlog import MAX_WAIT_SHARE, WaitingGeneration, rank_of
 from guavacleat.admission.fleet_order import Contender
 from guavacleat.admission.refusal_policy import Arrival
 from guavacleat.placement.engine_choice import GenerationDemand
@@ -28,6 +28,7 @@
     :param latest_start: the latest dispatch that meets its goal.
     :ivar order_start: the latest start by which it is ordered: earlier for a request that returns.
     :ivar wait_deadline: when it is refused.
+    :ivar misses_goal: whether it is expected to be late, and goes behind those that aren't.
     """
 
     __slots__ = (
@@ -38,6 +39,7 @@
         "latest_start",
         "order_start",
         "wait_deadline",
+        "misses_goal",
         "queued_at",
         "result",
         "timers",
@@ -52,16 +54,18 @@
         self.order_start = latest_start - _seconds_since_first_attempt(request)
         timeout = request.deadline - request.arrived_at
         self.wait_deadline = request.arrived_at + MAX_WAIT_SHARE * timeout
+        self.misses_goal = False
         self.queued_at = now
         self.result: defer.Deferred | None = None
         self.timers = []
 
     @property
     def priority(self) -> int:
-        return self.request.priority
+        """Its rank, see :func:`~.backlog.rank_of`."""
+        return rank_of(self.request.priority, self.demand.deferrable)
 
     def is_late(self, now: float) -> bool:
-        return now > self.latest_start
+        return self.misses_goal or now > self.latest_start
 
     def slack(self, now: float, penalty: float) -> float:
         """Seconds until its latest start in the order; negative exactly if it is late."""
--- a/src/guavacleat/admission/fleet_queue.py
+++ b/src/guavacleat/admission/fleet_queue.py
@@ -82,6 +82,7 @@
         refusal = self._refusal_on_arrival(entry, now)
         if refusal is not None:
             return defer.fail(refusal)
+        entry.misses_goal = self.refusals.misses_goal(entry.arrival(), self._fleet_backlog(), now)
         self._push(entry, now)
         self._log_waits(entry, assignment, now)
         return entry.result
--- a/src/guavacleat/admission/refusal_policy.py
+++ b/src/guavacleat/admission/refusal_policy.py
@@ -6,16 +6,19 @@
 
 import random
 
-from guavacleat.admission.backlog import Backlog
+from guavacleat.admission.backlog import MAX_RANKS, Backlog
 from guavacleat.admission.expected_wait import expected_wait
 from guavacleat.admission.return_times import ReturnTimes
 from guavacleat.forwarding.refusals import RefusalError, RefusalReason
 
 __all__ = ["Arrival", "RefusalPolicy"]
 
-# Expected wait in seconds from which on requests that can't meet their goal are refused, so that
-# others can meet theirs. Shorter waits are within the error of the estimate.
+# Expected wait in seconds from which on requests that would miss their goal go behind the others.
+# Shorter waits are within the error of the estimate.
 OVERLOAD_WAIT_SECONDS = 0.3
+# Time before the latest start at which a request should start: the time to its first event varies
+# by about this much.
+GOAL_MARGIN_SECONDS = 0.4
 
 
 class Arrival:
@@ -64,18 +67,31 @@
         """Number of refused requests whose return is still due, by priority."""
         return self.return_times.count_by_priority(self.clock.seconds())
 
+    def misses_goal(self, arrival: Arrival, backlog: Backlog, now: float) -> bool:
+        """Whether the request is expected to be late if it waits for its turn.
+
+        Served in its turn it would delay others, which then miss their goals too.
+        """
+        wait = expected_wait(backlog, arrival.priority)
+        return (
+            wait > OVERLOAD_WAIT_SECONDS
+            and now <= arrival.latest_start < now + wait + GOAL_MARGIN_SECONDS
+        )
+
     def on_arrival(self, arrival: Arrival, backlog: Backlog, now: float) -> RefusalError | None:
         """The refusal of a request that would wait for too long; None if it may be queued."""
         wait = expected_wait(backlog, arrival.priority)
-        misses_goal = now <= arrival.latest_start < now + wait
-        if now + wait > arrival.wait_deadline or (misses_goal and wait > OVERLOAD_WAIT_SECONDS):
+        if now + wait > arrival.wait_deadline:
             return self._refuse(arrival, backlog, now, f"expected to wait {wait:.2f} s")
         return None
 
     def on_late(self, arrival: Arrival, backlog: Backlog, now: float) -> RefusalError | None:
-        """The refusal of a queued request that has become late; None if it may wait on."""
-        wait = expected_wait(backlog, arrival.priority)
-        if wait > OVERLOAD_WAIT_SECONDS:
+        """The refusal of a queued request that has become late; None if it may wait on.
+
+        It waits behind all that can be on time.
+        """
+        wait = expected_wait(backlog, MAX_RANKS - 1)
+        if now + wait > arrival.wait_deadline:
             return self._refuse(arrival, backlog, now, f"late, expected to wait {wait:.2f} s")
         return None
 
--- a/src/guavacleat/placement/speeds.py
+++ b/src/guavacleat/placement/speeds.py
@@ -24,8 +24,8 @@
 # Ratios of the slowest to the fastest quarter at which a service becomes uneven and even again.
 # Smaller ones come from load: a step that also prefills takes up to twice as long as one that
 # doesn't. The gap between the two avoids frequent changes.
-UNEVEN_RATIO = 1.8
-EVEN_RATIO = 1.5
+UNEVEN_RATIO = 2.0
+EVEN_RATIO = 1.6
 # Bound of the ratio between an engine and the median, against wrong measurements; the largest seen
 # between two engines is 2.4.
 MAX_SLOWNESS = 4.0
