--- a/src/guavacleat/admission/expected_wait.py
+++ b/src/guavacleat/admission/expected_wait.py
@@ -6,7 +6,7 @@
 
 from guavacleat.admission.backlog import Backlog
 
-__all__ = ["dispatch_rate", "expected_wait", "waiting_tokens"]
+__all__ = ["dispatch_rate", "expected_late_wait", "expected_wait", "waiting_tokens"]
 
 # Seconds over which gateways count the dispatches of a `Backlog`.
 RATE_WINDOW_SECONDS = 3.0
@@ -23,6 +23,13 @@
     return waiting_tokens(backlog, priority) / rate if rate else 0.0
 
 
+def expected_late_wait(backlog: Backlog, priority: int) -> float:
+    """Seconds that a late generation would wait, which goes behind all others; 0 if unknown."""
+    rate = dispatch_rate(backlog, priority)
+    waiting = sum(rank.waiting_tokens for rank in backlog.ranks_by_priority.values())
+    return waiting / rate if rate else 0.0
+
+
 def waiting_tokens(backlog: Backlog, priority: int) -> int:
     """Expected peak tokens of the waiting generations of ``priority`` or more urgent."""
     ranks = backlog.ranks_by_priority.items()
--- a/src/guavacleat/admission/refusal_policy.py
+++ b/src/guavacleat/admission/refusal_policy.py
@@ -6,8 +6,8 @@
 
 import random
 
-from guavacleat.admission.backlog import MAX_RANKS, Backlog
-from guavacleat.admission.expected_wait import expected_wait
+from guavacleat.admission.backlog import Backlog
+from guavacleat.admission.expected_wait import expected_late_wait, expected_wait
 from guavacleat.admission.return_times import ReturnTimes
 from guavacleat.forwarding.refusals import RefusalError, RefusalReason
 
@@ -90,7 +90,7 @@
 
         It waits behind all that can be on time.
         """
-        wait = expected_wait(backlog, MAX_RANKS - 1)
+        wait = expected_late_wait(backlog, arrival.priority)
         if now + wait > arrival.wait_deadline:
             return self._refuse(arrival, backlog, now, f"late, expected to wait {wait:.2f} s")
         return None
