--- a/src/guavacleat/placement/reserve.py
+++ b/src/guavacleat/placement/reserve.py
@@ -2,6 +2,9 @@
 
 Each gateway learns from the loads of the engines how much memory urgent generations use, and keeps
 deferrable ones from taking that much. The loads are sampled when generations are placed.
+
+An urgent generation needs room on one engine only. While enough engines have room for one,
+deferrable generations may fill the others.
 """
 
 import collections
@@ -12,6 +15,7 @@
 
 from guavacleat.membership.registry import EndpointRegistry
 from guavacleat.placement.load import EndpointLoad, LoadTracker
+from guavacleat.placement.memory_forecast import forecast_tokens
 
 __all__ = ["MAX_RESERVES", "UrgentReserve", "UrgentReserves"]
 
@@ -28,6 +32,9 @@
 MAX_RESERVE_SHARE = 0.5
 # Weight of the newest urgent generation in the mean size: some ten of them count.
 SIZE_SMOOTHING = 0.1
+# Engines with room for an urgent generation beyond those expected to be needed: between two
+# samples, all gateways together start about as many deferrable generations.
+SPARE_ENGINES = 3
 # Change that is logged, as a share of an engine's memory.
 LOGGED_SHARE = 0.1
 # A falling reserve below this many tokens is 0; it would otherwise never get there.
@@ -42,6 +49,7 @@
     :param name: of the service.
     :ivar tokens: the reserve in tokens per engine, at clock time ``updated_at``.
     :ivar sampled_at: clock time of the latest sample.
+    :ivar needed: whether few engines have room for an urgent generation, so that it is kept.
     """
 
     __slots__ = (
@@ -49,6 +57,7 @@
         "tokens",
         "updated_at",
         "sampled_at",
+        "needed",
         "_samples",
         "_engines",
         "_memory_tokens",
@@ -62,6 +71,7 @@
         self.name = name
         self.tokens = 0.0
         self.updated_at = self.sampled_at = float("-inf")
+        self.needed = True
         # Clock times, and urgent tokens of all engines at that time; oldest first.
         self._samples: collections.deque[tuple[float, int]] = collections.deque()
         self._engines = 1
@@ -73,12 +83,13 @@
         self._urgent_at = float("-inf")
         self._logged_tokens = 0.0
 
-    def sample(self, now: float, demand, urgent_tokens: list[int]) -> None:
+    def sample(self, now: float, demand, loads: list[EndpointLoad]) -> None:
         """Record the use of memory by urgent generations.
 
         :param demand: the ``GenerationDemand`` that is being placed.
-        :param urgent_tokens: the sum of the peaks of urgent runs, of each ready engine.
+        :param loads: of each ready engine.
         """
+        urgent_tokens = [load.urgent_tokens for load in loads]
         self.sampled_at = now
         self._engines = max(1, len(urgent_tokens))
         self._memory_tokens = demand.engine.memory_tokens
@@ -87,6 +98,18 @@
         if not demand.deferrable or any(urgent_tokens):
             self._urgent_at = now
         self.update(now)
+        self.needed = self._is_needed(now, sum(urgent_tokens), loads)
+
+    def _is_needed(self, now: float, urgent_tokens: int, loads: list[EndpointLoad]) -> bool:
+        """Whether urgent generations may soon find no engine with room."""
+        size = max(1.0, self._size())
+        expected = math.ceil(max(0.0, self._expected_use() - urgent_tokens) / size)
+        free = (self._memory_tokens - forecast_tokens(load) for load in loads)
+        return sum(tokens >= size for tokens in free) < expected + SPARE_ENGINES
+
+    def _size(self) -> float:
+        """Expected peak of an urgent generation, in tokens; 0 if unknown."""
+        return self._mean_size or self._reported_size
 
     def _observe_size(self, demand, urgent_tokens: list[int]) -> None:
         self._reported_size = min(filter(None, urgent_tokens), default=self._reported_size)
@@ -111,11 +134,14 @@
         """Tokens per engine that urgent generations are expected to need."""
         if now - self._urgent_at > WINDOW_SECONDS:
             return 0.0
-        uses = [float(tokens) for _, tokens in self._samples] or [0.0]
-        use = statistics.fmean(uses) + DEVIATIONS * statistics.pstdev(uses)
-        target = max(use / self._engines, self._mean_size or self._reported_size)
+        target = max(self._expected_use() / self._engines, self._size())
         return min(target, MAX_RESERVE_SHARE * self._memory_tokens)
 
+    def _expected_use(self) -> float:
+        """Tokens on all engines that urgent generations seldom exceed."""
+        uses = [float(tokens) for _, tokens in self._samples] or [0.0]
+        return statistics.fmean(uses) + DEVIATIONS * statistics.pstdev(uses)
+
     def _log_change(self) -> None:
         if abs(self.tokens - self._logged_tokens) < max(1.0, LOGGED_SHARE * self._memory_tokens):
             return
@@ -148,7 +174,9 @@
         What urgent runs use on the engine counts towards its reserve; urgent demands leave nothing.
         """
         reserve = self._sampled(service, demand)
-        return max(0.0, reserve.tokens - load.urgent_tokens) if demand.deferrable else 0.0
+        if not (demand.deferrable and reserve.needed):
+            return 0.0
+        return max(0.0, reserve.tokens - load.urgent_tokens)
 
     def tokens_by_service(self) -> dict[str, float]:
         """The present reserve of each service in tokens per engine."""
@@ -168,7 +196,5 @@
             del self.reserves_by_service[next(iter(self.reserves_by_service))]
         self.reserves_by_service[service] = reserve
         engines = self.registry.ready(service)
-        reserve.sample(
-            now, demand, [self.load.total(engine.id).urgent_tokens for engine in engines]
-        )
+        reserve.sample(now, demand, [self.load.total(engine.id) for engine in engines])
         return reserve
