--- a/src/guavacleat/admission/fleet_entry.py
+++ b/src/guavacleat/admission/fleet_entry.py
@@ -53,7 +53,11 @@
         self.latest_start = latest_start
         self.order_start = latest_start - _seconds_since_first_attempt(request)
         timeout = request.deadline - request.arrived_at
-        self.wait_deadline = request.arrived_at + MAX_WAIT_SHARE * timeout
+        # After another goal's time the overload is no short burst, and the caller may come back.
+        self.wait_deadline = min(
+            request.arrived_at + MAX_WAIT_SHARE * timeout,
+            max(now, latest_start) + request.route.latency_goal,
+        )
         self.misses_goal = False
         self.queued_at = now
         self.result: defer.Deferred | None = None
