--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -2,7 +2,6 @@
 
 import functools
 
-from guavacleat.admission.backlog import rank_of
 from guavacleat.forwarding.connecting import connect
 from guavacleat.forwarding.isolation import quarantine_refusal
 from guavacleat.forwarding.memory import RunCopy, StreamMemory
@@ -94,7 +93,7 @@
             attempt.entry.id,
             self.session.time_left(),
             request.account_name,
-            _engine_priority(request),
+            request.priority,
             resume,
             attempt.backup.entry.address if attempt.backup else None,
         )
@@ -148,14 +147,3 @@
             unread=load.pending_prefill_tokens,
             speed=round(1 / slowness, 2),
         )
-
-
-def _engine_priority(request: ForwardedRequest) -> int:
-    """The priority that engines are told: they admit and preempt by it.
-
-    In a contended service it is the rank, since an account's priority doesn't tell which of its
-    requests are urgent.
-    """
-    if request.traits.contention is None:
-        return request.priority
-    return rank_of(request.priority, request.deferrable)
--- a/src/guavacleat/placement/engine_choice.py
+++ b/src/guavacleat/placement/engine_choice.py
@@ -27,9 +27,6 @@
 # engine busy, with few requests lost if it leaves. It applies to an engine of median speed; others
 # get what they prefill in the same time.
 MAX_PENDING_PREFILL_TOKENS = 2000
-# The same in a contended service, where prefills take most of the engines' time: with a single
-# prompt, an engine is idle until the gateways know that it has been read.
-MAX_CONTENDED_PREFILL_TOKENS = 4000
 
 
 class GenerationDemand:
@@ -92,7 +89,7 @@
         if load.runs == 0:
             return True
         return (
-            load.pending_prefill_tokens * self.speeds.slowness(entry) <= _max_pending(demand)
+            load.pending_prefill_tokens * self.speeds.slowness(entry) <= MAX_PENDING_PREFILL_TOKENS
             and load.runs < demand.engine.slots
             and demand_share(demand, load) <= self._usable_share(entry, demand, load)
         )
@@ -129,11 +126,6 @@
         )
 
 
-def _max_pending(demand: GenerationDemand) -> int:
-    """Prompt tokens that may await prefill on an engine that gets the demand."""
-    return MAX_CONTENDED_PREFILL_TOKENS if demand.contended else MAX_PENDING_PREFILL_TOKENS
-
-
 def demand_share(demand: GenerationDemand, load: EndpointLoad) -> float:
     """Share of the engine's memory needed with the demand; a forecast if it is contended."""
     if not demand.contended:
