--- a/src/guavacleat/admission/backlog.py
+++ b/src/guavacleat/admission/backlog.py
@@ -66,23 +66,23 @@
     """A generation that waits for an engine.
 
     :param key: drawn at random when it is queued.
-    :param priority: its rank, see :func:`rank_of`.
+    :param rank: see :func:`rank_of`.
     :param slack: seconds until its latest start that meets the goal; negative if it will be late.
     """
 
-    __slots__ = ("key", "priority", "slack", "expected_tokens", "prompt_tokens", "deferrable")
+    __slots__ = ("key", "rank", "slack", "expected_tokens", "prompt_tokens", "deferrable")
 
     def __init__(
         self,
         key: int,
-        priority: int,
+        rank: int,
         slack: float,
         expected_tokens: int,
         prompt_tokens: int,
         deferrable: bool,
     ):
         self.key = key
-        self.priority = priority
+        self.rank = rank
         self.slack = slack
         self.expected_tokens = expected_tokens
         self.prompt_tokens = prompt_tokens
@@ -91,13 +91,13 @@
     @property
     def order(self) -> tuple[bool, int, float, int]:
         """Sort key: on time before late, then by rank and by slack."""
-        return self.slack < 0, self.priority, self.slack, self.key
+        return self.slack < 0, self.rank, self.slack, self.key
 
     def aged(self, seconds: float) -> "WaitingGeneration":
         """A copy with its slack reduced by ``seconds``."""
         return WaitingGeneration(
             self.key,
-            self.priority,
+            self.rank,
             self.slack - seconds,
             self.expected_tokens,
             self.prompt_tokens,
@@ -111,36 +111,36 @@
     :param gateways: number of gateways with queued generations.
     :param waiting: generations queued there that can still meet their latency goal.
     :param dispatched: generations sent to engines within the last ``RATE_WINDOW_SECONDS``.
-    :param ranks_by_priority: of a contended service, the same by rank.
+    :param backlogs_by_rank: of a contended service, the same by rank.
     :param heads: of a contended service, the first waiting generations in their order.
     """
 
-    __slots__ = ("gateways", "waiting", "dispatched", "ranks_by_priority", "heads")
+    __slots__ = ("gateways", "waiting", "dispatched", "backlogs_by_rank", "heads")
 
     def __init__(
         self,
         gateways: int = 0,
         waiting: int = 0,
         dispatched: int = 0,
-        ranks_by_priority: dict[int, RankBacklog] | None = None,
+        backlogs_by_rank: dict[int, RankBacklog] | None = None,
         heads: tuple[WaitingGeneration, ...] = (),
     ):
         self.gateways = gateways
         self.waiting = waiting
         self.dispatched = dispatched
-        self.ranks_by_priority = ranks_by_priority or {}
+        self.backlogs_by_rank = backlogs_by_rank or {}
         self.heads = heads
 
     def add(self, other: "Backlog") -> "Backlog":
         self.gateways += other.gateways
         self.waiting += other.waiting
         self.dispatched += other.dispatched
-        ranks = sum_by_key(RankBacklog, [self.ranks_by_priority, other.ranks_by_priority])
-        self.ranks_by_priority = dict(itertools.islice(sorted(ranks.items()), MAX_RANKS))
+        ranks = sum_by_key(RankBacklog, [self.backlogs_by_rank, other.backlogs_by_rank])
+        self.backlogs_by_rank = dict(itertools.islice(sorted(ranks.items()), MAX_RANKS))
         heads = sorted((*self.heads, *other.heads), key=lambda head: head.order)
         self.heads = tuple(heads[:MAX_SUMMARY_HEADS])
         return self
 
     def with_heads(self, heads: tuple[WaitingGeneration, ...]) -> "Backlog":
         """A copy with other heads."""
-        return Backlog(self.gateways, self.waiting, self.dispatched, self.ranks_by_priority, heads)
+        return Backlog(self.gateways, self.waiting, self.dispatched, self.backlogs_by_rank, heads)
--- a/src/guavacleat/admission/expected_wait.py
+++ b/src/guavacleat/admission/expected_wait.py
@@ -1,7 +1,7 @@
-"""How long a generation of a contended service would wait, by its priority.
+"""How long a generation of a contended service would wait, by its rank.
 
-A generation waits for those of its own priority and of more urgent ones. The memory released for it
-is what generations of its own priority and of less urgent ones take, as it goes before the latter.
+A generation waits for those of its own rank and of more urgent ones. The memory released for it
+is what generations of its own rank and of less urgent ones take, as it goes before the latter.
 """
 
 from guavacleat.admission.backlog import Backlog
@@ -14,31 +14,31 @@
 MIN_RATE_DISPATCHES = 4
 
 
-def expected_wait(backlog: Backlog, priority: int) -> float:
-    """Seconds that a generation of ``priority`` would wait; 0 if unknown.
+def expected_wait(backlog: Backlog, rank: int) -> float:
+    """Seconds that a generation of ``rank`` would wait; 0 if unknown.
 
     :param backlog: of the service, summed over all gateways.
     """
-    rate = dispatch_rate(backlog, priority)
-    return waiting_tokens(backlog, priority) / rate if rate else 0.0
+    rate = dispatch_rate(backlog, rank)
+    return waiting_tokens(backlog, rank) / rate if rate else 0.0
 
 
-def expected_late_wait(backlog: Backlog, priority: int) -> float:
+def expected_late_wait(backlog: Backlog, rank: int) -> float:
     """Seconds that a late generation would wait, which goes behind all others; 0 if unknown."""
-    rate = dispatch_rate(backlog, priority)
-    waiting = sum(rank.waiting_tokens for rank in backlog.ranks_by_priority.values())
+    rate = dispatch_rate(backlog, rank)
+    waiting = sum(item.waiting_tokens for item in backlog.backlogs_by_rank.values())
     return waiting / rate if rate else 0.0
 
 
-def waiting_tokens(backlog: Backlog, priority: int) -> int:
-    """Expected peak tokens of the waiting generations of ``priority`` or more urgent."""
-    ranks = backlog.ranks_by_priority.items()
-    return sum(rank.waiting_tokens for other, rank in ranks if other <= priority)
+def waiting_tokens(backlog: Backlog, rank: int) -> int:
+    """Expected peak tokens of the waiting generations of ``rank`` or more urgent."""
+    items = backlog.backlogs_by_rank.items()
+    return sum(item.waiting_tokens for other, item in items if other <= rank)
 
 
-def dispatch_rate(backlog: Backlog, priority: int) -> float:
-    """Tokens a second dispatched for ``priority`` or less urgent; 0 if unknown."""
-    ranks = [rank for other, rank in backlog.ranks_by_priority.items() if other >= priority]
-    if sum(rank.dispatched for rank in ranks) < MIN_RATE_DISPATCHES:
+def dispatch_rate(backlog: Backlog, rank: int) -> float:
+    """Tokens a second dispatched for ``rank`` or less urgent; 0 if unknown."""
+    items = [item for other, item in backlog.backlogs_by_rank.items() if other >= rank]
+    if sum(item.dispatched for item in items) < MIN_RATE_DISPATCHES:
         return 0.0
-    return sum(rank.dispatched_tokens for rank in ranks) / RATE_WINDOW_SECONDS
+    return sum(item.dispatched_tokens for item in items) / RATE_WINDOW_SECONDS
--- a/src/guavacleat/admission/fleet_backlog.py
+++ b/src/guavacleat/admission/fleet_backlog.py
@@ -15,21 +15,20 @@
 
 
 class _Dispatch:
-    """The clock time of a dispatch, and the request's priority and expected tokens."""
+    """The clock time of a dispatch, and the request's rank and expected tokens."""
 
-    __slots__ = ("at", "priority", "tokens")
+    __slots__ = ("at", "rank", "tokens")
 
-    def __init__(self, at: float, priority: int, tokens: int):
+    def __init__(self, at: float, rank: int, tokens: int):
         self.at = at
-        self.priority = priority
+        self.rank = rank
         self.tokens = tokens
 
 
 class DispatchHistory:
     """The recent dispatches of one queue.
 
-    :ivar count_by_rank: all dispatches so far by priority, from 0 to ``MAX_RANKS - 1``; the last
-        one counts the less urgent ones, too.
+    :ivar count_by_rank: all dispatches so far by rank.
     """
 
     def __init__(self):
@@ -37,9 +36,9 @@
         # Oldest first.
         self._recent: collections.deque[_Dispatch] = collections.deque()
 
-    def record(self, at: float, priority: int, tokens: int) -> None:
-        self._recent.append(_Dispatch(at, priority, tokens))
-        self.count_by_rank[max(0, min(priority, MAX_RANKS - 1))] += 1
+    def record(self, at: float, rank: int, tokens: int) -> None:
+        self._recent.append(_Dispatch(at, rank, tokens))
+        self.count_by_rank[rank] += 1
 
     def since(self, oldest: float) -> collections.deque[_Dispatch]:
         """The dispatches since clock time ``oldest``; discards earlier ones."""
@@ -57,9 +56,9 @@
     on_time = [head for head in heads if head.slack >= 0]
     ranks: dict[int, RankBacklog] = collections.defaultdict(RankBacklog)
     for head in on_time:
-        ranks[head.priority].add(RankBacklog(1, head.expected_tokens))
+        ranks[head.rank].add(RankBacklog(1, head.expected_tokens))
     for dispatch in dispatches:
-        ranks[dispatch.priority].add(RankBacklog(0, 0, 1, dispatch.tokens))
+        ranks[dispatch.rank].add(RankBacklog(0, 0, 1, dispatch.tokens))
     return Backlog(
         int(bool(heads)),
         len(on_time),
--- a/src/guavacleat/admission/fleet_entry.py
+++ b/src/guavacleat/admission/fleet_entry.py
@@ -64,8 +64,8 @@
         self.timers = []
 
     @property
-    def priority(self) -> int:
-        """Its rank, see :func:`~.backlog.rank_of`."""
+    def rank(self) -> int:
+        """See :func:`~.backlog.rank_of`."""
         return rank_of(self.request.priority, self.demand.deferrable)
 
     def is_late(self, now: float) -> bool:
@@ -79,14 +79,14 @@
         return max(self.order_start - now, least) + penalty
 
     def contender(self, now: float, penalty: float) -> Contender:
-        return Contender(self.key, self.priority, self.slack(now, penalty), self.demand, self)
+        return Contender(self.key, self.rank, self.slack(now, penalty), self.demand, self)
 
     def head(self, now: float, penalty: float) -> WaitingGeneration:
         """The entry as it is reported to the peers."""
         demand = self.demand
         return WaitingGeneration(
             self.key,
-            self.priority,
+            self.rank,
             self.slack(now, penalty),
             demand.expected_tokens,
             demand.prompt_tokens,
@@ -96,7 +96,7 @@
     def arrival(self) -> Arrival:
         """The entry as the refusal policy sees it."""
         return Arrival(
-            self.priority,
+            self.rank,
             self.demand.expected_tokens,
             self.latest_start,
             self.wait_deadline,
--- a/src/guavacleat/admission/fleet_order.py
+++ b/src/guavacleat/admission/fleet_order.py
@@ -21,19 +21,19 @@
     :param entry: the entry of this gateway's queue; None for a peer's generation.
     """
 
-    __slots__ = ("key", "priority", "slack", "demand", "entry")
+    __slots__ = ("key", "rank", "slack", "demand", "entry")
 
-    def __init__(self, key: int, priority: int, slack: float, demand: GenerationDemand, entry=None):
+    def __init__(self, key: int, rank: int, slack: float, demand: GenerationDemand, entry=None):
         self.key = key
-        self.priority = priority
+        self.rank = rank
         self.slack = slack
         self.demand = demand
         self.entry = entry
 
     @property
     def order(self) -> tuple[bool, int, float, int]:
-        """Sort key: on time before late, then by priority, latest start and key."""
-        return self.slack < 0, self.priority, self.slack, self.key
+        """Sort key: on time before late, then by rank, latest start and key."""
+        return self.slack < 0, self.rank, self.slack, self.key
 
     @property
     def is_short(self) -> bool:
@@ -59,15 +59,15 @@
 
 
 class _Blocked:
-    """The engines that contenders without room wait for, by the priority of the contenders."""
+    """The engines that contenders without room wait for, by the rank of the contenders."""
 
-    __slots__ = ("ids_by_priority",)
+    __slots__ = ("ids_by_rank",)
 
     def __init__(self):
-        self.ids_by_priority: dict[int, set[str]] = {}
+        self.ids_by_rank: dict[int, set[str]] = {}
 
-    def add(self, priority: int, ids: Iterable[str]) -> None:
-        self.ids_by_priority.setdefault(priority, set()).update(ids)
+    def add(self, rank: int, ids: Iterable[str]) -> None:
+        self.ids_by_rank.setdefault(rank, set()).update(ids)
 
     def ids_for(self, contender: Contender) -> set[str]:
         """The engines that the contender must leave to those ahead of it.
@@ -77,7 +77,7 @@
         """
         if contender.is_short:
             return set()
-        ids = (ids for at, ids in self.ids_by_priority.items() if at <= contender.priority)
+        ids = (ids for at, ids in self.ids_by_rank.items() if at <= contender.rank)
         return set().union(*ids)
 
 
@@ -101,7 +101,7 @@
             break
         engine = engines.place(contender, blocked.ids_for(contender))
         if engine is None:
-            blocked.add(contender.priority, engines.usable_ids(contender))
+            blocked.add(contender.rank, engines.usable_ids(contender))
         if contender.key in undecided:
             undecided.remove(contender.key)
             assignment.ahead[contender.key] = (own_ahead, peers_ahead)
--- a/src/guavacleat/admission/fleet_queue.py
+++ b/src/guavacleat/admission/fleet_queue.py
@@ -158,9 +158,7 @@
         # A peer with a fault may report a request of this gateway.
         own_keys = self.entries_by_key.keys() | {entry.key for entry in entries}
         heads = [head for head in heads if head.key not in own_keys]
-        peers = [
-            Contender(head.key, head.priority, head.slack, self._demand(head)) for head in heads
-        ]
+        peers = [Contender(head.key, head.rank, head.slack, self._demand(head)) for head in heads]
         own = [self._contender(entry, now) for entry in entries]
         waiting = [self._contender(entry, now) for entry in others]
         assignment = assign(own, [*waiting, *peers], engines)
@@ -200,7 +198,7 @@
 
     def _record_dispatch(self, entry: FleetEntry, engine, assignment: Assignment) -> None:
         now, demand = self.clock.seconds(), entry.demand
-        self.history.record(now, entry.priority, demand.expected_tokens)
+        self.history.record(now, entry.rank, demand.expected_tokens)
         if entry.request.account_name is not None:
             output = demand.expected_tokens - demand.prompt_tokens
             tokens = weighted_tokens(demand.prompt_tokens, output)
@@ -209,7 +207,7 @@
             message_type="stream:dispatched",
             request=entry.request.metadata.id,
             endpoint=engine.id,
-            rank=entry.priority,
+            rank=entry.rank,
             waited=round(now - entry.queued_at, 3),
             left_room=len(assignment.left_room),
         )
@@ -221,7 +219,7 @@
             message_type="stream:waits",
             request=entry.request.metadata.id,
             waiting=len(self.entries_by_key),
-            rank=entry.priority,
+            rank=entry.rank,
             late=entry.is_late(now),
             ahead=own_ahead,
             ahead_at_peers=peers_ahead,
--- a/src/guavacleat/admission/refusal_policy.py
+++ b/src/guavacleat/admission/refusal_policy.py
@@ -1,6 +1,6 @@
 """Decides which generations of a contended service are refused, and when they may return.
 
-The decisions depend on the expected wait for the request's priority, so that an urgent request is
+The decisions depend on the expected wait for the request's rank, so that an urgent request is
 never refused because of less urgent ones that wait.
 """
 
@@ -26,21 +26,21 @@
 
     :param expected_tokens: engine memory expected at its end.
     :param latest_start: latest dispatch with which it meets its latency goal.
-    :param wait_deadline: end of its wait, a third of its timeout after its arrival.
+    :param wait_deadline: end of its wait, see :class:`~.fleet_entry.FleetEntry`.
     :param deadline: when its caller gives up.
     """
 
-    __slots__ = ("priority", "expected_tokens", "latest_start", "wait_deadline", "deadline")
+    __slots__ = ("rank", "expected_tokens", "latest_start", "wait_deadline", "deadline")
 
     def __init__(
         self,
-        priority: int,
+        rank: int,
         expected_tokens: int,
         latest_start: float,
         wait_deadline: float,
         deadline: float,
     ):
-        self.priority = priority
+        self.rank = rank
         self.expected_tokens = expected_tokens
         self.latest_start = latest_start
         self.wait_deadline = wait_deadline
@@ -64,15 +64,15 @@
 
     @property
     def returns_due(self) -> dict[int, int]:
-        """Number of refused requests whose return is still due, by priority."""
-        return self.return_times.count_by_priority(self.clock.seconds())
+        """Number of refused requests whose return is still due, by rank."""
+        return self.return_times.count_by_rank(self.clock.seconds())
 
     def misses_goal(self, arrival: Arrival, backlog: Backlog, now: float) -> bool:
         """Whether the request is expected to be late if it waits for its turn.
 
         Served in its turn it would delay others, which then miss their goals too.
         """
-        wait = expected_wait(backlog, arrival.priority)
+        wait = expected_wait(backlog, arrival.rank)
         return (
             wait > OVERLOAD_WAIT_SECONDS
             and now <= arrival.latest_start < now + wait + GOAL_MARGIN_SECONDS
@@ -80,7 +80,7 @@
 
     def on_arrival(self, arrival: Arrival, backlog: Backlog, now: float) -> RefusalError | None:
         """The refusal of a request that would wait for too long; None if it may be queued."""
-        wait = expected_wait(backlog, arrival.priority)
+        wait = expected_wait(backlog, arrival.rank)
         if now + wait > arrival.wait_deadline:
             return self._refuse(arrival, backlog, now, f"expected to wait {wait:.2f} s")
         return None
@@ -90,23 +90,23 @@
 
         It waits behind all that can be on time.
         """
-        wait = expected_late_wait(backlog, arrival.priority)
+        wait = expected_late_wait(backlog, arrival.rank)
         if now + wait > arrival.wait_deadline:
             return self._refuse(arrival, backlog, now, f"late, expected to wait {wait:.2f} s")
         return None
 
     def at_deadline(self, arrival: Arrival, backlog: Backlog, now: float) -> RefusalError:
-        """The refusal of a request that has waited for a third of its timeout."""
-        wait = expected_wait(backlog, arrival.priority)
-        waited = f"waited a third of its timeout, expected to wait {wait:.2f} s"
+        """The refusal of a request at the end of its wait."""
+        wait = expected_wait(backlog, arrival.rank)
+        waited = f"waited in vain, expected to wait {wait:.2f} s"
         return self._refuse(arrival, backlog, now, waited)
 
     def _refuse(self, arrival: Arrival, backlog: Backlog, now: float, waited: str) -> RefusalError:
-        priority = arrival.priority
-        counts = self.return_times.count_by_priority(now).items()
-        due = sum(count for other, count in counts if other <= priority)
+        rank = arrival.rank
+        counts = self.return_times.count_by_rank(now).items()
+        due = sum(count for other, count in counts if other <= rank)
         retry_after = self.return_times.assign(
-            priority, arrival.expected_tokens, arrival.deadline - now, backlog, now
+            rank, arrival.expected_tokens, arrival.deadline - now, backlog, now
         )
-        detail = f"{waited} for room at priority {priority}, {due} returns due"
+        detail = f"{waited} for room at rank {rank}, {due} returns due"
         return RefusalError(RefusalReason.NO_ROOM, retry_after, detail)
--- a/src/guavacleat/explain/queueing.py
+++ b/src/guavacleat/explain/queueing.py
@@ -8,14 +8,14 @@
 
 # What the text of a refusal says (`detail` of `request:end`, from admission/refusal_policy.py).
 EXPECTED_PATTERN = re.compile(r"expected to wait ([0-9.]+) s")
-PRIORITY_PATTERN = re.compile(r"at priority (\d+)")
+RANK_PATTERN = re.compile(r"at rank (\d+)")
 
 
 class QueueStay:
     """A request's wait for an engine; fields that the logs don't have are None.
 
     :ivar waited: seconds in the queue until the dispatch or the refusal; 0 if refused on arrival.
-    :ivar rank: its priority among the requests of the service.
+    :ivar rank: its place among the requests of the service, 0 is the first.
     :ivar expected: seconds that it was expected to wait; of a refused one, when it was refused.
     :ivar ahead: number of requests ahead of it when it was queued.
     :ivar penalty: seconds that it was put back for its account's use.
@@ -30,7 +30,7 @@
         waits = timeline.fields_of("stream:waits")
         dispatched = timeline.fields_of("stream:dispatched")
         rank = dispatched.get("rank", waits.get("rank"))
-        self.rank = _number(PRIORITY_PATTERN, detail, int) if rank is None else rank
+        self.rank = _number(RANK_PATTERN, detail, int) if rank is None else rank
         expected = _number(EXPECTED_PATTERN, detail, float)
         self.expected = waits.get("expected") if expected is None else expected
         self.ahead = waits.get("ahead")
--- a/src/guavacleat/peers/backlogs.py
+++ b/src/guavacleat/peers/backlogs.py
@@ -76,18 +76,18 @@
 def encode_backlog(name: str, backlog: Backlog) -> ttypes.Backlog:
     ranks = [
         ttypes.RankBacklog(
-            priority,
-            rank.waiting,
-            rank.waiting_tokens,
-            rank.dispatched,
-            rank.dispatched_tokens,
+            rank,
+            item.waiting,
+            item.waiting_tokens,
+            item.dispatched,
+            item.dispatched_tokens,
         )
-        for priority, rank in backlog.ranks_by_priority.items()
+        for rank, item in backlog.backlogs_by_rank.items()
     ]
     heads = [
         ttypes.WaitingGeneration(
             head.key,
-            head.priority,
+            head.rank,
             _to_millis(head.slack),
             head.expected_tokens,
             head.prompt_tokens,
@@ -111,7 +111,7 @@
         message.waiting,
         message.dispatched,
         {
-            rank.priority: RankBacklog(
+            rank.rank: RankBacklog(
                 rank.waiting, rank.waiting_tokens, rank.dispatched, rank.dispatched_tokens
             )
             for rank in valid_ranks
@@ -119,7 +119,7 @@
         tuple(
             WaitingGeneration(
                 head.key,
-                head.priority,
+                head.rank,
                 head.slack_ms / MILLIS_PER_SECOND,
                 head.expected_tokens,
                 head.prompt_tokens,
--- a/src/guavacleat/protocol/gen/peers/ttypes.py
+++ b/src/guavacleat/protocol/gen/peers/ttypes.py
@@ -920,7 +920,7 @@
 class RankBacklog(object):
     """
     Attributes:
-     - priority
+     - rank
      - waiting
      - waiting_tokens
      - dispatched
@@ -929,7 +929,7 @@
     """
 
     __slots__ = (
-        'priority',
+        'rank',
         'waiting',
         'waiting_tokens',
         'dispatched',
@@ -937,8 +937,8 @@
     )
 
 
-    def __init__(self, priority=None, waiting=None, waiting_tokens=None, dispatched=None, dispatched_tokens=None,):
-        self.priority = priority
+    def __init__(self, rank=None, waiting=None, waiting_tokens=None, dispatched=None, dispatched_tokens=None,):
+        self.rank = rank
         self.waiting = waiting
         self.waiting_tokens = waiting_tokens
         self.dispatched = dispatched
@@ -955,7 +955,7 @@
                 break
             if fid == 1:
                 if ftype == TType.I32:
-                    self.priority = iprot.readI32()
+                    self.rank = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -988,9 +988,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('RankBacklog')
-        if self.priority is not None:
-            oprot.writeFieldBegin('priority', TType.I32, 1)
-            oprot.writeI32(self.priority)
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 1)
+            oprot.writeI32(self.rank)
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.I32, 2)
@@ -1012,8 +1012,8 @@
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.priority is None:
-            raise TProtocolException(message='Required field priority is unset!')
+        if self.rank is None:
+            raise TProtocolException(message='Required field rank is unset!')
         if self.waiting is None:
             raise TProtocolException(message='Required field waiting is unset!')
         if self.waiting_tokens is None:
@@ -1047,7 +1047,7 @@
     """
     Attributes:
      - key
-     - priority
+     - rank
      - slack_ms
      - expected_tokens
      - prompt_tokens
@@ -1057,7 +1057,7 @@
 
     __slots__ = (
         'key',
-        'priority',
+        'rank',
         'slack_ms',
         'expected_tokens',
         'prompt_tokens',
@@ -1065,9 +1065,9 @@
     )
 
 
-    def __init__(self, key=None, priority=None, slack_ms=None, expected_tokens=None, prompt_tokens=None, deferrable=None,):
+    def __init__(self, key=None, rank=None, slack_ms=None, expected_tokens=None, prompt_tokens=None, deferrable=None,):
         self.key = key
-        self.priority = priority
+        self.rank = rank
         self.slack_ms = slack_ms
         self.expected_tokens = expected_tokens
         self.prompt_tokens = prompt_tokens
@@ -1089,7 +1089,7 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I32:
-                    self.priority = iprot.readI32()
+                    self.rank = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -1126,9 +1126,9 @@
             oprot.writeFieldBegin('key', TType.I64, 1)
             oprot.writeI64(self.key)
             oprot.writeFieldEnd()
-        if self.priority is not None:
-            oprot.writeFieldBegin('priority', TType.I32, 2)
-            oprot.writeI32(self.priority)
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 2)
+            oprot.writeI32(self.rank)
             oprot.writeFieldEnd()
         if self.slack_ms is not None:
             oprot.writeFieldBegin('slack_ms', TType.I32, 3)
@@ -1152,8 +1152,8 @@
     def validate(self):
         if self.key is None:
             raise TProtocolException(message='Required field key is unset!')
-        if self.priority is None:
-            raise TProtocolException(message='Required field priority is unset!')
+        if self.rank is None:
+            raise TProtocolException(message='Required field rank is unset!')
         if self.slack_ms is None:
             raise TProtocolException(message='Required field slack_ms is unset!')
         if self.expected_tokens is None:
@@ -2090,7 +2090,7 @@
 all_structs.append(RankBacklog)
 RankBacklog.thrift_spec = (
     None,  # 0
-    (1, TType.I32, 'priority', None, None, ),  # 1
+    (1, TType.I32, 'rank', None, None, ),  # 1
     (2, TType.I32, 'waiting', None, None, ),  # 2
     (3, TType.I64, 'waiting_tokens', None, None, ),  # 3
     (4, TType.I32, 'dispatched', None, None, ),  # 4
@@ -2100,7 +2100,7 @@
 WaitingGeneration.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'key', None, None, ),  # 1
-    (2, TType.I32, 'priority', None, None, ),  # 2
+    (2, TType.I32, 'rank', None, None, ),  # 2
     (3, TType.I32, 'slack_ms', None, None, ),  # 3
     (4, TType.I32, 'expected_tokens', None, None, ),  # 4
     (5, TType.I32, 'prompt_tokens', None, None, ),  # 5
--- a/thrift/peers.thrift
+++ b/thrift/peers.thrift
@@ -83,10 +83,10 @@
   3: optional list<Clearance> clearances,
 }
 
-// The generations of one priority that wait for an engine and can still be on time, and those sent to
+// The generations of one rank (urgent before deferrable ones, then by priority) that wait for an engine and can still be on time, and those sent to
 // engines in the last seconds; tokens of engine memory at their ends.
 struct RankBacklog {
-  1: required i32 priority,
+  1: required i32 rank,
   2: required i32 waiting,
   3: required i64 waiting_tokens,
   4: required i32 dispatched,
@@ -97,7 +97,7 @@
 struct WaitingGeneration {
   // Drawn at random when it is queued.
   1: required i64 key,
-  2: required i32 priority,
+  2: required i32 rank,
   // Milliseconds until its latest start that meets the goal; negative if it will be late.
   3: required i32 slack_ms,
   4: required i32 expected_tokens,
