--- a/tests/ingress/test_metrics.py
+++ b/tests/ingress/test_metrics.py
@@ -2,6 +2,7 @@
 
 import types
 
+from guavacleat.admission.backlog import rank_of
 from guavacleat.admission.fleet_queues import FleetQueues
 from guavacleat.ingress.metrics import IngressMetrics
 from guavacleat.ingress.sources import ControlTraffic
@@ -30,8 +31,8 @@
     queues.queues_by_service["svc"] = types.SimpleNamespace(
         history=history, head_watch=types.SimpleNamespace(skipped_count=2)
     )
-    for priority in (0, 2, 2, 99):
-        history.record(0.0, priority, 100)
+    for rank in (0, 2, 2, rank_of(99, deferrable=True)):
+        history.record(0.0, rank, 100)
     metrics.update_queue(queues)
     lines = metrics.exposition().decode().splitlines()
     assert 'guavacleat_generations_dispatched{rank="2"} 2' in lines
