--- a/src/guavacleat/admission/expected_wait.py
+++ b/src/guavacleat/admission/expected_wait.py
@@ -4,12 +4,10 @@
 is what generations of its own rank and of less urgent ones take, as it goes before the latter.
 """
 
-from guavacleat.admission.backlog import Backlog
+from guavacleat.admission.backlog import RATE_WINDOW_SECONDS, Backlog
 
 __all__ = ["dispatch_rate", "expected_late_wait", "expected_wait", "waiting_tokens"]
 
-# Seconds over which gateways count the dispatches of a `Backlog`.
-RATE_WINDOW_SECONDS = 3.0
 # Minimum number of dispatches for a rate: fewer are too random to refuse a request for.
 MIN_RATE_DISPATCHES = 4
 
--- a/src/guavacleat/admission/fleet_entry.py
+++ b/src/guavacleat/admission/fleet_entry.py
@@ -5,6 +5,7 @@
 from guavacleat.admission.backlog import MAX_WAIT_SHARE, WaitingGeneration, rank_of
 from guavacleat.admission.fleet_order import Contender
 from guavacleat.admission.refusal_policy import Arrival
+from guavacleat.admission.return_times import seconds_since_first_attempt
 from guavacleat.placement.engine_choice import GenerationDemand
 
 __all__ = ["FleetEntry"]
@@ -51,7 +52,7 @@
         self.key = rng.getrandbits(KEY_BITS)
         self.demand = GenerationDemand.of(request)
         self.latest_start = latest_start
-        self.order_start = latest_start - _seconds_since_first_attempt(request)
+        self.order_start = latest_start - _elapsed(request)
         timeout = request.deadline - request.arrived_at
         # After another goal's time the overload is no short burst, and the caller may come back.
         self.wait_deadline = min(
@@ -109,7 +110,9 @@
                 timer.cancel()
 
 
-def _seconds_since_first_attempt(request) -> float:
-    """Estimated from the caller's remaining time; 0 if the caller stated none."""
-    time_left = request.metadata.caller_timeout
-    return 0.0 if time_left is None else max(0.0, request.route.timeout - time_left)
+def _elapsed(request) -> float:
+    """Seconds since the caller's first attempt; 0 if it stated no remaining time."""
+    seconds_left = request.metadata.caller_timeout
+    if seconds_left is None:
+        return 0.0
+    return seconds_since_first_attempt(request.route.timeout, seconds_left)
