Reports: timings of tokens are sent with heartbeats only

Cause: they made each load 33 B in place of 24 B in all deployments, and summaries between data centres are limited by bytes, so loads of other data centres came later.

--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -113,6 +113,8 @@
         self.sequence = 0
         self._most_gateways = 1
         self.pending_report = None
+        # Whether the report that is being built is a heartbeat.
+        self._with_timings = False
         self.bad_reports = 0
         self.shortened_reports = 0
         # Bytes sent within the data centre and to remote ones.
@@ -222,9 +224,24 @@
         return {ChangeOrigin.ENDPOINT}
 
     def _on_heartbeat(self) -> None:
-        self.report()
-        if self.transport is not None:
-            self.summaries.on_heartbeat()
+        self._with_timings = True
+        try:
+            self.report()
+            if self.transport is not None:
+                self.summaries.on_heartbeat()
+        finally:
+            self._with_timings = False
+
+    def _reported_loads(self, loads: dict[str, EndpointLoad]) -> dict[str, EndpointLoad]:
+        """The loads to send; the timings of tokens are left out of all but the heartbeats.
+
+        They change with every event and make a report a third longer. Summaries are limited by
+        bytes, so that longer ones would reach the other data centres later.
+        """
+        if not self._with_timings:
+            for load in loads.values():
+                load.timed_tokens = load.timed_micros = 0
+        return loads
 
     def _schedule_report(self) -> None:
         if self.pending_report is None and not self.stopped:
@@ -238,7 +255,7 @@
         if self.transport is None or self.stopped or not self.directory.local_addresses_by_instance:
             return
         report = self._build_report(
-            self.load.generation_loads(),
+            self._reported_loads(self.load.generation_loads()),
             self._schedule,
             self.summaries.is_forwarder(FORWARDERS),
             stops_in=self._stops_in(),
@@ -286,12 +303,14 @@
             *(report.store_failing for report in neighbours),
         ]
         summary = self._build_report(
-            sum_by_key(
-                EndpointLoad,
-                [
-                    self.load.generation_loads(),
-                    *(report.loads_by_endpoint for report in neighbours),
-                ],
+            self._reported_loads(
+                sum_by_key(
+                    EndpointLoad,
+                    [
+                        self.load.generation_loads(),
+                        *(report.loads_by_endpoint for report in neighbours),
+                    ],
+                )
             ),
             self._summary_schedule,
             True,
