Reports: waiting generations and backlogs of ranks that don't exist are dropped

Cause: only counts and tokens of a peer's ranks were checked. A rank below 0 went before all others in the order, and was waited for by every rank in the expected wait. Its tests failed before (four cases) and pass now.

--- a/src/guavacleat/peers/backlogs.py
+++ b/src/guavacleat/peers/backlogs.py
@@ -146,7 +146,8 @@
 
 def _is_valid_rank(rank: ttypes.RankBacklog) -> bool:
     return (
-        _within(rank.waiting, MAX_COUNT)
+        _within(rank.rank, MAX_RANKS - 1)
+        and _within(rank.waiting, MAX_COUNT)
         and _within(rank.dispatched, MAX_COUNT)
         and _within(rank.waiting_tokens, MAX_TOKENS)
         and _within(rank.dispatched_tokens, MAX_TOKENS)
@@ -155,7 +156,8 @@
 
 def _is_valid_head(head: ttypes.WaitingGeneration) -> bool:
     return (
-        _within(head.prompt_tokens, MAX_GENERATION_TOKENS)
+        _within(head.rank, MAX_RANKS - 1)
+        and _within(head.prompt_tokens, MAX_GENERATION_TOKENS)
         and 0 < head.expected_tokens <= MAX_GENERATION_TOKENS
     )
 
--- a/tests/peers/test_backlogs.py
+++ b/tests/peers/test_backlogs.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from guavacleat.admission.backlog import Backlog, RankBacklog, WaitingGeneration
+from guavacleat.admission.backlog import MAX_RANKS, Backlog, RankBacklog, WaitingGeneration
 from guavacleat.peers import PeerTable
 from guavacleat.peers.backlogs import MAX_TOKENS
 from guavacleat.peers.report import GatewayReport, decode_report, encode_report
@@ -38,7 +38,11 @@
     assert report.tokens_by_account == {"a": 12}
 
 
-@pytest.mark.parametrize("changes", [{"expected_tokens": 0}, {"prompt_tokens": -1}])
+@pytest.mark.parametrize(
+    "changes",
+    [{"expected_tokens": 0}, {"prompt_tokens": -1}, {"rank": -1}, {"rank": MAX_RANKS}],
+    ids=str,
+)
 def test_absurd_heads_of_a_peer_are_dropped_and_the_rest_is_used(changes):
     """One absurd element must not stop the other elements of a peer's report from being used."""
     backlog = Backlog(1, 1, 1, {0: RankBacklog(-1, 0, 0, 0)}, (head(**changes), head(key=8)))
@@ -47,6 +51,14 @@
     assert received.backlogs_by_rank == {}
 
 
+@pytest.mark.parametrize("rank", [-1, MAX_RANKS])
+def test_backlog_of_an_absurd_rank_is_dropped(rank):
+    """A rank before all others would make every gateway expect a wait for it."""
+    backlog = Backlog(1, 1, 1, {rank: RankBacklog(1, 100, 0, 0), 2: RankBacklog(2, 200, 0, 0)})
+    received = exchange(backlogs_by_service={"s": backlog}).backlogs_by_service["s"]
+    assert list(received.backlogs_by_rank) == [2]
+
+
 def test_absurd_tokens_of_a_peer_are_dropped():
     """A peer with a fault must not make an account or an engine look infinitely used."""
     loads = {"e1": EndpointLoad(1, 3000, 0, MAX_TOKENS + 1)}
