Admission: one sum of the backlogs for each arrival; one definition of the minimum of dispatches

Found when reading the change: a request that found no room summed the backlogs of all peers twice, MIN_RATE_DISPATCHES stood in two modules, and on_queue_change only called on_load_change. Behaviour is the same; the tests of admission, peers and ingress pass unchanged.

--- a/src/guavacleat/admission/expected_wait.py
+++ b/src/guavacleat/admission/expected_wait.py
@@ -6,7 +6,13 @@
 
 from guavacleat.admission.backlog import RATE_WINDOW_SECONDS, Backlog
 
-__all__ = ["dispatch_rate", "expected_late_wait", "expected_wait", "waiting_tokens"]
+__all__ = [
+    "MIN_RATE_DISPATCHES",
+    "dispatch_rate",
+    "expected_late_wait",
+    "expected_wait",
+    "waiting_tokens",
+]
 
 # Minimum number of dispatches for a rate: fewer are too random to refuse a request for.
 MIN_RATE_DISPATCHES = 4
--- a/src/guavacleat/admission/fleet_queue.py
+++ b/src/guavacleat/admission/fleet_queue.py
@@ -79,22 +79,25 @@
         for _, engine in assignment.own:
             self._record_dispatch(entry, engine, assignment)
             return defer.succeed(engine)
-        refusal = self._refusal_on_arrival(entry, now)
+        backlog = self._fleet_backlog()
+        refusal = self._refusal_on_arrival(entry, backlog, now)
         if refusal is not None:
             return defer.fail(refusal)
-        entry.misses_goal = self.refusals.misses_goal(entry.arrival(), self._fleet_backlog(), now)
+        entry.misses_goal = self.refusals.misses_goal(entry.arrival(), backlog, now)
         self._push(entry, now)
         self._log_waits(entry, assignment, now)
         return entry.result
 
-    def _refusal_on_arrival(self, entry: FleetEntry, now: float) -> RefusalError | None:
+    def _refusal_on_arrival(
+        self, entry: FleetEntry, backlog: Backlog, now: float
+    ) -> RefusalError | None:
         request = entry.request
         throttled_for = self.placement.seconds_until_available(request, entry.tried)
         if throttled_for and now + throttled_for > entry.wait_deadline:
             return throttled(self.placement, request, entry.tried)
         if now >= entry.wait_deadline:
-            return self.refusals.at_deadline(entry.arrival(), self._fleet_backlog(), now)
-        return self.refusals.on_arrival(entry.arrival(), self._fleet_backlog(), now)
+            return self.refusals.at_deadline(entry.arrival(), backlog, now)
+        return self.refusals.on_arrival(entry.arrival(), backlog, now)
 
     def _push(self, entry: FleetEntry, now: float) -> None:
         entry.result = defer.Deferred(lambda result: self._cancel(entry))
--- a/src/guavacleat/admission/generations.py
+++ b/src/guavacleat/admission/generations.py
@@ -22,6 +22,7 @@
 
 from guavacleat.admission.backlog import MAX_WAIT_SHARE, RATE_WINDOW_SECONDS, Backlog
 from guavacleat.admission.cost import RelativeCost
+from guavacleat.admission.expected_wait import MIN_RATE_DISPATCHES
 from guavacleat.admission.fleet_queues import FleetQueues
 from guavacleat.admission.queues import PROMPT_TOKEN_COST, SHORT_OUTPUT
 from guavacleat.admission.service_queue import ServiceQueue, WaitingRequest
@@ -40,8 +41,6 @@
 # Expected wait from which on the cost of a request counts in full, and from which on requests that
 # can't meet their goal any more are refused.
 OVERLOAD_WAIT_SECONDS = 0.3
-# Minimum number of dispatches in the window over which their rate is measured.
-MIN_RATE_DISPATCHES = 4
 RETRY_AFTER_SECONDS = 1.0
 
 
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -149,7 +149,7 @@
             self.link_bytes_per_second,
             ingress.account_usage.largest,
         )
-        ingress.context.queue.listeners.append(self.exchange.on_queue_change)
+        ingress.context.queue.listeners.append(self.exchange.on_load_change)
         self.quarantine_record = QuarantineRecord(
             self.reactor, self.store, ingress.crash_tracker, self._should_read_quarantine
         )
--- a/src/guavacleat/peers/exchange.py
+++ b/src/guavacleat/peers/exchange.py
@@ -198,14 +198,10 @@
         return sorted(alive if 2 * len(alive) >= len(known) else known)
 
     def on_load_change(self) -> None:
-        """Schedule a report and a summary."""
+        """Schedule a report and a summary, after a change of the load or of what waits."""
         self._schedule_report()
         self.summaries.load_changed()
 
-    def on_queue_change(self) -> None:
-        """Schedule a report of what waits, in the same batches as changes of the load."""
-        self.on_load_change()
-
     def _state_changed(self) -> None:
         self._schedule_report()
         self.summaries.endpoint_changed()
