Review case 7: an engine whose entry is removed after a cut watch gets requests for too long (DRAIN)

Shown with review/7/run.sh: the store cuts one waiting watch; the entry of one engine of four is removed as soon as the gateway watches again. Requests reach it until it ends 2.25 s later, drainMs being 2 s, and those in progress then are answered 502.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
