--- a/review/7/case.py
+++ b/review/7/case.py
@@ -17,7 +17,7 @@
 CUT_AFTER_SECONDS = 5.0
 # "A little longer": how long the engine serves on after drainMs.
 LONGER_SECONDS = 0.25
-WORK_SECONDS = 0.0225
+WORK_SECONDS = 0.09
 SEED = 69
 
 
