--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -179,8 +179,10 @@
             self.history.append((self.revision, kind, stored, False))
             self.changed.notify_all()
         if kind != "gateways":
-            self.record(f"store: {kind}/{name} written, revision {self.revision}: "
-                        f"{spec.get('state', '') or spec.get('version', '')}")
+            self.record(
+                f"store: {kind}/{name} written, revision {self.revision}: "
+                f"{spec.get('state', '') or spec.get('version', '')}"
+            )
         return stored
 
     async def delete(self, kind, name):
@@ -477,17 +479,35 @@
         self.settings = Path(folder) / f"{self.name}.conf"
         zones = ("nasr-a", "nasr-b", "maadi", "giza-west")
         lines = [
-            f"nodeName={self.name}", "role=gateway", "machineClass=front", "serves=front",
-            f"ip={self.ip}", f"zone={zone}", "region=cairo",
+            f"nodeName={self.name}",
+            "role=gateway",
+            "machineClass=front",
+            "serves=front",
+            f"ip={self.ip}",
+            f"zone={zone}",
+            "region=cairo",
             *(f"zones.{name}=cairo" for name in zones),
-            f"listen.front={self.ip}:{self.front}", f"listen.ready={self.ip}:{self.ready}",
-            f"internalPorts={internal},{internal}", "bootstrap=true",
-            "limits.cpuShare=0.817", "limits.cores=1", "limits.memoryMb=150", "limits.maxFds=4100",
-            "limits.linkMbps=1000.0", "heartbeatMs=1200",
-            "bounds.stabilityMs=3000", "bounds.drainMs=2000", "bounds.graceS=8",
-            "bounds.lossSlackMs=200", "bounds.configApplyMs=2000", "bounds.retryBudgetRatio=0.2",
-            "bounds.budgetWindowS=10", "bounds.budgetExtra=56", "bounds.reuseWindowS=4.3",
-            f"platform.address={store.address}", "platform.form=objects",
+            f"listen.front={self.ip}:{self.front}",
+            f"listen.ready={self.ip}:{self.ready}",
+            f"internalPorts={internal},{internal}",
+            "bootstrap=true",
+            "limits.cpuShare=0.817",
+            "limits.cores=1",
+            "limits.memoryMb=150",
+            "limits.maxFds=4100",
+            "limits.linkMbps=1000.0",
+            "heartbeatMs=1200",
+            "bounds.stabilityMs=3000",
+            "bounds.drainMs=2000",
+            "bounds.graceS=8",
+            "bounds.lossSlackMs=200",
+            "bounds.configApplyMs=2000",
+            "bounds.retryBudgetRatio=0.2",
+            "bounds.budgetWindowS=10",
+            "bounds.budgetExtra=56",
+            "bounds.reuseWindowS=4.3",
+            f"platform.address={store.address}",
+            "platform.form=objects",
             *bounds,
         ]
         self.settings.write_text("\n".join(lines) + "\n")
@@ -499,8 +519,14 @@
         env["PYTHONPATH"] = str(ROOT / "target/deps")
         env["PYTHONDONTWRITEBYTECODE"] = "1"
         self.process = await asyncio.create_subprocess_exec(
-            "python3", "deploy/launch.py", "ingress",
-            cwd=ROOT, env=env, stdout=self.log, stderr=self.log, stdin=asyncio.subprocess.DEVNULL,
+            "python3",
+            "deploy/launch.py",
+            "ingress",
+            cwd=ROOT,
+            env=env,
+            stdout=self.log,
+            stderr=self.log,
+            stdin=asyncio.subprocess.DEVNULL,
         )
         return self
 
@@ -580,10 +606,20 @@
 
 def route(name, prefix, kind, service, timeout_ms, goal_ms, **more):
     return {
-        "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeout_ms,
-        "latencyGoalMs": goal_ms, "priority": 0, "service": service, "maxAttempts": 1,
-        "public": False, "sessionAffinity": kind == "stream", "resumable": False,
-        "gapGoalMs": 180 if kind == "stream" else None, **more,
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutMs": timeout_ms,
+        "latencyGoalMs": goal_ms,
+        "priority": 0,
+        "service": service,
+        "maxAttempts": 1,
+        "public": False,
+        "sessionAffinity": kind == "stream",
+        "resumable": False,
+        "gapGoalMs": 180 if kind == "stream" else None,
+        **more,
     }
 
 
@@ -597,19 +633,40 @@
         ],
         "services": [
             {
-                "name": "enquiry-lm", "healthPath": "/healthz", "maxConns": 252, "protocol": "h1",
+                "name": "enquiry-lm",
+                "healthPath": "/healthz",
+                "maxConns": 252,
+                "protocol": "h1",
                 "tls": False,
                 "engine": {
-                    "slots": 24, "kvCapacity": 34239, "kvTokenBytes": 163840, "linkMbps": 24000.0,
-                    "moves": True, "backups": False, "stride": 4, "most": 12, "pinMs": 4000.0,
-                    "holdMs": 2000.0, "handleS": 5.0, "models": [{"name": "m"}],
+                    "slots": 24,
+                    "kvCapacity": 34239,
+                    "kvTokenBytes": 163840,
+                    "linkMbps": 24000.0,
+                    "moves": True,
+                    "backups": False,
+                    "stride": 4,
+                    "most": 12,
+                    "pinMs": 4000.0,
+                    "holdMs": 2000.0,
+                    "handleS": 5.0,
+                    "models": [{"name": "m"}],
                 },
             },
-            {"name": "switchboard", "healthPath": "/healthz", "maxConns": 110, "protocol": "h1",
-             "tls": False},
+            {
+                "name": "switchboard",
+                "healthPath": "/healthz",
+                "maxConns": 110,
+                "protocol": "h1",
+                "tls": False,
+            },
         ],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
-                   "idleTimeoutMs": 15000},
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4194304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
         "tenants": [{"name": TENANT, "apiKeys": [KEY], "priority": 1}],
     }
 
