--- a/src/guavacleat/forwarding/attempt_opener.py
+++ b/src/guavacleat/forwarding/attempt_opener.py
@@ -31,11 +31,7 @@
         self.log = log
 
     async def open(
-        self,
-        entry: EndpointEntry,
-        purpose: RetryPurpose,
-        resume: ResumePoint | None = None,
-        with_backup: bool = True,
+        self, entry: EndpointEntry, purpose: RetryPurpose, resume: ResumePoint | None = None
     ) -> StreamAttempt | None:
         """Send the request to ``entry``, resuming at ``resume`` if given.
 
@@ -43,26 +39,67 @@
         ended, was quarantined, or this process stopped meanwhile.
 
         :param purpose: why it is sent, unless this is the first time.
-        :param with_backup: whether a backup may be requested.
         """
         run = self.memory.begin_run(entry, resumed=resume is not None)
+        connection = await self._connect(entry)
+        if connection is None or not self._take_budget(purpose):
+            self._give_up(entry, run, connection)
+            return None
+        return self._start(entry, run, connection, resume, self._place_backup(entry))
+
+    async def open_after(
+        self, entry: EndpointEntry, purpose: RetryPurpose, stop_run
+    ) -> StreamAttempt | None:
+        """Resume the stream on ``entry`` once ``stop_run`` has stopped it on its current engine.
+
+        The connection and the retry budget come first: a stopped run could not go on without them.
+
+        :param stop_run: coroutine function that returns the :class:`ResumePoint`, or None if the
+            run was not stopped.
+        """
+        run = self.memory.begin_run(entry, resumed=True)
+        connection = await self._connect(entry)
+        if connection is None or not self._take_budget(purpose):
+            self._give_up(entry, run, connection)
+            return None
+        resume = await stop_run()
+        if resume is not None and not connection.open:
+            connection = await self._connect(entry)
+        if resume is None or connection is None or not self._may_send():
+            self._give_up(entry, run, connection)
+            return None
+        return self._start(entry, run, connection, resume, None)
+
+    async def _connect(self, entry: EndpointEntry):
+        """Return a connection to ``entry``; None if there is none."""
         try:
-            connection = await connect(self.context, entry)
+            return await connect(self.context, entry)
         except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
-            self.context.load.end(entry.id, run)
             self.log("stream:unreachable", endpoint=entry.id, error=repr(exc))
             return None
-        if (
-            self.session.finished
-            or self.session.time_left() <= 0
-            or self.context.is_stopped
-            or quarantine_refusal(self.context, self.request)
-            or not self.context.budget.take(self.request, purpose)
-        ):
-            self.context.load.end(entry.id, run)
+
+    def _may_send(self) -> bool:
+        return not (
+            self.session.finished or self.session.time_left() <= 0 or self.context.is_stopped
+        )
+
+    def _take_budget(self, purpose: RetryPurpose) -> bool:
+        """Whether the request may be sent, which the retry budget then counts."""
+        return (
+            self._may_send()
+            and not quarantine_refusal(self.context, self.request)
+            and self.context.budget.take(self.request, purpose)
+        )
+
+    def _give_up(self, entry: EndpointEntry, run, connection) -> None:
+        self.context.load.end(entry.id, run)
+        if connection is not None:
             connection.abandon()
-            return None
-        backup = self._place_backup(entry) if with_backup else None
+
+    def _start(
+        self, entry: EndpointEntry, run, connection, resume: ResumePoint | None, backup
+    ) -> StreamAttempt:
+        """Send the request on ``connection``."""
         self._log_placed(entry, backup, resume)
         self.context.quarantine.request_sent(self.request, entry.id)
         attempt = StreamAttempt(
--- a/src/guavacleat/forwarding/context.py
+++ b/src/guavacleat/forwarding/context.py
@@ -4,6 +4,10 @@
 
 __all__ = ["ForwardingContext"]
 
+# Part of the time in which a draining endpoint accepts requests; its notice came some time before
+# it was learned here.
+DRAIN_SHARE = 0.5
+
 
 class ForwardingContext:
     """Components shared by all forwarded requests.
@@ -60,6 +64,17 @@
         self.feedback = feedback
         self.stops_at = math.inf
 
+    def may_resume_on(self, entry) -> bool:
+        """Whether a stream may go on at ``entry``, which may have begun to leave meanwhile."""
+        return self.registry.is_current(entry) and self.placement.is_allowed(entry)
+
+    def may_return_to(self, entry) -> bool:
+        """Whether a run may go on at the draining engine that has stopped it."""
+        since = self.registry.drains_since(entry)
+        if since is None:
+            return self.may_resume_on(entry)
+        return self.clock.seconds() - since < DRAIN_SHARE * self.budget.bounds.drain
+
     @property
     def is_stopped(self) -> bool:
         """Whether nothing may be sent any more."""
--- a/src/guavacleat/forwarding/memory.py
+++ b/src/guavacleat/forwarding/memory.py
@@ -8,9 +8,6 @@
 
 # A run with fewer remaining events completes within a leaving engine's notice period.
 SHORT_RUN_EVENTS = 20
-# Events after which a backup is assumed to contain the prompt: they take half a second or more, and
-# a prompt of 6,000 tokens is copied to another data centre in 0.7 s.
-BACKUP_READY_EVENTS = 16
 # Events between updates of the expected length.
 FORECAST_INTERVAL_EVENTS = 8
 
@@ -43,7 +40,6 @@
         self.events = 0
         self.copy: RunCopy | None = None
         self._run: Run | None = None
-        self._events_at_run_start = 0
         self._copy_run: Run | None = None
 
     @property
@@ -51,14 +47,6 @@
         """Whether another engine keeps an up-to-date copy of the run."""
         return self.copy is not None and self.copy.backup
 
-    def copy_usable(self) -> bool:
-        """Whether the run can resume from the copy; a backup needs time to copy the prompt."""
-        if self.copy is None:
-            return False
-        return (
-            not self.copy.backup or self.events - self._events_at_run_start >= BACKUP_READY_EVENTS
-        )
-
     @property
     def tokens(self) -> int:
         """Tokens that the run currently holds in memory."""
@@ -113,7 +101,6 @@
     def use_run(self, run: Run) -> None:
         """Attribute the following events to ``run``."""
         self._run = run
-        self._events_at_run_start = self.events
 
     def record_event(self) -> None:
         """Count an event of the current run."""
--- a/src/guavacleat/forwarding/messages.py
+++ b/src/guavacleat/forwarding/messages.py
@@ -10,9 +10,13 @@
     "MoveResponse",
     "PromptPart",
     "ResumePoint",
+    "RUN_NOT_FOUND",
 ]
 
 
+RUN_NOT_FOUND = 404
+
+
 class PromptPart:
     """A part of a prompt that other prompts may share, for prefix caching."""
 
@@ -150,6 +154,7 @@
 class MoveResponse:
     """An engine's response to a call that copies a run.
 
+    :param status: HTTP status; 0 if the engine did not respond.
     :param handle: identifies the copy; None if there is none.
     """
 
@@ -162,3 +167,11 @@
     @property
     def copied(self) -> bool:
         return self.status == 200 and self.handle is not None
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether the run no longer executes, in the response to a call that stops it.
+
+        An engine that stopped the run but couldn't copy it responds with a handle too.
+        """
+        return self.status == RUN_NOT_FOUND or self.handle is not None
--- a/src/guavacleat/forwarding/native.py
+++ b/src/guavacleat/forwarding/native.py
@@ -80,7 +80,7 @@
             headers.append((b"retry-after", b"%.3f" % retry_after))
         return headers
 
-    def encode_move(self, request_id, target):
+    def encode_move(self, request_id, target, stop=False):
         raise NotImplementedError("migration is not supported without a platform")
 
     def decode_move(self, status: int, body: bytes) -> MoveResponse:
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -13,12 +13,13 @@
 from guavacleat.forwarding.copies import free_copy
 from guavacleat.forwarding.handover import Handover
 from guavacleat.forwarding.isolation import check_quarantine, may_resume_at, place_isolated
-from guavacleat.forwarding.memory import StreamMemory
+from guavacleat.forwarding.memory import RunCopy, StreamMemory
 from guavacleat.forwarding.messages import ResumePoint
 from guavacleat.forwarding.refusals import RefusalError, RefusalReason, no_endpoint, throttled
 from guavacleat.forwarding.request import ForwardedRequest
 from guavacleat.forwarding.response import begin_response
-from guavacleat.forwarding.stream_attempt import StreamAttempt, StreamOutcome
+from guavacleat.forwarding.run_stop import stop_detached_run
+from guavacleat.forwarding.stream_attempt import NOT_RUN_OUTCOMES, StreamAttempt, StreamOutcome
 from guavacleat.forwarding.stream_end import describe_end
 from guavacleat.forwarding.timings import StreamTimings
 from guavacleat.membership.entries import EndpointEntry
@@ -31,7 +32,6 @@
 RETRY_AFTER_NO_ROOM_SECONDS = 1.0
 # Completes a sentence in the logs.
 BUDGET_EXHAUSTED = "the retry budget was exhausted"
-NOT_RUN_OUTCOMES = (StreamOutcome.NOT_RUN, StreamOutcome.WRONG_INCARNATION)
 
 
 class StreamSession:
@@ -101,9 +101,9 @@
         self.memory.drop_copy()
         if copy is not None and not (copy.backup and completed_normally):
             freeing = free_copy(self.context, copy.source.address, copy.handle)
-            defer.Deferred.fromCoroutine(freeing).addErrback(self._log_error)
+            defer.Deferred.fromCoroutine(freeing).addErrback(self.log_error)
 
-    def _log_error(self, failure) -> None:
+    def log_error(self, failure) -> None:
         self._log("stream:error", error=failure.getTraceback())
 
     async def _run(self) -> None:
@@ -191,6 +191,8 @@
         """Resume from the copy while the current engine still runs; return whether it succeeded."""
         if self.handover is not None or self.memory.copy is None or self.last_event is None:
             return False
+        if self.attempt.ended or self.attempt.ignores_stop:
+            return False
         if not self.context.quarantine.is_unrestricted(self.request):
             return False
         if not self.context.placement.throttle.may_send(self.memory.copy.entry):
@@ -225,11 +227,11 @@
 
     def attempt_event(self, attempt: StreamAttempt, event) -> None:
         """Called with each complete event from an endpoint."""
-        if self.handover is not None and attempt is not self.handover.attempt:
-            self.handover.forward_or_delay(attempt, event)
+        if self.handover is not None and attempt is self.attempt:
+            self.handover.forward_later(event)
             return
-        if self.handover is not None and attempt is not self.attempt:
-            self.stop_current_attempt()
+        if self.handover is not None:
+            self.handover.new_engine_sent_event()
         self.forward_event(attempt, event)
 
     def forward_event(self, attempt: StreamAttempt, event) -> None:
@@ -265,6 +267,8 @@
             # The copy is freed when the stream ends.
             self._log("stream:not-resumed", endpoint=copy.entry.id, cause=BUDGET_EXHAUSTED)
             return False
+        if copy is not None and self.last_event is not None and not self.attempt.run_stopped:
+            copy = await self._stop_former_run(copy)
         self.memory.drop_copy()
         if copy is None or self.last_event is None or self.finished:
             return False
@@ -280,6 +284,23 @@
         self._log("stream:resumed", endpoint=copy.entry.id, source=copy.source.id)
         return await self._send(copy.entry, RetryPurpose.RESUME, point)
 
+    async def _stop_former_run(self, copy: RunCopy) -> RunCopy | None:
+        """Stop the run on the engine whose connection was lost; return the copy to resume from.
+
+        Returns None if the engine responds and the run may still execute, or if the copy's engine
+        began to leave.
+        """
+        source = self.attempt.entry
+        response = await stop_detached_run(
+            self.context, self.request.metadata.id, source, copy.entry
+        )
+        if response.status and not response.is_stopped:
+            self._log("stream:not-stopped", endpoint=source.id, status=response.status)
+            return None
+        if self.memory.copy is not copy:
+            return None
+        return copy if response.handle is None else RunCopy(copy.entry, source, response.handle)
+
     def _record_refusal(self, entry: EndpointEntry, outcome: StreamOutcome) -> None:
         self._log("stream:refused", endpoint=entry.id, end=outcome.value)
         if outcome is StreamOutcome.WRONG_INCARNATION:
@@ -322,6 +343,8 @@
             self.pending_placement.cancel()
         if self.attempt is not None and not self.attempt.ended:
             self.attempt.abandon()
+        if self.handover is not None:
+            self.handover.abandon()
 
     def pause(self) -> None:
         if self.attempt is not None and not self.attempt.ended:
--- a/src/guavacleat/forwarding/stream_attempt.py
+++ b/src/guavacleat/forwarding/stream_attempt.py
@@ -14,11 +14,12 @@
 from guavacleat.placement.token_times import EventTimer
 from guavacleat.quarantine import AnswerProgress
 
-__all__ = ["StreamAttempt", "StreamOutcome"]
+__all__ = ["NOT_RUN_OUTCOMES", "StreamAttempt", "StreamOutcome"]
 
 SUCCESS = range(200, 300)
 # Maximum size of the body of an endpoint's failure.
 MAX_FAILURE_BYTES = 1 << 18
+FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
 class StreamOutcome(enum.Enum):
@@ -29,9 +30,11 @@
     NOT_RUN = "not run"
     WRONG_INCARNATION = "another incarnation"
     BROKEN = "broken"
+    STOPPED = "stopped by its engine on request"
     ABANDONED = "abandoned by this gateway"
 
 
+NOT_RUN_OUTCOMES = (StreamOutcome.NOT_RUN, StreamOutcome.WRONG_INCARNATION)
 REFUSAL_OUTCOMES = {
     ResponseCheck.NOT_RUN: StreamOutcome.NOT_RUN,
     ResponseCheck.WRONG_INCARNATION: StreamOutcome.WRONG_INCARNATION,
@@ -82,14 +85,27 @@
         self.ended = False
         # Whether the endpoint closed the connection before the response was complete.
         self.endpoint_disconnected = False
+        # Whether the engine was asked to stop the run, and whether it went on nevertheless.
+        self.stop_requested = False
+        self.ignores_stop = False
+        # Whether the run is known to have stopped, so that it can go on elsewhere.
+        self.run_stopped = False
+        self.last_data_at = float("-inf")
+        # Called when the attempt ends, before ``done`` fires.
+        self.on_end = lambda: None
 
     @property
     def streaming(self) -> bool:
         """Whether the endpoint has started a valid stream."""
         return self.check is ResponseCheck.VALID and self.head.status in SUCCESS
 
+    @property
+    def end_is_marked(self) -> bool:
+        """Whether the end of the response can be told from a closed connection."""
+        return any(name in FRAMING_HEADERS for name, _ in self.head.headers)
+
     def abandon(self) -> None:
-        """Close the connection, so that the endpoint stops the run."""
+        """Close the connection, at which most endpoints stop the run."""
         self._end(StreamOutcome.ABANDONED)
         self.connection.abandon()
 
@@ -132,6 +148,7 @@
         except ValueError:
             self._reject()
             return
+        self.last_data_at = self.clock.seconds()
         if events:
             self.progress.record_output()
         if self.event_timer is not None:
@@ -150,10 +167,15 @@
             )
 
     def response_failed(self, reason: ResponseFailure):
+        if self.stop_requested and reason.closed_by_endpoint:
+            self.run_stopped = True
+            self._end(StreamOutcome.STOPPED)
+            return
         self.endpoint_disconnected = reason.closed_by_endpoint and not self.ended
         self._end(StreamOutcome.BROKEN)
 
     def _end(self, outcome: StreamOutcome) -> None:
         if not self.ended:
             self.ended = True
+            self.on_end()
             self.done.callback(outcome)
--- a/src/guavacleat/forwarding/wire.py
+++ b/src/guavacleat/forwarding/wire.py
@@ -31,9 +31,12 @@
         raise NotImplementedError
 
     def encode_move(
-        self, request_id: str, target: tuple[str, int]
+        self, request_id: str, target: tuple[str, int], stop: bool = False
     ) -> tuple[bytes, bytes, Headers, bytes]:
-        """Method, target, headers and body of the call that copies a run to ``target``."""
+        """Method, target, headers and body of the call that copies a run to ``target``.
+
+        :param stop: whether the run stops before it is copied.
+        """
         raise NotImplementedError
 
     def decode_move(self, status: int, body: bytes) -> MoveResponse:
--- a/src/guavacleat/http1/pool.py
+++ b/src/guavacleat/http1/pool.py
@@ -44,7 +44,7 @@
         connector = protocol.ClientCreator(
             self.reactor,
             EndpointConnection,
-            lambda connection: self._release(address, connection),
+            lambda connection: self.release(address, connection),
             lambda connection: self._remove(address, connection),
             self.detector,
         )
@@ -60,7 +60,8 @@
         for address in list(self.idle_by_address):
             self.drop(address)
 
-    def _release(self, address, connection) -> None:
+    def release(self, address: tuple[str, int], connection: EndpointConnection) -> None:
+        """Keep an idle connection for a later request."""
         seconds = DEFAULT_IDLE_SECONDS
         if connection.keep_alive_seconds is not None:
             seconds = max(0.0, connection.keep_alive_seconds - KEEP_ALIVE_MARGIN_SECONDS)
--- a/src/guavacleat/membership/registry.py
+++ b/src/guavacleat/membership/registry.py
@@ -175,6 +175,13 @@
         current = self.entries_by_id.get(entry.id)
         return current is not None and current.is_same_process(entry)
 
+    def drains_since(self, entry: EndpointEntry) -> float | None:
+        """Clock time at which the process was found to be draining; None if it isn't."""
+        change = self.changes_by_id.get(entry.id)
+        if change is None or change.entry is None or not self.is_current(entry):
+            return None
+        return change.recorded_at if change.entry.state is EndpointState.DRAINING else None
+
     def _report_restart(self, replaced: EndpointEntry) -> None:
         self.leaving_ids.discard(replaced.id)
         self._log(replaced, "restarted")
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -1,28 +1,27 @@
 """Migrates the streams of a leaving engine to other engines.
 
 An engine may be reclaimed one or two seconds after its notice. Each stream is copied to another
-engine while it runs, and handed over once the copy exists: it resumes there after the last event
-that the caller received.
+engine while it runs, and handed over once the copy exists: it is stopped, and resumes there after
+the last event that the caller received.
 
 All copies from an engine share its network link, so each gateway makes one at a time. Runs are not
-stopped for the copy, because a stopped run would pause while other copies are queued.
+stopped for the first copy, because a stopped run would pause while other copies are queued. Streams
+with a backup come last: they resume from it if their engine ends before.
 """
 
 from eliot import log_message
 from twisted.internet import defer, task
 
-from guavacleat.forwarding.copies import free_copy
+from guavacleat.forwarding.copies import copy_run, free_copy
 from guavacleat.forwarding.memory import RunCopy
-from guavacleat.forwarding.messages import MoveResponse
+from guavacleat.forwarding.messages import RUN_NOT_FOUND, MoveResponse
 from guavacleat.forwarding.session import StreamSession
-from guavacleat.http1.calls import CallBrokenError, call
+from guavacleat.http1.calls import CallBrokenError
 from guavacleat.membership.entries import EndpointEntry
 from guavacleat.placement import Run
 
 __all__ = ["Evacuator"]
 
-# A copy takes less even when others are queued before it; a later one is not worth waiting for.
-COPY_TIMEOUT_SECONDS = 3.0
 # Delay before the next try to copy; a request that has not started to run cannot be copied yet.
 COPY_RETRY_SECONDS = 0.1
 # Interval between checks for a stream whose copy is ready.
@@ -38,7 +37,6 @@
 # A stream without events for this long, several times the usual pause between events, is assumed to
 # be lost with the former process.
 RESTART_SILENCE_SECONDS = 0.3
-RUN_NOT_FOUND = 404
 
 
 class Evacuator:
@@ -103,6 +101,20 @@
             if session.memory.copy is None and session.handover is None
         ]
 
+    def _backed_up(self, entry: EndpointEntry) -> list[StreamSession]:
+        """Streams on ``entry`` that have a backup.
+
+        They can resume from it once their engine has ended, but pause less with a copy.
+        """
+        return [
+            session
+            for session in self._streams_on(entry)
+            if session.memory.backed_up and session.handover is None
+        ]
+
+    def _has_copy(self, session: StreamSession) -> bool:
+        return session.memory.copy is not None and not session.memory.backed_up
+
     def _log_error(self, failure) -> None:
         log_message(message_type="move:error", error=failure.getTraceback())
 
@@ -120,6 +132,8 @@
         failed: set[StreamSession] = set()
         while self._is_evacuating(entry, started_at):
             session = self._choose_next(self._unprotected(entry), started_at, failed)
+            if session is None:
+                session = self._choose_next(self._backed_up(entry), started_at, failed)
             if session is None:
                 failed.clear()
                 await task.deferLater(self.context.clock, COPY_RETRY_SECONDS)
@@ -131,7 +145,9 @@
         failed: set[StreamSession] = set()
         while self._is_evacuating(entry, started_at):
             protected = [
-                session for session in self._streams_on(entry) if session.memory.copy_usable()
+                session
+                for session in self._streams_on(entry)
+                if self._has_copy(session) and not session.attempt.ignores_stop
             ]
             session = self._choose_next(protected, started_at, failed)
             if session is None:
@@ -141,8 +157,11 @@
                 failed.add(session)
 
     def _is_evacuating(self, entry: EndpointEntry, started_at: float) -> bool:
-        return self.context.clock.seconds() - started_at < EVACUATION_SECONDS and bool(
-            self._streams_on(entry)
+        if self.context.clock.seconds() - started_at >= EVACUATION_SECONDS:
+            return False
+        return any(
+            self._runs_on(session, entry) or self._is_between_engines(session, entry)
+            for session in self.sessions
         )
 
     def _choose_next(self, sessions, started_at: float, failed: set) -> StreamSession | None:
@@ -163,9 +182,17 @@
             return False
         return attempt.entry.is_same_process(entry)
 
+    def _is_between_engines(self, session: StreamSession, entry: EndpointEntry) -> bool:
+        """Whether ``entry`` has stopped the run, to which it returns if the new engine refuses."""
+        attempt = session.attempt
+        if attempt is None or session.finished:
+            return False
+        return attempt.run_stopped and attempt.entry.is_same_process(entry)
+
     async def _copy_to_another_engine(self, session: StreamSession, entry: EndpointEntry) -> bool:
         """Copy one stream, trying up to two targets; return whether it succeeded."""
-        tried: set[str] = set()
+        backup = session.memory.copy
+        tried = set() if backup is None else {backup.entry.id}
         for _ in range(2):
             expected = session.memory.expected_tokens()
             target = self.context.placement.choose_move_target(
@@ -187,8 +214,7 @@
             usable = (
                 response.copied
                 and self._runs_on(session, entry)
-                and self.context.registry.is_current(target)
-                and self.context.placement.is_allowed(target)
+                and self.context.may_resume_on(target)
             )
             if usable:
                 session.memory.set_copy(RunCopy(target, entry, response.handle))
@@ -202,24 +228,10 @@
         return False
 
     async def _copy(self, session, source, target) -> MoveResponse:
-        context = self.context
-        method, path, headers, body = context.wire.encode_move(
-            session.request.metadata.id, target.address
-        )
         try:
-            response = await call(
-                context.clock,
-                context.pool,
-                source.address,
-                method,
-                path,
-                headers,
-                body,
-                COPY_TIMEOUT_SECONDS,
-            )
+            return await copy_run(self.context, session.request.metadata.id, source, target)
         except CallBrokenError:
             return MoveResponse(0, None)
-        return context.wire.decode_move(response.code, response.body)
 
     def _log(self, message_type, session, source, target, status, started_at) -> None:
         log_message(
--- a/src/guavacleat/platform/engines.py
+++ b/src/guavacleat/platform/engines.py
@@ -15,12 +15,12 @@
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
-def encode_move(request_id: str, target: tuple[str, int]):
+def encode_move(request_id: str, target: tuple[str, int], stop: bool = False):
     """Return method, path, headers and body of the call that copies a KV cache to ``target``.
 
-    The generation continues during the copy: ``last``, which would stop it first, is false.
+    :param stop: whether the generation stops before the copy is made; otherwise it continues.
     """
-    body = {"id": request_id, "target": format_address(target), "last": False}
+    body = {"id": request_id, "target": format_address(target), "last": stop}
     return b"POST", MOVE_PATH, JSON_HEADERS, json.dumps(body).encode()
 
 
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -248,6 +248,8 @@
     method, _, _, body = encode_move("r1", ("10.0.0.2", 81))
     assert method == b"POST"
     assert json.loads(body) == {"id": "r1", "target": "10.0.0.2:81", "last": False}
+    _, _, _, body = encode_move("r1", ("10.0.0.2", 81), stop=True)
+    assert json.loads(body)["last"] is True
     assert decode_move(200, b'{"handle": "h1", "createdAt": 3}').handle == "h1"
     assert decode_move(503, b"").handle is None
 
