--- a/src/guavacleat/forwarding/context.py
+++ b/src/guavacleat/forwarding/context.py
@@ -66,7 +66,7 @@
 
     def may_resume_on(self, entry) -> bool:
         """Whether a stream may go on at ``entry``, which may have begun to leave meanwhile."""
-        return self.registry.is_current(entry) and self.placement.is_allowed(entry)
+        return self.registry.is_ready(entry) and self.placement.is_allowed(entry)
 
     def may_return_to(self, entry) -> bool:
         """Whether a run may go on at the draining engine that has stopped it."""
--- a/src/guavacleat/membership/registry.py
+++ b/src/guavacleat/membership/registry.py
@@ -175,6 +175,10 @@
         current = self.entries_by_id.get(entry.id)
         return current is not None and current.is_same_process(entry)
 
+    def is_ready(self, entry: EndpointEntry) -> bool:
+        """Whether the process that ``entry`` describes takes new requests."""
+        return self.is_current(entry) and self.entries_by_id[entry.id].state is EndpointState.READY
+
     def drains_since(self, entry: EndpointEntry) -> float | None:
         """Clock time at which the process was found to be draining; None if it isn't."""
         change = self.changes_by_id.get(entry.id)
--- a/src/guavacleat/migration/evacuation.py
+++ b/src/guavacleat/migration/evacuation.py
@@ -26,6 +26,8 @@
 COPY_RETRY_SECONDS = 0.1
 # Interval between checks for a stream whose copy is ready.
 HANDOVER_POLL_SECONDS = 0.02
+# A stream that was sent before the notice has its first event after this time at the latest.
+ARRIVAL_SECONDS = 1.0
 # Streams are migrated until this long after the engine's notice.
 EVACUATION_SECONDS = 6.0
 # Runs that were expected to end soon are migrated too if they are still running after this delay;
@@ -47,9 +49,12 @@
         self.sessions = sessions
 
     def endpoint_leaving(self, entry: EndpointEntry) -> None:
-        """Migrate the streams of an endpoint that will shut down soon."""
+        """Migrate the streams of an endpoint that will shut down soon.
+
+        Streams may still arrive there that were sent before the notice.
+        """
         self._drop_copies_on(entry)
-        if self._streams_on(entry):
+        if any(session.request.service == entry.service for session in self.sessions):
             evacuation_task = defer.Deferred.fromCoroutine(self._evacuate(entry))
             evacuation_task.addErrback(self._log_error)
 
@@ -157,8 +162,9 @@
                 failed.add(session)
 
     def _is_evacuating(self, entry: EndpointEntry, started_at: float) -> bool:
-        if self.context.clock.seconds() - started_at >= EVACUATION_SECONDS:
-            return False
+        elapsed = self.context.clock.seconds() - started_at
+        if elapsed < ARRIVAL_SECONDS or elapsed >= EVACUATION_SECONDS:
+            return elapsed < ARRIVAL_SECONDS
         return any(
             self._runs_on(session, entry) or self._is_between_engines(session, entry)
             for session in self.sessions
--- a/tests/forwarding/test_session.py
+++ b/tests/forwarding/test_session.py
@@ -418,6 +418,17 @@
     assert len(harness.pool.connections) == 2 and caller.aborted
 
 
+def test_stream_is_not_stopped_for_an_engine_that_has_begun_to_leave(harness):
+    """Guards against a handover to an engine whose drain was announced after the copy."""
+    harness.pool.responses_by_target.clear()
+    session, _, connection = start_running_stream(harness)
+    session.memory.set_copy(RunCopy(make_entry("e2"), make_entry("e2"), "h1"))
+    done = defer.Deferred.fromCoroutine(session.hand_over())
+    harness.set_endpoint("e2", state=EndpointState.DRAINING)
+    connection.send_body(encode_event(4))
+    assert done.result is False and harness.pool.calls == [] and connection.open
+
+
 def test_both_attempts_are_abandoned_when_the_caller_leaves_during_a_handover(harness):
     session, _, connection, second_connection, _, _ = start_handover(harness)
     session.cancel()
--- a/tests/migration/test_evacuation.py
+++ b/tests/migration/test_evacuation.py
@@ -288,6 +288,32 @@
     assert calls.made[0][2].startswith("r2 ")
 
 
+def test_copy_to_an_engine_that_has_begun_to_leave_is_not_used(harness, calls):
+    """Guards against a handover to an engine whose drain was announced while the copy was made."""
+    sessions, [(session, _, connection)] = start_streams(harness, 1)
+    announce_leaving(harness, sessions)
+    target = calls.made[0][2].split()[1]
+    harness.set_endpoint(target, state=EndpointState.DRAINING)
+    calls.answer(0, 200, "h0")
+    send_events(harness, connection, 31, 3)
+    assert session.memory.copy is None and "/free/h0" in calls.targets()
+    assert "/stop" not in calls.targets() and connection.open
+
+
+def test_stream_that_arrives_at_an_engine_after_its_notice_is_moved_on(harness, calls):
+    """Guards against a stream that nobody moves, as it was on its way at its engine's notice."""
+    sessions, [(session, caller, connection)] = start_streams(harness, 1)
+    announce_leaving(harness, sessions)
+    calls.answer(0, 200, "h0")
+    send_events(harness, connection, 31)
+    stop_run(calls, connection)
+    second_connection = harness.pool.connections[1]
+    harness.set_endpoint(second_connection.address[0], state=EndpointState.DRAINING)
+    second_connection.begin(id=b"r0")
+    send_events(harness, second_connection, 32, 10)
+    assert calls.made[-1][:2] == (second_connection.address[0], "/copy")
+
+
 def test_late_copy_is_freed(harness, calls):
     """Guards against unused copies that occupy engine memory after the stream has ended."""
     sessions, [(_, _, connection)] = start_streams(harness, 1)
