--- a/src/guavacleat/ingress/service.py
+++ b/src/guavacleat/ingress/service.py
@@ -91,7 +91,11 @@
         self.holder = RouteHolder()
         self.pool = ConnectionPool(reactor)
         self.registry = EndpointRegistry(
-            reactor, self._endpoint_leaving, self._endpoint_restarted, self._endpoint_cold
+            reactor,
+            self._endpoint_leaving,
+            self._endpoint_restarted,
+            self._endpoint_cold,
+            settings.bounds.heartbeat,
         )
         self.evacuations = EvacuationRegister(
             reactor, self._data_centre_evacuated, self._data_centre_restored
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -126,7 +126,7 @@
             self.adapter.endpoint_kind,
             self._endpoint_changed,
             pause=self._endpoint_watch_pause,
-            on_health=self.registry.record_store_health,
+            on_health=self._record_store_health,
             on_listed=self._endpoints_listed,
             on_revision=self.evacuations.endpoints_known,
             is_suspended=self._endpoint_watch_suspended,
@@ -186,8 +186,9 @@
 
     def _endpoint_watch_suspended(self) -> bool:
         """Whether this gateway leaves watching the endpoints to its peers for now."""
-        if store_silence(self.registry, self.peers) > STORE_SILENCE_SECONDS:
-            self.registry.record_store_silence()
+        silence = store_silence(self.registry, self.peers)
+        if silence > STORE_SILENCE_SECONDS:
+            self.registry.record_store_silence(silence)
         if self.should_watch():
             return False
         if self._retry_left_to_peers(self.endpoint_watch):
@@ -205,6 +206,9 @@
             return False
         return True
 
+    def _record_store_health(self, healthy: bool) -> None:
+        self.registry.record_store_health(healthy, self.endpoint_watch.silent_since)
+
     def _store_restored(self, era: int) -> None:
         """Rewrite this gateway's objects after the store was restored from a backup."""
         del era
--- a/src/guavacleat/membership/registry.py
+++ b/src/guavacleat/membership/registry.py
@@ -1,9 +1,9 @@
 """A gateway's registry of the endpoints that register themselves in the object API.
 
-A removed entry usually means that its endpoint is leaving. During an outage of the store, however,
-entries lapse while their endpoints run; those register again within ``REREGISTRATION_SECONDS``
-after the outage. Entries removed in that time are kept until it has passed, as otherwise a gateway
-would have no endpoints just after an outage.
+A removed entry usually means that its endpoint is leaving. During a long outage of the store,
+however, entries lapse while their endpoints run; those register again within
+``REREGISTRATION_SECONDS`` after the outage (see ``outages``). Entries removed in that time are kept
+until it has passed, as otherwise a gateway would have no endpoints just after an outage.
 
 An endpoint may restart with the same id. Its entry then has another start time, usually a later one
 (see ``succession``), and the state of the previous process no longer applies. An endpoint whose
@@ -21,14 +21,13 @@
     EndpointState,
 )
 from guavacleat.membership.leaving import LeavingEndpoints
+from guavacleat.membership.outages import REREGISTRATION_SECONDS, StoreOutages
 from guavacleat.membership.succession import ProcessSuccession
 from guavacleat.store import Revision
 
 __all__ = ["EndpointRegistry", "REREGISTRATION_SECONDS"]
 
-# Live endpoints register again within two seconds after an outage of the store, as the platform
-# documents; the rest is a margin for the watch's delay.
-REREGISTRATION_SECONDS = 2.3
+HEARTBEAT_SECONDS = 1.2
 # How long a change is gossiped; longer than the usual partition between a gateway and the store.
 CHANGE_RETENTION_SECONDS = 15.0
 # After a failed store call a gateway is not selected as a watcher for this time.
@@ -42,10 +41,17 @@
     ``on_restarted(previous)`` with the previous entry of an endpoint that restarted with the same
     id, ``on_cold(entry)`` when an endpoint reports that it is cold, and ``on_change(change)`` after
     each :class:`~.entries.EndpointChange` to be gossiped.
+
+    :param heartbeat: interval in seconds at which endpoints write their entries.
     """
 
     def __init__(
-        self, clock: IReactorTime, on_leaving=None, on_restarted=None, on_cold=lambda entry: None
+        self,
+        clock: IReactorTime,
+        on_leaving=None,
+        on_restarted=None,
+        on_cold=lambda entry: None,
+        heartbeat: float = HEARTBEAT_SECONDS,
     ):
         self.clock = clock
         self.on_leaving = on_leaving or (lambda entry: None)
@@ -68,7 +74,7 @@
         # None until the store first responds; a gateway with a routes file has no store.
         self.store_answered_at: float | None = None
         self.store_lost_at: float | None = None
-        self.store_recovered_at: float | None = None
+        self.outages = StoreOutages(clock, heartbeat)
         self.store_failed_at: float | None = None
 
     def observe(self, entry: EndpointEntry, origin: ChangeOrigin = ChangeOrigin.STORE) -> None:
@@ -200,10 +206,10 @@
         if revision and entry.revision > revision:
             # A peer has already reported a later registration.
             return
-        if entry.state is EndpointState.READY and self._may_have_lapsed():
+        if entry.state is EndpointState.READY and self.outages.may_have_lapsed():
             self.lapsed_ids.add(id)
             self._log(entry, "lapsed")
-            self.clock.callLater(self._reregistration_time_left(), self._drop_if_lapsed, id)
+            self._schedule_drop(id)
             return
         self._drop(id, ChangeOrigin.STORE, revision)
 
@@ -262,11 +268,17 @@
         """Record whether a call to the store succeeded."""
         if healthy:
             self.store_answered_at = self.clock.seconds()
+            self.outages.record_answer(self.store_answered_at)
+
+    def record_store_health(self, healthy: bool, silent_since: float | None = None) -> None:
+        """Record whether the last watch call succeeded.
 
-    def record_store_health(self, healthy: bool) -> None:
-        """Record whether the last watch call succeeded."""
+        :param silent_since: clock time from which on the store may have been silent, if it failed.
+        """
         now = self.clock.seconds()
         self.record_store_call(healthy)
+        if not healthy:
+            self.outages.record_failure(now if silent_since is None else silent_since)
         self.store_failed_at = None if healthy else now
         if not healthy and self.store_lost_at is None:
             self.store_lost_at = now
@@ -280,22 +292,23 @@
         A gateway that is not a watcher makes no calls itself. It would otherwise still consider
         the store unreachable at its next call, and treat entries removed until then as lapsed.
         """
+        self.outages.record_answer(at)
         if self.store_lost_at is not None and at > self.store_lost_at:
             self._record_store_recovery()
 
     def store_restored(self) -> None:
         """Record that the store was restored from a backup; live endpoints register again."""
         self.backup_revisions_by_id.clear()
-        self.store_recovered_at = self.clock.seconds()
+        self.outages.record_restore()
 
-    def record_store_silence(self) -> None:
-        """Record, on a gateway that is not a watcher, that no gateway reaches the store.
+    def record_store_silence(self, seconds: float) -> None:
+        """Record, on a gateway that is not a watcher, for how long no gateway reached the store.
 
-        This restarts the time in which endpoints may register again: entries that lapse meanwhile
-        would otherwise be treated as removed after this gateway's next call.
+        Entries that lapse meanwhile would otherwise be treated as removed after this gateway's next
+        call.
         """
         if self.store_lost_at is None:
-            self.store_recovered_at = self.clock.seconds()
+            self.outages.record_failure(self.clock.seconds() - seconds)
 
     def _record_store_recovery(self) -> None:
         if self.store_lost_at is None:
@@ -303,7 +316,6 @@
         now = self.clock.seconds()
         log_message(message_type="store:back", outage=round(now - self.store_lost_at, 3))
         self.store_lost_at = None
-        self.store_recovered_at = now
 
     def store_unreachable(self) -> bool:
         """Whether the last watch call failed, less than ``UNREACHABLE_SECONDS`` ago."""
@@ -333,16 +345,17 @@
         """Seconds since an endpoint of the service was last reported as leaving."""
         return self.clock.seconds() - self.last_leaving_at_by_service.get(service, float("-inf"))
 
-    def _may_have_lapsed(self) -> bool:
-        return self.store_lost or self._reregistration_time_left() > 0
-
-    def _reregistration_time_left(self) -> float:
-        if self.store_recovered_at is None:
-            return 0.0
-        return max(0.0, self.store_recovered_at + REREGISTRATION_SECONDS - self.clock.seconds())
+    def _schedule_drop(self, id: str) -> None:
+        seconds = self.outages.reregistration_time_left()
+        self.clock.callLater(seconds, self._drop_if_lapsed, id)
 
     def _drop_if_lapsed(self, id: str) -> None:
-        if id in self.lapsed_ids:
+        if id not in self.lapsed_ids:
+            return
+        if self.outages.may_have_lapsed():
+            # The outage goes on, or another one followed.
+            self._schedule_drop(id)
+        else:
             self._drop(id, ChangeOrigin.STORE)
 
     def _drop(self, id: str, origin: ChangeOrigin, revision: int = 0) -> None:
--- a/src/guavacleat/platform/settings.py
+++ b/src/guavacleat/platform/settings.py
@@ -54,6 +54,7 @@
             prefix_reuse=values.number("bounds.reuseWindowS", 4),
             cold_overshoot=values.number("bounds.coldOvershoot", 1.5),
             cold_slack=values.number("bounds.coldSlack", 5),
+            heartbeat=values.number("heartbeatMs", 1200) / 1000,
         ),
         regions_by_data_centre=values.table("zones"),
     )
--- a/src/guavacleat/settings.py
+++ b/src/guavacleat/settings.py
@@ -34,6 +34,7 @@
     :param prefix_reuse: time in which a shared prompt prefix should be prefilled only once.
     :param cold_overshoot: factor by which the rate of requests to a cold endpoint may be exceeded.
     :param cold_slack: requests that a cold endpoint may get within a second in addition.
+    :param heartbeat: interval at which endpoints write their entries.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "prefix_reuse",
         "cold_overshoot",
         "cold_slack",
+        "heartbeat",
     )
 
     def __init__(
@@ -59,6 +61,7 @@
         prefix_reuse=4.0,
         cold_overshoot=1.5,
         cold_slack=5.0,
+        heartbeat=1.2,
     ):
         self.drain = drain
         self.stop_grace = stop_grace
@@ -69,6 +72,7 @@
         self.prefix_reuse = prefix_reuse
         self.cold_overshoot = cold_overshoot
         self.cold_slack = cold_slack
+        self.heartbeat = heartbeat
 
 
 class ProcessSettings:
--- a/src/guavacleat/store/watch.py
+++ b/src/guavacleat/store/watch.py
@@ -28,6 +28,8 @@
 # the store has recovered.
 RECOVERY_WAIT_SECONDS = 0.3
 BACKOFF_MAX_SECONDS = 5.0
+# Time from the end of a watch's wait until its response is overdue.
+RESPONSE_SECONDS = 0.2
 # Each watch waits for a random fraction, between this and 1, of its wait. A change completes the
 # watches of all gateways at once; without jitter they would all detect an outage equally late.
 MIN_WAIT_FRACTION = 0.6
@@ -85,6 +87,10 @@
         self.failures = 0
         # Clock time of the last call to the store.
         self.called_at = float("-inf")
+        # Time in which the store holds back its response to the current call.
+        self._call_wait = 0.0
+        # Clock time since which the store may not have responded, as of the last failed call.
+        self.silent_since = float("-inf")
         self.running = False
         self._scheduled_call = None
         # Pages of an unfinished listing. They are kept after a failure: a long listing that starts
@@ -168,6 +174,9 @@
             # The call was interrupted by stop().
             return
         self.failures += 1
+        now = self.clock.seconds()
+        overdue = now - self.called_at > self._call_wait + RESPONSE_SECONDS
+        self.silent_since = self.called_at if overdue else now
         if self.failures.bit_count() == 1:
             # Log the 1st, 2nd, 4th, 8th ... consecutive failure, to limit the log of a long outage.
             log_message(
@@ -183,12 +192,14 @@
     def _call_store(self):
         try:
             listing = self.revision is None
+            self._call_wait = 0.0
             if listing:
                 batch = yield self.store.list_objects(self.kind, self._listing)
             else:
                 wait = self.wait * self.random.uniform(MIN_WAIT_FRACTION, 1.0)
                 if self.failures:
                     wait = min(self.wait, RECOVERY_WAIT_SECONDS)
+                self._call_wait = wait
                 batch = yield self.store.watch(self.kind, self.revision, wait, self.max_body_bytes)
         except HistoryLostError:
             self._relist("watch:history-lost")
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -89,6 +89,8 @@
         self.store = store
         self.state = "open"
         self.era_listeners = []
+        # Answers of the watches that wait, the earliest first.
+        self.answers = []
 
     def observe_era(self, era):
         """Ignored: this store is never restored from a backup."""
@@ -144,17 +146,31 @@
                 self.store.waiting.remove(waiting)
                 changed.callback(WatchBatch(self.store.revision, []))
 
+        def fail(error):
+            if not answer.called:
+                answer.errback(error)
+
         def deliver(batch):
+            if answer.called:
+                return
             if self.state == "open":
                 answer.callback(batch)
             else:
                 error = StoreUnavailableError("the answer was lost")
-                self.store.clock.callLater(CALL_TIMEOUT_SECONDS, answer.errback, error)
+                self.store.clock.callLater(CALL_TIMEOUT_SECONDS, fail, error)
 
         self.store.clock.callLater(wait, time_out)
         changed.addCallback(deliver)
+        self.answers = [waiting for waiting in self.answers if not waiting.called] + [answer]
         return answer
 
+    def cut(self):
+        """Close the connections of the watches that wait."""
+        waiting = [answer for answer in self.answers if not answer.called]
+        self.answers.clear()
+        for answer in waiting:
+            answer.errback(StoreUnavailableError("connection closed"))
+
 
 class Gateway:
     """A gateway's store source and peer exchange."""
--- a/tests/peers/test_sync.py
+++ b/tests/peers/test_sync.py
@@ -276,3 +276,19 @@
     for gateway in fleet.gateways.values():
         assert "e1" not in gateway.left_ids, gateway.instance
         assert "e1" in gateway.ready_ids(), gateway.instance
+
+
+@pytest.mark.parametrize("per_data_centre", [1, 4])
+@pytest.mark.parametrize("cuts", [1, 2])
+def test_an_endpoint_removed_after_cut_watches_gets_no_requests(per_data_centre, cuts):
+    """Guards against requests to an endpoint that leaves just after all watches were cut off."""
+    fleet = Fleet(1, per_data_centre, endpoints=["e1", "e2"])
+    fleet.pass_time(SETTLE_SECONDS)
+    for _ in range(cuts):
+        for gateway in fleet.gateways.values():
+            gateway.link.cut()
+        fleet.pass_time(0.05)
+    fleet.remove_endpoint("e1")
+    fleet.pass_time(1.5)
+    for gateway in fleet.gateways.values():
+        assert gateway.ready_ids() == {"e2"}, gateway.instance
