--- a/src/guavacleat/http1/client.py
+++ b/src/guavacleat/http1/client.py
@@ -18,6 +18,8 @@
 __all__ = ["ResponseListener", "ResponseFailure", "EndpointConnection"]
 
 MAX_RESPONSE_HEAD_BYTES = 32768
+# h11 refuses statuses that are too small, but not those that are too large (RFC 9110, section 15).
+MAX_STATUS = 599
 # Interim responses (103) that may precede a response.
 MAX_INTERIM_RESPONSES = 16
 # Bounds of what is read of a response that nobody needs, so that its connection can be reused.
@@ -197,6 +199,9 @@
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return False
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                self._malformed()
+                return False
             self._read_keep_alive(event)
             head = ResponseHead(event.status_code, event.reason, list(event.headers))
             self.listener.response_started(head)
