--- a/src/guavacleat/gateway/requests.py
+++ b/src/guavacleat/gateway/requests.py
@@ -1,11 +1,11 @@
 """Parses completion requests against the configuration in force."""
 
-import json
 import uuid
 
 from guavacleat.config.model import Deployment
 from guavacleat.errors import GuavacleatError
 from guavacleat.idempotency import call_name
+from guavacleat.partial_json import loads
 from guavacleat.streams.messages import CompletionRequest, ResumePoint
 
 __all__ = ["RequestError", "parse_completion", "MAX_PROMPT_BYTES"]
@@ -22,7 +22,7 @@
 def parse_completion(body: bytes, idempotency_key: str | None, deployment: Deployment, now):
     """Return a :class:`CompletionRequest`; raise RequestError with the field and remedy."""
     try:
-        raw = json.loads(body)
+        raw = loads(body)
     except ValueError as exc:
         raise RequestError("the body is not JSON.", "send a JSON object.") from exc
     if not isinstance(raw, dict):
--- a/src/guavacleat/ingress/sources.py
+++ b/src/guavacleat/ingress/sources.py
@@ -299,7 +299,7 @@
             return
         try:
             entry = self.adapter.decode_endpoint(stored.name, stored.value, stored.revision)
-        except (KeyError, ValueError, TypeError, AttributeError) as exc:
+        except (ArithmeticError, AttributeError, KeyError, TypeError, ValueError) as exc:
             self.registry.observe_unreadable(stored.name, stored.revision, repr(exc))
             return
         self.registry.observe(entry)
--- a/src/guavacleat/platform/decode.py
+++ b/src/guavacleat/platform/decode.py
@@ -25,6 +25,9 @@
 }
 STATES_BY_NAME = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING}
 PORTS = range(1, 65536)
+# What reports to other gateways can hold.
+INTEGERS = range(-(2**63), 2**63)
+SLOTS = range(1, 2**31)
 # Largest integer up to which all integers are exact as floats (53-bit mantissa).
 MAX_EXACT_FLOAT_INTEGER = 2**53 - 1
 
@@ -62,12 +65,21 @@
 def _integer(value) -> int:
     """Check an integer; floats with an integral value are accepted, as some encoders write them."""
     if isinstance(value, float) and value.is_integer():
-        return int(value)
+        value = int(value)
     if not isinstance(value, int) or isinstance(value, bool):
         raise ValueError(f"{value!r} is not an integer")
+    if value not in INTEGERS:
+        raise ValueError("an integer is out of range")
     return value
 
 
+def _slots(value) -> int:
+    slots = _integer(value)
+    if slots not in SLOTS:
+        raise ValueError(f"{slots} is not a valid number of slots")
+    return slots
+
+
 def _version(value) -> int:
     """Check a configuration's version; a float is accepted only up to MAX_EXACT_FLOAT_INTEGER.
 
@@ -176,7 +188,7 @@
         service=_string(spec["service"]),
         address=_address(_string(spec["address"])),
         data_centre=_string(_get(spec, "zone", "")),
-        slots=_integer(_get(spec, "slots", 1)),
+        slots=_slots(_get(spec, "slots", 1)),
         # An unknown state means neither ready nor draining.
         state=STATES_BY_NAME.get(_string(spec["state"]), EndpointState.UNUSABLE),
         revision=revision,
--- a/src/guavacleat/platform/engines.py
+++ b/src/guavacleat/platform/engines.py
@@ -4,6 +4,7 @@
 
 from guavacleat.addresses import format_address
 from guavacleat.forwarding.messages import EndpointStatus, MoveResponse
+from guavacleat.partial_json import loads
 
 __all__ = ["decode_move", "decode_status", "encode_move", "free_copy_path", "STATUS_REQUEST"]
 
@@ -49,7 +50,7 @@
 def _fields(body: bytes) -> dict:
     """Parse a JSON object; empty if the body is anything else."""
     try:
-        fields = json.loads(body) if body else {}
+        fields = loads(body) if body else {}
     except ValueError:
         return {}
     return fields if isinstance(fields, dict) else {}
--- a/src/guavacleat/platform/objects.py
+++ b/src/guavacleat/platform/objects.py
@@ -41,10 +41,10 @@
 
     def decode_object(self, kind: str, body: dict, deleted: bool = False) -> StoredObject:
         metadata = body["metadata"]
-        revision = metadata["revision"]
-        return StoredObject(
-            kind, metadata["name"], revision, revision, body.get("spec"), deleted=deleted
-        )
+        name, revision = metadata["name"], metadata["revision"]
+        if not isinstance(name, str) or not isinstance(revision, int):
+            raise TypeError(f"{name!r} is not a name, or {revision!r} not a revision")
+        return StoredObject(kind, name, revision, revision, body.get("spec"), deleted=deleted)
 
     def conflicting_version(self, body: dict) -> int:
         """The stored object's version, from the response to a conflicting write."""
@@ -55,8 +55,8 @@
         """Return a :class:`WatchBatch` and the name to list after next, None at the end."""
         items = body["items"]
         objects = self._decode_all(kind, ((item, False) for item in items))
-        more = body.get("hasMore") and items
-        return WatchBatch(body["storeRevision"], objects), _last_name(items) if more else None
+        more = body.get("hasMore") and objects
+        return WatchBatch(body["storeRevision"], objects), objects[-1].name if more else None
 
     def decode_changes(self, kind: str, body: dict) -> WatchBatch:
         events = ((event.get("object"), bool(event.get("tombstone"))) for event in body["events"])
@@ -77,8 +77,3 @@
         except (KeyError, TypeError, AttributeError) as exc:
             log_message(message_type="store:object-unreadable", kind=kind, error=repr(exc))
             return None
-
-
-def _last_name(items: list[dict]) -> str:
-    """The name after which the next page of a listing starts."""
-    return items[-1]["metadata"]["name"]
--- a/src/guavacleat/sidecar/engine_client.py
+++ b/src/guavacleat/sidecar/engine_client.py
@@ -6,6 +6,7 @@
 
 from guavacleat.http1.calls import PooledHttp
 from guavacleat.http1.pool import ConnectionPool
+from guavacleat.partial_json import loads
 
 __all__ = ["EngineBatch", "EngineClient", "bounded_http"]
 
@@ -106,4 +107,4 @@
         content = yield response.content()
         if response.code != 200:
             raise LookupError(f"engine returned HTTP {response.code} for {method} {path}")
-        return json.loads(content)
+        return loads(content)
--- a/src/guavacleat/sidecar/plain_client.py
+++ b/src/guavacleat/sidecar/plain_client.py
@@ -9,6 +9,7 @@
 
 from twisted.internet import defer
 
+from guavacleat.partial_json import loads
 from guavacleat.sidecar.engine_client import EngineBatch, bounded_http
 
 __all__ = ["PlainClient"]
@@ -42,7 +43,7 @@
         content = yield response.content()
         if response.code != 200:
             raise LookupError(f"service returned HTTP {response.code}")
-        answer = json.loads(content)
+        answer = loads(content)
         stream_id = f"call-{next(self.call_numbers)}"
         generation = f"{request_id}/{stream_id}"
         self._store_answer(stream_id, generation, answer["answer"])
--- a/src/guavacleat/store/client.py
+++ b/src/guavacleat/store/client.py
@@ -17,6 +17,7 @@
 from twisted.internet import defer
 
 from guavacleat.http1.calls import ResponseTooLargeError
+from guavacleat.partial_json import loads_partially
 from guavacleat.store.dialect import NativeDialect
 from guavacleat.store.messages import (
     MUST_NOT_EXIST,
@@ -205,9 +206,9 @@
         # Checked again: another response may have reported a later era while the body arrived.
         era = self._check_era(response)
         try:
-            # Invalid UTF-8 in one object must not make all others unreadable.
-            return response.code, json.loads(content.decode("utf-8", "replace")), era
-        except (ValueError, RecursionError) as exc:
+            # An invalid part of one object must not make all others unreadable.
+            return response.code, loads_partially(content.decode("utf-8", "replace")), era
+        except ValueError as exc:
             # An invalid response does not show whether a write was applied. An exception of another
             # type would end the caller's watch or lease loop.
             raise StoreUnavailableError(f"{method} {path}: the response is not JSON") from exc
--- a/src/guavacleat/streams/messages.py
+++ b/src/guavacleat/streams/messages.py
@@ -5,6 +5,7 @@
 import json
 
 from guavacleat.errors import GuavacleatError
+from guavacleat.partial_json import loads
 from guavacleat.quarantine import fingerprint, part_fingerprints
 from guavacleat.routing.prefix import prefix_blocks
 from guavacleat.streams.sections import split_sections
@@ -41,7 +42,7 @@
     @classmethod
     def from_handle(cls, handle: str, received) -> "ResumePoint":
         """Decode a string returned by :meth:`handle`; raises ValueError if it is malformed."""
-        parts = json.loads(base64.urlsafe_b64decode(handle.encode()))
+        parts = loads(base64.urlsafe_b64decode(handle.encode()))
         if not isinstance(parts, list) or [type(part) for part in parts] != [str] * HANDLE_FIELDS:
             raise ValueError("malformed stream handle")
         return cls(*parts, received)
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -41,6 +41,14 @@
         self.fault = None
         self.calls = []
         self.pending_watches = []
+        # JSON texts of specs that Python can't encode, by the string that stands for them.
+        self.texts_by_spec = {}
+
+    def write_text(self, kind, name, text):
+        """Write an object whose spec is the JSON ``text``."""
+        spec = f"text {len(self.texts_by_spec)}"
+        self.texts_by_spec[spec] = text
+        self.write(kind, name, spec)
 
     def write(self, kind, name, spec):
         """Write an object as another client."""
@@ -144,19 +152,21 @@
     def _watch(self, kind, since):
         if since < self.compacted_revision or since > self.revision:
             return defer.succeed(self._reply(410, {}))
-        response = self._changes(kind, since)
-        if json.loads(response.body)["events"]:
-            return defer.succeed(response)
+        if self._events(kind, since):
+            return defer.succeed(self._changes(kind, since))
         waiter = defer.Deferred()
         self.pending_watches.append((kind, since, waiter))
         return waiter
 
-    def _changes(self, kind, since):
-        events = [
+    def _events(self, kind, since):
+        return [
             event
             for event_revision, event_kind, event in self.history
             if event_revision > since and event_kind == kind
         ]
+
+    def _changes(self, kind, since):
+        events = self._events(kind, since)
         return self._reply(200, {"events": events, "storeRevision": self.revision})
 
     def _list(self, kind, after):
@@ -168,4 +178,7 @@
         return self._reply(200, {"items": items, "hasMore": more, "storeRevision": self.revision})
 
     def _reply(self, code, body):
-        return Reply(code, json.dumps(body).encode(), self.era)
+        text = json.dumps(body)
+        for spec, spec_text in self.texts_by_spec.items():
+            text = text.replace(json.dumps(spec), spec_text)
+        return Reply(code, text.encode(), self.era)
