--- a/tests/ingress/test_stop.py
+++ b/tests/ingress/test_stop.py
@@ -5,9 +5,10 @@
 import pytest
 from twisted.internet import protocol
 
+from guavacleat.http1.client import EndpointConnection
 from guavacleat.settings import Bounds
 from tests.conftest import result_of
-from tests.quarantine.crashing_fleet import CrashingFleet
+from tests.quarantine.crashing_fleet import CrashingFleet, OutcomeListener
 
 ENDPOINTS = 3000
 WORK_SECONDS = 0.4
@@ -168,3 +169,64 @@
     assert fleet.arrivals == []
     fleet.network.pass_time(1.0)
     assert result_of(stopping) is None
+
+
+class LateCalls:
+    """Sends one request on each of many kept connections to a gateway that is being stopped.
+
+    :ivar outcomes_by_id: status of each request, ``"broken"`` if it was cut.
+    """
+
+    def __init__(self, fleet, gateway):
+        self.fleet = fleet
+        self.address = fleet.gateways[gateway].settings.caller_address
+        self.outcomes_by_id = {}
+
+    def schedule(self, path, seconds):
+        """Connect now and send after ``seconds``."""
+        creating = protocol.ClientCreator(
+            self.fleet.network, EndpointConnection, lambda _: None, lambda _: None
+        )
+        connecting = creating.connectTCP(*self.address)
+        id = f"late{len(self.outcomes_by_id)}"
+        self.outcomes_by_id[id] = None
+        self.fleet.network.callLater(seconds, self._send, connecting, path, id)
+
+    def _send(self, connecting, path, id):
+        connection = result_of(connecting)
+        if not connection.open:
+            self.outcomes_by_id[id] = "closed before"
+            return
+        headers = [(b"host", b"h.example"), (b"x-request-id", id.encode())]
+        listener = OutcomeListener(lambda outcome, _: self._record(id, outcome))
+        connection.send(b"POST", path.encode(), headers, b"", listener)
+
+    def _record(self, id, outcome):
+        self.outcomes_by_id[id] = outcome
+
+
+@pytest.mark.parametrize("path", ["/page/1", "/record/1", "/listing/1"])
+@pytest.mark.parametrize("work_seconds", [0.0, 0.8, 1.9])
+@pytest.mark.parametrize("stopped", [["g0"], ["g0", "g1", "g2"]])
+def test_no_request_of_the_grace_is_passed_on_and_cut(path, work_seconds, stopped):
+    """Guards against late requests on kept connections that end with the process."""
+    fleet = CrashingFleet(gateways=3, work_seconds=work_seconds, event_seconds=0.3)
+    for gateway in fleet.gateways.values():
+        gateway.settings.bounds = BOUNDS
+    calls = LateCalls(fleet, "g0")
+    for number in range(90):
+        calls.schedule(path, 0.5 + 0.1 * number)
+    fleet.network.pass_time(0.5)
+    stops = [fleet.gateways[instance].stop() for instance in stopped]
+    fleet.network.pass_time(BOUNDS.stop_grace + 1.5)
+    assert [result_of(stopping) for stopping in stops] == [None] * len(stopped)
+    reached = {id for _, id in fleet.arrivals}
+    assert len(reached) >= 20, "some were served in the grace"
+    outcomes = calls.outcomes_by_id
+    # An attempt that may be repeated is given up after three times the latency goal.
+    slow = {502, 504} if path == "/page/1" and work_seconds > 0.6 else set()
+    assert {outcomes[id] for id in reached} <= {200} | slow
+    assert {outcome for id, outcome in outcomes.items() if id not in reached} <= {
+        503,
+        "closed before",
+    }
--- a/tests/quarantine/crashing_fleet.py
+++ b/tests/quarantine/crashing_fleet.py
@@ -21,7 +21,7 @@
 from tests.network import Network
 from tests.peers.fleet import SharedStore, StoreLink
 
-__all__ = ["CrashingFleet", "Endpoint"]
+__all__ = ["CrashingFleet", "Endpoint", "OutcomeListener"]
 
 RESTART_SECONDS = 1.0
 ROUTE_TIMEOUT_SECONDS = 2.0
@@ -104,7 +104,7 @@
         return EndpointEntry(id, service, address, "", 6, state, revision, cold_for=float(cold_for))
 
 
-class _OutcomeListener(ResponseListener):
+class OutcomeListener(ResponseListener):
     """Passes on the outcome of one request: its status, or ``"broken"``."""
 
     def __init__(self, on_outcome):
@@ -338,7 +338,7 @@
                 self.retry_after.append(float(answer_headers[b"retry-after"]))
 
         def connected(connection):
-            connection.send(b"POST", path.encode(), headers, body, _OutcomeListener(on_outcome))
+            connection.send(b"POST", path.encode(), headers, body, OutcomeListener(on_outcome))
 
         connector = protocol.ClientCreator(
             self.network, EndpointConnection, lambda idle: idle.abandon(), lambda closed: None
