--- a/src/guavacleat/forwarding/connecting.py
+++ b/src/guavacleat/forwarding/connecting.py
@@ -10,12 +10,13 @@
     """The endpoint may get no request now; another one has to be chosen."""
 
 
-async def connect(context, entry: EndpointEntry):
+async def connect(context, entry: EndpointEntry, repeatable: bool = False):
     """Return a connection to ``entry``; raise the connection error if it can't be reached.
 
     The request counts as sent from now on, so that others see the endpoint's limit as used.
 
     :param context: the :class:`~.context.ForwardingContext`.
+    :param repeatable: whether the request may run twice, so that it may be refused by mistake.
     :raises EndpointThrottledError: if the endpoint takes no more requests since it was chosen.
     """
     throttle = context.placement.throttle
@@ -23,7 +24,7 @@
         raise EndpointThrottledError(f"{entry.id} {throttle.cause(entry).value}")
     throttle.record_send(entry)
     try:
-        connection = await context.pool.connect(entry.address)
+        connection = await context.pool.connect(entry.address, identified=not repeatable)
     except Exception:
         context.load.record_failure(entry.id)
         throttle.cold.record_unreachable(entry)
--- a/src/guavacleat/forwarding/copies.py
+++ b/src/guavacleat/forwarding/copies.py
@@ -37,6 +37,7 @@
         headers,
         body,
         timeout,
+        identified=True,
     )
     return context.wire.decode_move(response.code, response.body)
 
--- a/src/guavacleat/forwarding/plain.py
+++ b/src/guavacleat/forwarding/plain.py
@@ -135,7 +135,9 @@
             context.clock, request.exchange, request.metadata.id, context.wire, on_statements
         )
         try:
-            connection = await connect(context, entry)
+            connection = await connect(
+                context, entry, repeatable=request.route.kind is RequestKind.IDEMPOTENT
+            )
         except Exception as exc:  # noqa: BLE001 - no connection: refused, timed out, unreachable
             self._log_attempt(request, entry, AttemptOutcome.UNREACHABLE, response, repr(exc))
             return AttemptOutcome.UNREACHABLE, response
--- a/src/guavacleat/forwarding/response.py
+++ b/src/guavacleat/forwarding/response.py
@@ -123,6 +123,8 @@
         self.head = head
         metadata = self.wire.parse_response_metadata(head.status, head.headers)
         self.check = check_response(head, metadata, self.request_id)
+        if metadata.request_id is None:
+            self.connection.unidentified = True
         statements = trusted_statements(head, metadata, self.request_id)
         if statements is not None:
             self.on_statements(statements)
--- a/src/guavacleat/forwarding/stream_attempt.py
+++ b/src/guavacleat/forwarding/stream_attempt.py
@@ -124,6 +124,8 @@
         self.head = head
         metadata = self.wire.parse_response_metadata(head.status, head.headers)
         self.check = check_response(head, metadata, self.request_id)
+        if metadata.request_id is None:
+            self.connection.unidentified = True
         statements = trusted_statements(head, metadata, self.request_id)
         if statements is not None:
             self.feedback.observe(self.entry, self.sent_at, statements)
--- a/src/guavacleat/http1/calls.py
+++ b/src/guavacleat/http1/calls.py
@@ -122,6 +122,7 @@
     timeout,
     read_timeout: float | None = None,
     max_body_bytes: int | None = MAX_BODY_BYTES,
+    identified: bool = False,
 ):
     """Return the :class:`Response`, or raise CallBrokenError.
 
@@ -129,11 +130,14 @@
     :param read_timeout: seconds without received data after which a started response fails.
     :param max_body_bytes: size of the body above which ResponseTooLargeError is raised; None for
         no limit.
+    :param identified: whether a late copy of another call's response must not be taken for this
+        one's. As responses to calls name none, the connection serves no further such call.
     """
     try:
-        connection = await pool.connect(address)
+        connection = await pool.connect(address, identified)
     except Exception as exc:  # noqa: BLE001 - refused, timed out, unreachable: no connection
         raise NotConnectedError(repr(exc)) from exc
+    connection.unidentified = connection.unidentified or identified
     collector = _ResponseCollector(max_body_bytes, connection.abandon)
     all_headers = [(b"host", format_address(address).encode()), *headers]
     connection.send(method, target, all_headers, body, collector)
--- a/src/guavacleat/http1/client.py
+++ b/src/guavacleat/http1/client.py
@@ -86,6 +86,8 @@
 
     :param detector: aborts the connection if the endpoint becomes unreachable; None for nothing.
     :ivar request_count: number of requests sent on it.
+    :ivar unidentified: whether a response on it didn't name its request. A late copy of such a
+        response can't be told from the response to a later request.
     """
 
     def __init__(self, on_idle, on_closed, detector: UnreachablePeerDetector | None = None):
@@ -96,6 +98,7 @@
         self.listener: ResponseListener | None = None
         self.request_count = 0
         self.open = False
+        self.unidentified = False
         self.keep_alive_seconds: float | None = None
         self._paused = False
         self._acknowledged_bytes = 0
--- a/src/guavacleat/http1/pool.py
+++ b/src/guavacleat/http1/pool.py
@@ -28,16 +28,27 @@
         self.opened_count = 0
         self.detector = UnreachablePeerDetector(reactor)
 
-    def connect(self, address: tuple[str, int]) -> defer.Deferred:
-        """Fire with an idle connection to ``address``, or with a new one."""
-        idle = self.idle_by_address.get(address)
-        while idle:
-            connection = idle.pop()
+    def connect(self, address: tuple[str, int], identified: bool = False) -> defer.Deferred:
+        """Fire with an idle connection to ``address``, or with a new one.
+
+        :param identified: whether a late copy of an earlier response must be told from the response
+            to the next request; connections on which that is impossible are left to others.
+        """
+        while (connection := self._newest_idle(address, identified)) is not None:
+            self.idle_by_address[address].remove(connection)
             self._cancel_timer(connection)
             if connection.open:
                 return defer.succeed(connection)
         return self.connect_new(address)
 
+    def _newest_idle(self, address: tuple[str, int], identified: bool) -> EndpointConnection | None:
+        """The connection to use next; the unidentified ones first, as few requests can use them."""
+        idle = self.idle_by_address.get(address, ())
+        by_use = {connection.unidentified: connection for connection in idle}
+        if identified:
+            return by_use.get(False)
+        return by_use.get(True) or by_use.get(False)
+
     def connect_new(self, address: tuple[str, int]) -> defer.Deferred:
         """Fire with a new connection to ``address``."""
         self.opened_count += 1
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -87,6 +87,7 @@
         self.abandoned = False
         self.paused = False
         self.taking_request = False
+        self.unidentified = False
         self.transport = self
 
     def send(self, method, target, headers, body, listener):
@@ -167,7 +168,8 @@
     def release(self, address, connection):
         """The next request opens a connection of its own."""
 
-    def connect(self, address):
+    def connect(self, address, identified=False):
+        del identified
         if address in self.refused:
             return defer.fail(ConnectionRefusedError(str(address)))
         self.connections.append(FakeEndpointConnection(address, self))
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -235,7 +235,7 @@
 def test_nothing_is_sent_once_the_process_stops(harness, clock, monkeypatch):
     """Guards against running a request whose connection ends with the process."""
     connecting = defer.Deferred()
-    monkeypatch.setattr(harness.pool, "connect", lambda address: connecting)
+    monkeypatch.setattr(harness.pool, "connect", lambda *_, **__: connecting)
     _, _, refusals = start_request(harness, kind=NON_IDEMPOTENT_KIND, attempts=1)
     harness.context.stops_at = clock.seconds() + 1.0
     clock.advance(1.0)
--- a/tests/forwarding/test_session.py
+++ b/tests/forwarding/test_session.py
@@ -180,7 +180,7 @@
 def test_a_stream_is_not_sent_once_the_process_stops(harness, monkeypatch):
     """Guards against running a stream whose connection ends with the process."""
     connecting = defer.Deferred()
-    monkeypatch.setattr(harness.pool, "connect", lambda address: connecting)
+    monkeypatch.setattr(harness.pool, "connect", lambda *_, **__: connecting)
     _, _, refusals = start_stream(harness)
     harness.context.stops_at = harness.clock.seconds() + 1.0
     harness.clock.advance(1.0)
--- a/tests/http1/test_calls.py
+++ b/tests/http1/test_calls.py
@@ -20,7 +20,8 @@
         self.connection = EndpointConnection(lambda _: None, lambda _: None)
         self.connection.makeConnection(StringTransport())
 
-    def connect(self, address):
+    def connect(self, address, identified=False):
+        del address, identified
         return defer.succeed(self.connection)
 
 
--- a/tests/migration/test_evacuation.py
+++ b/tests/migration/test_evacuation.py
@@ -25,7 +25,7 @@
         self.pool = None
         monkeypatch.setattr("guavacleat.forwarding.copies.call", self)
 
-    async def __call__(self, clock, pool, address, method, target, headers, body, timeout):
+    async def __call__(self, clock, pool, address, method, target, headers, body, timeout, **_):
         answer = defer.Deferred()
         if pool is not self.pool:
             return await answer
--- a/tests/throttling/test_pauses.py
+++ b/tests/throttling/test_pauses.py
@@ -48,7 +48,7 @@
     harness = ForwardingHarness(clock, names=("e1",), engine=None)
     opened, connect = [], harness.pool.connect
 
-    def connect_late(address):
+    def connect_late(address, **_):
         opened.append(defer.Deferred())
         return opened[-1].addCallback(lambda _: connect(address))
 
