Handover: a run whose stream and stop call were both lost is stopped again

Read as a newcomer: a stream that ends with its connection before the engine got the stop was taken for a stopped run. The test test_run_is_stopped_again_if_its_connections_were_lost failed before. Names and docstrings.

--- a/src/guavacleat/forwarding/run_stop.py
+++ b/src/guavacleat/forwarding/run_stop.py
@@ -68,15 +68,16 @@
         return self.response or NO_RESPONSE
 
     async def _call(self) -> None:
+        run = (self.context, self.attempt.request_id, self.attempt.entry, self.target)
         try:
-            self.response = await copy_run(
-                self.context, self.attempt.request_id, self.attempt.entry, self.target, stop=True
-            )
+            self.response = await copy_run(*run, stop=True)
         except CallBrokenError as exc:
-            self.response = NO_RESPONSE
             log_message(
                 message_type="move:stop-failed", endpoint=self.attempt.entry.id, error=repr(exc)
             )
+            # The stream may have ended with its connection before the engine got the call.
+            lost = self.attempt.run_stopped
+            self.response = await stop_detached_run(*run) if lost else NO_RESPONSE
         self._notify()
 
     def _end_silent_stream(self) -> None:
--- a/src/guavacleat/forwarding/session.py
+++ b/src/guavacleat/forwarding/session.py
@@ -104,6 +104,7 @@
             defer.Deferred.fromCoroutine(freeing).addErrback(self.log_error)
 
     def log_error(self, failure) -> None:
+        """Log the failure of a task that the stream doesn't wait for."""
         self._log("stream:error", error=failure.getTraceback())
 
     async def _run(self) -> None:
@@ -188,7 +189,7 @@
         self.memory.set_copy(attempt.backup)
 
     async def hand_over(self) -> bool:
-        """Resume from the copy while the current engine still runs; return whether it succeeded."""
+        """Stop the run on its engine and resume it from the copy; return whether that succeeded."""
         if self.handover is not None or self.memory.copy is None or self.last_event is None:
             return False
         if self.attempt.ended or self.attempt.ignores_stop:
--- a/src/guavacleat/http1/pool.py
+++ b/src/guavacleat/http1/pool.py
@@ -44,10 +44,11 @@
     def _newest_idle(self, address: tuple[str, int], identified: bool) -> EndpointConnection | None:
         """The connection to use next; the unidentified ones first, as few requests can use them."""
         idle = self.idle_by_address.get(address, ())
-        by_use = {connection.unidentified: connection for connection in idle}
+        # The newest of each kind, as they are in the order of use.
+        newest = {connection.unidentified: connection for connection in idle}
         if identified:
-            return by_use.get(False)
-        return by_use.get(True) or by_use.get(False)
+            return newest.get(False)
+        return newest.get(True) or newest.get(False)
 
     def connect_new(self, address: tuple[str, int]) -> defer.Deferred:
         """Fire with a new connection to ``address``."""
--- a/tests/forwarding/test_session.py
+++ b/tests/forwarding/test_session.py
@@ -383,6 +383,15 @@
     assert done.result is True
 
 
+def test_run_is_stopped_again_if_its_connections_were_lost(harness):
+    """Guards against a run whose stream and stop call were lost before its engine got the call."""
+    _, _, connection, second_connection, stop_call, _ = start_handover(harness)
+    connection.break_connection()
+    stop_call.break_connection()
+    assert second_connection.headers[b"resume"] == b"h1 4"
+    assert [call.target for call in harness.pool.calls] == [b"/stop", b"/stop"]
+
+
 @pytest.mark.parametrize("status,engine", [(200, "e2"), (503, None)])
 def test_refused_handover_goes_on_from_the_later_copy(harness, status, engine):
     """Guards against losing a stopped stream whose new engine can't use the first copy.
