Entries: one whose name no header can carry is refused (LOST)

Callers got 502 for each request that was placed at such an entry's endpoint, as its id could not be encoded. Three new cases fail with src stashed and pass with the change.

--- a/src/guavacleat/platform/decode.py
+++ b/src/guavacleat/platform/decode.py
@@ -62,6 +62,13 @@
     return value
 
 
+def _header_value(text: str) -> str:
+    """Check a text that requests carry in a header."""
+    if not (text.isascii() and text.isprintable()):
+        raise ValueError(f"{text!r} can't be sent in a header")
+    return text
+
+
 def _integer(value) -> int:
     """Check an integer; floats with an integral value are accepted, as some encoders write them."""
     if isinstance(value, float) and value.is_integer():
@@ -184,7 +191,7 @@
     """Decode an engine's entry; raises the same exceptions as :func:`decode_configuration`."""
     started = spec.get("born")
     return EndpointEntry(
-        id=id,
+        id=_header_value(id),
         service=_string(spec["service"]),
         address=_address(_string(spec["address"])),
         data_centre=_string(_get(spec, "zone", "")),
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -123,6 +123,16 @@
     assert [line["endpoint"] for line in lines] == ["odd"]
 
 
+@pytest.mark.parametrize("name", ["odd\ufffd", "odd\r\nX: x", "ödd"])
+def test_an_entry_whose_name_no_header_can_carry_is_not_used(clock, store, name):
+    """Guards against requests that fail as long as such an entry stands."""
+    add(store, name)
+    add(store, "e1")
+    follower = Follower(clock, store)
+    clock.pump([0.5] * 4)
+    assert follower.ready_ids() == {"e1"}
+
+
 def test_a_listing_whose_page_ends_with_an_invalid_object_goes_on(clock, store):
     """Guards against a listing that fails at each page because of one object's metadata."""
     for number in range(4):
